--- /dev/null
+++ b/pkg/refusal/refusal.go
@@ -0,0 +1,93 @@
+// Package refusal holds the errors that callers of the router see.
+//
+// Every refusal states whether the request ran, so that a caller knows whether it may send it again.
+package refusal
+
+import (
+	"fmt"
+	"time"
+)
+
+// RunState tells whether the refused request reached an endpoint.
+type RunState string
+
+const (
+	// NotRun means that no byte of the request was acted upon by an endpoint.
+	NotRun RunState = "not_run"
+	// Run means that an endpoint ran the request at least partly.
+	Run RunState = "run"
+	// Unknown means that the router cannot tell whether an endpoint ran the request.
+	Unknown RunState = "unknown"
+)
+
+// Code names the reason of a refusal. Codes are stable and documented for operators.
+type Code string
+
+// Refusal codes.
+const (
+	CodeBadRequest       Code = "bad_request"
+	CodeTooLarge         Code = "request_too_large"
+	CodeUnauthorized     Code = "invalid_key"
+	CodeKeyWithdrawn     Code = "key_withdrawn"
+	CodeNoRoute          Code = "no_route"
+	CodeUnknownModel     Code = "unknown_model"
+	CodeRateLimited      Code = "rate_limited"
+	CodeAboveBurst       Code = "above_burst"
+	CodeQueueFull        Code = "queue_full"
+	CodeDeadline         Code = "deadline"
+	CodeNoEndpoint       Code = "no_endpoint"
+	CodeNoConfig         Code = "no_configuration"
+	CodeCutOff           Code = "cut_off"
+	CodeDraining         Code = "draining"
+	CodeLogDown          Code = "log_unavailable"
+	CodeInProgress       Code = "in_progress"
+	CodeKeyReused        Code = "idempotency_key_reused"
+	CodeKeyExpired       Code = "idempotency_key_expired"
+	CodeOutcomeUnknown   Code = "outcome_unknown"
+	CodeEndpointFailed   Code = "endpoint_failed"
+	CodeCrashSuspect     Code = "crashes_endpoints"
+	CodeStreamCut        Code = "stream_cut"
+	CodeEndpointRejected Code = "endpoint_rejected"
+	CodeOverloaded       Code = "overloaded"
+)
+
+// Error is the refusal of one request.
+type Error struct {
+	// Status is the HTTP status code.
+	Status int
+	// Code is the stable reason.
+	Code Code
+	// RunState tells whether the request ran.
+	RunState RunState
+	// Message is one sentence for people.
+	Message string
+	// RetryAfter is the time after which a new try may succeed. Zero means that none is given.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s (%s): %s", e.Code, e.RunState, e.Message)
+}
+
+// New returns a refusal of a request that did not run.
+func New(status int, code Code, format string, args ...any) *Error {
+	return &Error{
+		Status:   status,
+		Code:     code,
+		RunState: NotRun,
+		Message:  fmt.Sprintf(format, args...),
+	}
+}
+
+// After sets the time to come back and returns e.
+func (e *Error) After(d time.Duration) *Error {
+	e.RetryAfter = d
+	return e
+}
+
+// With sets the run state and returns e.
+func (e *Error) With(s RunState) *Error {
+	e.RunState = s
+	return e
+}
