Add the prompt hash chain

Cause: the router and the engine stand-in must agree on block hashes before either can be written. Change: pkg/route with Message, Prompt, Seed and Chain. A prompt is encoded with escaped end marks instead of lengths, so that nested prompts share the first bytes within a message too. The seed covers workspace, model, adapter and weight version with length prefixes. Conclusion: the engine stand-in can import the four declarations.

--- /dev/null
+++ b/pkg/route/chain.go
@@ -0,0 +1,84 @@
+// Package route places requests on model engines.
+//
+// A prompt is cut into blocks whose hashes form a chain, so that one hash identifies a whole prefix. A Placer
+// predicts the time to first token on every candidate endpoint and takes the lowest. The package holds no I/O:
+// time, seeds and observations are arguments.
+package route
+
+import (
+	"encoding/binary"
+
+	"github.com/zeebo/xxh3"
+)
+
+// Message is one entry of a chat prompt.
+type Message struct {
+	// Role is the author, such as system or user.
+	Role string
+	// Content is the text.
+	Content string
+}
+
+// Bytes of the canonical prompt encoding. A NUL in the text is escaped, so that no text can imitate the end of
+// a field.
+const (
+	fieldMark   = 0x00
+	fieldEnd    = 0x00
+	fieldEscape = 0x01
+)
+
+// Prompt returns the canonical bytes of a prompt. Different message lists have different bytes. Lengths are not
+// written in front of the text, so prompts with a common beginning also have a common beginning of the bytes,
+// also within a message.
+func Prompt(messages []Message) []byte {
+	size := 0
+	for _, m := range messages {
+		size += len(m.Role) + len(m.Content) + 4
+	}
+	out := make([]byte, 0, size)
+	for _, m := range messages {
+		out = appendField(out, m.Role)
+		out = appendField(out, m.Content)
+	}
+	return out
+}
+
+// appendField appends the escaped text and an end mark.
+func appendField(out []byte, text string) []byte {
+	for i := 0; i < len(text); i++ {
+		out = append(out, text[i])
+		if text[i] == fieldMark {
+			out = append(out, fieldEscape)
+		}
+	}
+	return append(out, fieldMark, fieldEnd)
+}
+
+// Seed returns the start of the hash chain. Prompts share hashes only when all four names are equal, so equal
+// text of two workspaces, models, adapters or weight versions never shares cached material.
+func Seed(workspace, model, adapter, version string) uint64 {
+	names := [...]string{workspace, model, adapter, version}
+	var data []byte
+	for _, name := range names {
+		data = binary.AppendUvarint(data, uint64(len(name)))
+		data = append(data, name...)
+	}
+	return xxh3.Hash(data)
+}
+
+// Chain returns one hash per complete block of blockBytes bytes. The hash of a block depends on the seed and on
+// all blocks before it, so an equal hash means an equal prefix. A rest shorter than a block has no hash. The
+// result is nil when blockBytes is not positive.
+func Chain(seed uint64, prompt []byte, blockBytes int) []uint64 {
+	if blockBytes <= 0 {
+		return nil
+	}
+	hashes := make([]uint64, 0, len(prompt)/blockBytes)
+	previous := seed
+	for len(prompt) >= blockBytes {
+		previous = xxh3.HashSeed(prompt[:blockBytes], previous)
+		hashes = append(hashes, previous)
+		prompt = prompt[blockBytes:]
+	}
+	return hashes
+}
