--- /dev/null
+++ b/pkg/caller/merge.go
@@ -0,0 +1,124 @@
+package caller
+
+import "encoding/json"
+
+// setKeys are the fields of a delta that replace the earlier value; other strings are appended.
+var setKeys = map[string]bool{"role": true, "id": true, "type": true, "name": true, "finish_reason": true, "index": true}
+
+// completion collects the deltas of a stream into the choices of a whole answer.
+type completion struct {
+	choices map[int]map[string]any
+	order   []int
+}
+
+func newCompletion() *completion {
+	return &completion{choices: map[int]map[string]any{}}
+}
+
+// add merges the choices of one event. Malformed choices are reported.
+func (c *completion) add(raw json.RawMessage) error {
+	if len(raw) == 0 {
+		return nil
+	}
+	var choices []struct {
+		Index        int             `json:"index"`
+		Delta        map[string]any  `json:"delta"`
+		FinishReason any             `json:"finish_reason"`
+		Logprobs     json.RawMessage `json:"logprobs"`
+	}
+	if err := json.Unmarshal(raw, &choices); err != nil {
+		return err
+	}
+	for _, choice := range choices {
+		into := c.choice(choice.Index)
+		mergeObject(into["message"].(map[string]any), choice.Delta)
+		if choice.FinishReason != nil {
+			into["finish_reason"] = choice.FinishReason
+		}
+	}
+	return nil
+}
+
+func (c *completion) choice(index int) map[string]any {
+	into, ok := c.choices[index]
+	if !ok {
+		into = map[string]any{
+			"index":         index,
+			"message":       map[string]any{"role": "assistant", "content": ""},
+			"finish_reason": nil,
+		}
+		c.choices[index] = into
+		c.order = append(c.order, index)
+	}
+	return into
+}
+
+// list returns the merged choices in the order in which they began.
+func (c *completion) list() []map[string]any {
+	out := make([]map[string]any, 0, len(c.order))
+	for _, index := range c.order {
+		out = append(out, c.choices[index])
+	}
+	return out
+}
+
+func mergeObject(into, delta map[string]any) {
+	for key, value := range delta {
+		into[key] = mergeValue(key, into[key], value)
+	}
+}
+
+func mergeValue(key string, old, value any) any {
+	switch value := value.(type) {
+	case string:
+		text, ok := old.(string)
+		if !ok || setKeys[key] {
+			return value
+		}
+		return text + value
+	case map[string]any:
+		object, ok := old.(map[string]any)
+		if !ok {
+			object = map[string]any{}
+		}
+		mergeObject(object, value)
+		return object
+	case []any:
+		list, _ := old.([]any)
+		return mergeList(list, value)
+	case nil:
+		return old
+	default:
+		return value
+	}
+}
+
+// mergeList merges entries that carry an index into the entry with the same index; others are appended.
+func mergeList(into, delta []any) []any {
+	for _, entry := range delta {
+		object, isObject := entry.(map[string]any)
+		if !isObject {
+			into = append(into, entry)
+			continue
+		}
+		target := findIndex(into, object["index"])
+		if target == nil {
+			target = map[string]any{}
+			into = append(into, target)
+		}
+		mergeObject(target, object)
+	}
+	return into
+}
+
+func findIndex(list []any, index any) map[string]any {
+	if index == nil {
+		return nil
+	}
+	for _, entry := range list {
+		if object, ok := entry.(map[string]any); ok && object["index"] == index {
+			return object
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/caller/server.go
@@ -0,0 +1,306 @@
+// Package caller is the HTTP side towards callers: chat completions, models, plain-service routes and health.
+package caller
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/url"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/expvarhandler"
+
+	"github.com/corneldeal/corneldeal/pkg/engine"
+	"github.com/corneldeal/corneldeal/pkg/refusal"
+	"github.com/corneldeal/corneldeal/pkg/service"
+	"github.com/corneldeal/corneldeal/pkg/settings"
+)
+
+const (
+	// idleTimeout closes callers' connections that send nothing.
+	idleTimeout = 90 * time.Second
+	// readTimeout bounds the time in which a whole request must arrive.
+	readTimeout = 30 * time.Second
+	// writeTimeout bounds one write to a slow reader.
+	writeTimeout = 60 * time.Second
+)
+
+// Event is one piece of a running answer.
+type Event struct {
+	// TokenIndex is the position of the token, or -1.
+	TokenIndex int64
+	// Choices is the raw JSON of the choices.
+	Choices json.RawMessage
+	// Usage is set in the last event before the end.
+	Usage *engine.Usage
+	// Refusal ends the answer early.
+	Refusal *refusal.Error
+}
+
+// Answer is a running chat answer. Events is closed after the last event.
+type Answer struct {
+	// ID identifies the request in logs and in the timeline.
+	ID string
+	// Created is the time of the first token.
+	Created time.Time
+	Events  <-chan Event
+	// Cancel stops the answer; it may be called more than once.
+	Cancel context.CancelFunc
+}
+
+// Backend decides and runs requests.
+type Backend interface {
+	// Chat returns when the first event is there, or with a refusal.
+	Chat(r ChatRequest) (*Answer, *refusal.Error)
+	// Service runs one call of a plain service.
+	Service(r ServiceRequest) (service.Response, *refusal.Error)
+	// Models lists the models that the key may use.
+	Models(key string) ([]string, *refusal.Error)
+	// Ready tells whether the balancer may send requests.
+	Ready() bool
+}
+
+// Server is the listener for callers.
+type Server struct {
+	backend Backend
+	http    *fasthttp.Server
+}
+
+// NewServer returns a server with the bounds of s.
+func NewServer(backend Backend, s settings.Settings) *Server {
+	server := &Server{backend: backend}
+	server.http = &fasthttp.Server{
+		Name:                          "corneldeal",
+		Handler:                       server.handle,
+		ErrorHandler:                  server.malformed,
+		MaxRequestBodySize:            s.MaxBodyBytes,
+		ReadBufferSize:                s.MaxHeaderBytes,
+		IdleTimeout:                   idleTimeout,
+		ReadTimeout:                   readTimeout,
+		WriteTimeout:                  writeTimeout,
+		NoDefaultServerHeader:         true,
+		DisableHeaderNamesNormalizing: false,
+		CloseOnShutdown:               true,
+	}
+	return server
+}
+
+// Serve accepts callers until Shutdown.
+func (s *Server) Serve(ln net.Listener) error {
+	return s.http.Serve(ln)
+}
+
+// Shutdown waits until every request has its whole answer, or until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return s.http.ShutdownWithContext(ctx)
+}
+
+// malformed answers what fasthttp could not read as a request.
+func (s *Server) malformed(ctx *fasthttp.RequestCtx, err error) {
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		writeRefusal(ctx, refusal.New(fasthttp.StatusRequestEntityTooLarge, refusal.CodeTooLarge, "the body is larger than this router accepts"))
+	case errors.As(err, &small):
+		writeRefusal(ctx, refusal.New(fasthttp.StatusRequestHeaderFieldsTooLarge, refusal.CodeTooLarge, "the headers are larger than this router accepts"))
+	default:
+		writeRefusal(ctx, badRequest("the request could not be read"))
+	}
+	ctx.SetConnectionClose()
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/v1/chat/completions":
+		s.chat(ctx)
+	case "/v1/models":
+		s.models(ctx)
+	case "/healthz":
+		ctx.SetBodyString("ok\n")
+	case "/readyz":
+		s.ready(ctx)
+	case "/debug/vars":
+		expvarhandler.ExpvarHandler(ctx)
+	default:
+		s.service(ctx)
+	}
+}
+
+func (s *Server) ready(ctx *fasthttp.RequestCtx) {
+	if !s.backend.Ready() {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.SetBodyString("not ready\n")
+		return
+	}
+	ctx.SetBodyString("ready\n")
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (s *Server) models(ctx *fasthttp.RequestCtx) {
+	if !ctx.IsGet() {
+		writeRefusal(ctx, refusal.New(fasthttp.StatusMethodNotAllowed, refusal.CodeBadRequest, "use GET"))
+		return
+	}
+	names, ref := s.backend.Models(bearerKey(ctx))
+	if ref != nil {
+		writeRefusal(ctx, ref)
+		return
+	}
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for _, name := range names {
+		list.Data = append(list.Data, modelItem{ID: name, Object: "model", OwnedBy: "corneldeal"})
+	}
+	writeJSON(ctx, list)
+}
+
+func (s *Server) service(ctx *fasthttp.RequestCtx) {
+	r, ref := parseService(ctx)
+	if ref != nil {
+		writeRefusal(ctx, ref)
+		return
+	}
+	if ref := checkKeyHidden(r.Key, serviceTexts(r)...); ref != nil {
+		writeRefusal(ctx, ref)
+		return
+	}
+	resp, ref := s.backend.Service(r)
+	if ref != nil {
+		writeRefusal(ctx, ref)
+		return
+	}
+	writeService(ctx, resp)
+}
+
+// serviceTexts returns everything of the request that reaches an endpoint.
+func serviceTexts(r ServiceRequest) [][]byte {
+	texts := [][]byte{[]byte(r.URI), []byte(r.Path), r.Body}
+	if query, err := url.QueryUnescape(r.URI); err == nil {
+		texts = append(texts, []byte(query))
+	}
+	for _, h := range r.Headers {
+		texts = append(texts, []byte(h.Value))
+	}
+	return texts
+}
+
+func (s *Server) chat(ctx *fasthttp.RequestCtx) {
+	if !ctx.IsPost() {
+		writeRefusal(ctx, refusal.New(fasthttp.StatusMethodNotAllowed, refusal.CodeBadRequest, "use POST"))
+		return
+	}
+	r, ref := parseChat(ctx)
+	if ref != nil {
+		writeRefusal(ctx, ref)
+		return
+	}
+	if ref := checkKeyHidden(r.Key, r.Body); ref != nil {
+		writeRefusal(ctx, ref)
+		return
+	}
+	answer, ref := s.backend.Chat(r)
+	if ref != nil {
+		writeRefusal(ctx, ref)
+		return
+	}
+	ctx.Response.Header.Set(headerRequestID, answer.ID)
+	if r.Stream {
+		streamAnswer(ctx, r, answer)
+		return
+	}
+	wholeAnswer(ctx, r, answer)
+}
+
+func streamAnswer(ctx *fasthttp.RequestCtx, r ChatRequest, answer *Answer) {
+	ctx.SetContentType("text/event-stream")
+	ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-cache")
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		defer answer.Cancel()
+		out := eventWriter{w: w}
+		for event := range answer.Events {
+			if writeEvent(out, r, answer, event) != nil {
+				return
+			}
+			if event.Refusal != nil {
+				return
+			}
+		}
+		_ = out.write([]byte("[DONE]"))
+	})
+}
+
+func writeEvent(out eventWriter, r ChatRequest, answer *Answer, event Event) error {
+	if event.Refusal != nil {
+		return out.write(errorJSON(event.Refusal))
+	}
+	body := chunkBody{
+		ID:      "chatcmpl-" + answer.ID,
+		Object:  "chat.completion.chunk",
+		Created: answer.Created.Unix(),
+		Model:   r.Model,
+		Choices: event.Choices,
+	}
+	if len(body.Choices) == 0 {
+		body.Choices = json.RawMessage(`[]`)
+	}
+	if event.TokenIndex >= 0 {
+		body.TokenIndex = &event.TokenIndex
+	}
+	if event.Usage != nil {
+		if !r.IncludeUsage && len(event.Choices) <= len(`[]`) {
+			return nil
+		}
+		if r.IncludeUsage {
+			body.Usage = event.Usage
+		}
+	}
+	return out.chunk(body)
+}
+
+type completionBody struct {
+	ID      string           `json:"id"`
+	Object  string           `json:"object"`
+	Created int64            `json:"created"`
+	Model   string           `json:"model"`
+	Choices []map[string]any `json:"choices"`
+	Usage   *engine.Usage    `json:"usage,omitempty"`
+}
+
+func wholeAnswer(ctx *fasthttp.RequestCtx, r ChatRequest, answer *Answer) {
+	defer answer.Cancel()
+	whole := newCompletion()
+	var usage *engine.Usage
+	for event := range answer.Events {
+		if event.Refusal != nil {
+			writeRefusal(ctx, event.Refusal)
+			return
+		}
+		if err := whole.add(event.Choices); err != nil {
+			writeRefusal(ctx, refusal.New(fasthttp.StatusBadGateway, refusal.CodeEndpointFailed, "the engine sent a malformed answer").With(refusal.Run))
+			return
+		}
+		if event.Usage != nil {
+			usage = event.Usage
+		}
+	}
+	writeJSON(ctx, completionBody{
+		ID:      "chatcmpl-" + answer.ID,
+		Object:  "chat.completion",
+		Created: answer.Created.Unix(),
+		Model:   r.Model,
+		Choices: whole.list(),
+		Usage:   usage,
+	})
+}
