--- a/cmd/corneldeal/main.go
+++ b/cmd/corneldeal/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 
@@ -12,20 +13,61 @@
 // version is the version of the program.
 const version = "0.1.0"
 
+// Exit statuses.
+const (
+	exitFailed  = 1
+	exitInvalid = 2
+	exitRefused = 3
+)
+
+// exitError ends the program with a status. An empty message prints nothing more.
+type exitError struct {
+	status  int
+	message string
+}
+
+// Error implements error.
+func (e *exitError) Error() string {
+	return e.message
+}
+
 func main() {
-	if err := app().Run(context.Background(), os.Args); err != nil {
+	os.Exit(run(os.Args))
+}
+
+// run runs the program and returns its exit status.
+func run(args []string) int {
+	err := app().Run(context.Background(), args)
+	if err == nil {
+		return 0
+	}
+	status := exitFailed
+	var exit *exitError
+	if errors.As(err, &exit) {
+		status = exit.status
+	}
+	if err.Error() != "" {
 		fmt.Fprintln(os.Stderr, "corneldeal:", err)
-		os.Exit(1)
 	}
+	return status
 }
 
 // app returns the command line of the program.
 func app() *cli.Command {
 	return &cli.Command{
-		Name:    "corneldeal",
-		Usage:   "route language-model traffic with long shared prompts",
-		Version: version,
+		Name:  "corneldeal",
+		Usage: "route language-model traffic with long shared prompts",
+		Description: "One kind of process, `corneldeal serve`, stands on every VM behind the platform's balancer.\n" +
+			"Operators steer it with release notes, see `corneldeal publish`.",
+		Version:        version,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
+			serveCommand(),
+			checkCommand(),
+			publishCommand(),
+			statusCommand(),
+			timelineCommand(),
+			keyCommand(),
 			versionCommand(),
 		},
 	}
@@ -35,9 +77,9 @@
 	return &cli.Command{
 		Name:  "version",
 		Usage: "print the version",
-		Action: func(_ context.Context, _ *cli.Command) error {
-			fmt.Println("corneldeal", version)
-			return nil
+		Action: func(_ context.Context, c *cli.Command) error {
+			_, err := fmt.Fprintln(c.Root().Writer, "corneldeal", version)
+			return err
 		},
 	}
 }
--- /dev/null
+++ b/cmd/corneldeal/platform.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"github.com/valyala/fasthttp"
+
+	"github.com/corneldeal/corneldeal/pkg/caller"
+	"github.com/corneldeal/corneldeal/pkg/httpcall"
+	"github.com/corneldeal/corneldeal/pkg/logservice"
+	"github.com/corneldeal/corneldeal/pkg/vmlist"
+)
+
+// statusTimeout bounds the status request to one VM.
+const statusTimeout = time.Second
+
+func platformFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "log", Usage: "`IP:PORT` of the log service", Required: true},
+		&cli.StringFlag{Name: "vm-list", Usage: "`IP:PORT` of the VM list", Required: true},
+	}
+}
+
+// platform holds the clients that operators' commands use.
+type platform struct {
+	http *httpcall.Client
+	log  *logservice.Client
+	vms  *vmlist.Client
+}
+
+func newPlatform(c *cli.Command) *platform {
+	http := httpcall.NewClient()
+	return &platform{
+		http: http,
+		log:  logservice.New(c.String("log"), http),
+		vms:  vmlist.New(c.String("vm-list"), http),
+	}
+}
+
+// vmStatus is the status of one VM, or why it could not be read.
+type vmStatus struct {
+	vm     vmlist.VM
+	status caller.Status
+	err    error
+}
+
+// statuses asks every VM of the list.
+func (p *platform) statuses(ctx context.Context) ([]vmStatus, error) {
+	list, err := p.vms.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	results := make([]vmStatus, len(list.VMs))
+	done := make(chan struct{})
+	for i, vm := range list.VMs {
+		go func() {
+			status, err := p.status(ctx, vm.CallerAddress)
+			results[i] = vmStatus{vm: vm, status: status, err: err}
+			done <- struct{}{}
+		}()
+	}
+	for range list.VMs {
+		<-done
+	}
+	return results, nil
+}
+
+func (p *platform) status(ctx context.Context, address string) (caller.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	req := &fasthttp.Request{}
+	req.SetRequestURI("/statusz")
+	resp := &fasthttp.Response{}
+	if err := p.http.Do(ctx, address, req, resp, httpcall.Options{}); err != nil {
+		return caller.Status{}, err
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return caller.Status{}, fmt.Errorf("status %d", resp.StatusCode())
+	}
+	var status caller.Status
+	err := json.Unmarshal(resp.Body(), &status)
+	return status, err
+}
--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -59,6 +59,8 @@
 	Service(r ServiceRequest) (service.Response, *refusal.Error)
 	// Models lists the models that the key may use.
 	Models(key string) ([]string, *refusal.Error)
+	// Status describes the VM.
+	Status() Status
 	// Ready tells whether the balancer may send requests.
 	Ready() bool
 }
@@ -122,6 +124,8 @@
 		ctx.SetBodyString("ok\n")
 	case "/readyz":
 		s.ready(ctx)
+	case "/statusz":
+		writeJSON(ctx, s.backend.Status())
 	case "/debug/vars":
 		expvarhandler.ExpvarHandler(ctx)
 	default:
