--- /dev/null
+++ b/pkg/config/state.go
@@ -0,0 +1,169 @@
+package config
+
+import (
+	"strings"
+	"sync"
+)
+
+// State is the configuration after a prefix of the config stream. It is immutable and safe for concurrent
+// reads. Slices in returned items belong to the state and must not be modified.
+type State struct {
+	// next is the offset of the first record that is not contained.
+	next int64
+	// floor is the oldest offset whose verdict and withdrawals are remembered.
+	floor int64
+	// marks are the offsets of the newest snapshot records that count as ticks, oldest first.
+	marks []int64
+
+	workspaces *table[Workspace]
+	keys       *table[Key]
+	models     *table[Model]
+	routes     *table[Route]
+	endpoints  *table[Endpoint]
+	defaults   *table[Defaults]
+
+	// withdrawals and verdicts are ordered by offset. States share the arrays behind them, which only grow.
+	withdrawals []withdrawal
+	verdicts    []Verdict
+
+	digest   func() string
+	chat     map[string]string
+	prefixes map[string]string
+	serving  func() servingIndex
+}
+
+// withdrawal remembers that an item was withdrawn, so that a note with an older base conflicts with it.
+type withdrawal struct {
+	Ref    Ref   `json:"ref"`
+	Offset int64 `json:"offset"`
+}
+
+// servingIndex lists endpoints by what they serve.
+type servingIndex struct {
+	byModel   map[string][]Endpoint
+	byService map[string][]Endpoint
+}
+
+// emptyState is the configuration before the first record.
+func emptyState() *State {
+	s := &State{
+		workspaces: newTable(map[string]*entry[Workspace]{}),
+		keys:       newTable(map[string]*entry[Key]{}),
+		models:     newTable(map[string]*entry[Model]{}),
+		routes:     newTable(map[string]*entry[Route]{}),
+		endpoints:  newTable(map[string]*entry[Endpoint]{}),
+		defaults:   newTable(map[string]*entry[Defaults]{}),
+	}
+	s.finish()
+	return s
+}
+
+// finish computes the indexes of a new state, reusing nothing of the state that it was copied from.
+func (s *State) finish() {
+	s.digest = sync.OnceValue(func() string { return digestOf(bodyOf(s)) })
+	s.chat = map[string]string{}
+	s.prefixes = map[string]string{}
+	for name, e := range s.routes.entries {
+		if e.item.Kind == RouteChat {
+			s.chat[e.item.Model] = name
+			continue
+		}
+		s.prefixes[e.item.Prefix] = name
+	}
+	endpoints := s.endpoints
+	s.serving = sync.OnceValue(func() servingIndex { return indexServing(endpoints) })
+}
+
+func indexServing(endpoints *table[Endpoint]) servingIndex {
+	index := servingIndex{byModel: map[string][]Endpoint{}, byService: map[string][]Endpoint{}}
+	for _, e := range endpoints.sorted() {
+		for _, model := range e.Models {
+			index.byModel[model] = append(index.byModel[model], e)
+		}
+		if e.Kind == EndpointService {
+			index.byService[e.Service] = append(index.byService[e.Service], e)
+		}
+	}
+	return index
+}
+
+// Offset is the offset of the newest record contained, or -1 for none.
+func (s *State) Offset() int64 { return s.next - 1 }
+
+// NextOffset is the offset of the first record that is not contained.
+func (s *State) NextOffset() int64 { return s.next }
+
+// OldestBase is the oldest base that a note may still have.
+func (s *State) OldestBase() int64 { return s.floor - 1 }
+
+// Digest is the lower-case hexadecimal SHA-256 over the canonical encoding. The first call computes it.
+func (s *State) Digest() string { return s.digest() }
+
+// Workspace returns the workspace with that name.
+func (s *State) Workspace(name string) (Workspace, bool) { return s.workspaces.lookup(name) }
+
+// KeyWorkspace returns the workspace that the key with that digest admits to.
+func (s *State) KeyWorkspace(digest string) (Workspace, bool) {
+	key, ok := s.keys.lookup(digest)
+	if !ok {
+		return Workspace{}, false
+	}
+	return s.workspaces.lookup(key.Workspace)
+}
+
+// Model returns the model with that name, with defaults filled in.
+func (s *State) Model(name string) (Model, bool) { return s.models.lookup(name) }
+
+// Endpoint returns the endpoint with that name, with defaults filled in.
+func (s *State) Endpoint(name string) (Endpoint, bool) { return s.endpoints.lookup(name) }
+
+// ChatRoute returns the chat route of a model name, with defaults filled in.
+func (s *State) ChatRoute(model string) (Route, bool) {
+	name, ok := s.chat[model]
+	if !ok {
+		return Route{}, false
+	}
+	return s.routes.lookup(name)
+}
+
+// ServiceRoute returns the service route with the longest prefix of path, with defaults filled in. A prefix
+// matches whole path segments only.
+func (s *State) ServiceRoute(path string) (Route, bool) {
+	for path != "" {
+		if name, ok := s.prefixes[path]; ok {
+			return s.routes.lookup(name)
+		}
+		path = path[:max(strings.LastIndexByte(path, '/'), 0)]
+	}
+	return Route{}, false
+}
+
+// Workspaces returns all workspaces in order of name.
+func (s *State) Workspaces() []Workspace { return s.workspaces.sorted() }
+
+// Keys returns all keys in order of digest.
+func (s *State) Keys() []Key { return s.keys.sorted() }
+
+// Models returns all models in order of name, with defaults filled in.
+func (s *State) Models() []Model { return s.models.sorted() }
+
+// Routes returns all routes in order of name, with defaults filled in.
+func (s *State) Routes() []Route { return s.routes.sorted() }
+
+// Endpoints returns all endpoints in order of name, with defaults filled in.
+func (s *State) Endpoints() []Endpoint { return s.endpoints.sorted() }
+
+// ModelEndpoints returns the engines that may serve the model, in order of name.
+func (s *State) ModelEndpoints(model string) []Endpoint { return s.serving().byModel[model] }
+
+// ServiceEndpoints returns the endpoints of a plain service, in order of name.
+func (s *State) ServiceEndpoints(service string) []Endpoint { return s.serving().byService[service] }
+
+// Defaults returns the settings of the deployment with defaults filled in.
+func (s *State) Defaults() Defaults {
+	d, ok := s.defaults.lookup(DefaultsName)
+	if !ok {
+		return fillDefaults(Defaults{})
+	}
+	return d
+}
--- /dev/null
+++ b/pkg/timeline/clock.go
@@ -0,0 +1,87 @@
+// Package timeline records events of one VM and merges those of several VMs in one causal order.
+package timeline
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"sync"
+	"time"
+)
+
+// MaxDrift is how far a peer's clock may be ahead of the own wall clock. A stamp further ahead is not adopted,
+// because one wrong clock would otherwise move the clocks of all VMs.
+const MaxDrift = 10 * time.Second
+
+// Stamp is a reading of a hybrid logical clock.
+type Stamp struct {
+	// WallNs is wall time in nanoseconds since 1970.
+	WallNs int64 `json:"hlc_wall_ns"`
+	// Counter orders stamps of the same wall time.
+	Counter uint32 `json:"hlc_counter"`
+}
+
+// Compare returns -1, 0 or 1 as s is before, equal to or after other.
+func (s Stamp) Compare(other Stamp) int {
+	if c := cmp.Compare(s.WallNs, other.WallNs); c != 0 {
+		return c
+	}
+	return cmp.Compare(s.Counter, other.Counter)
+}
+
+// next returns the smallest stamp after s.
+func (s Stamp) next() Stamp {
+	if s.Counter == math.MaxUint32 {
+		return Stamp{WallNs: s.WallNs + 1}
+	}
+	return Stamp{WallNs: s.WallNs, Counter: s.Counter + 1}
+}
+
+// DriftError reports a peer whose clock is too far ahead.
+type DriftError struct {
+	// Ahead is the distance to the own wall clock.
+	Ahead time.Duration
+}
+
+// Error implements error.
+func (e *DriftError) Error() string {
+	return fmt.Sprintf("timeline: clock of peer is %s ahead, at most %s is allowed", e.Ahead, MaxDrift)
+}
+
+// Clock is a hybrid logical clock. Its stamps strictly increase, also when the wall clock steps back. It is safe
+// for concurrent use; the zero value is ready.
+type Clock struct {
+	mu   sync.Mutex
+	last Stamp
+}
+
+// Now returns a stamp for an event at the given wall time.
+func (c *Clock) Now(now time.Time) Stamp {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.advance(Stamp{WallNs: now.UnixNano()})
+}
+
+// Observe adopts the stamp of a received message, so that later stamps of this clock are after it. It returns a
+// *DriftError, and adopts nothing, where the stamp is more than MaxDrift ahead of now.
+func (c *Clock) Observe(remote Stamp, now time.Time) error {
+	ahead := time.Duration(remote.WallNs - now.UnixNano())
+	if ahead > MaxDrift {
+		return &DriftError{Ahead: ahead}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.last.Compare(remote) < 0 {
+		c.last = remote
+	}
+	return nil
+}
+
+// advance returns the wall stamp, or the next after the last one where the wall clock is not ahead of it.
+func (c *Clock) advance(wall Stamp) Stamp {
+	if wall.Compare(c.last) <= 0 {
+		wall = c.last.next()
+	}
+	c.last = wall
+	return wall
+}
