--- /dev/null
+++ b/pkg/router/membership.go
@@ -0,0 +1,297 @@
+package router
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/corneldeal/corneldeal/pkg/config"
+	"github.com/corneldeal/corneldeal/pkg/lease"
+	"github.com/corneldeal/corneldeal/pkg/limit"
+	"github.com/corneldeal/corneldeal/pkg/logservice"
+	"github.com/corneldeal/corneldeal/pkg/member"
+	"github.com/corneldeal/corneldeal/pkg/peer"
+	"github.com/corneldeal/corneldeal/pkg/timeline"
+	"github.com/corneldeal/corneldeal/pkg/vmlist"
+)
+
+const (
+	// vmListEvery is the time between two reads of the VM list.
+	vmListEvery = time.Second
+	// heartbeatTimeout bounds one heartbeat call; a late answer proves too little.
+	heartbeatTimeout = time.Second
+	// isolationCheck is the time between two looks at the contact.
+	isolationCheck = 250 * time.Millisecond
+)
+
+// envelope describes this process in every message to a peer.
+func (r *Router) envelope() *peer.Envelope {
+	stamp := r.clock.Now(time.Now())
+	return &peer.Envelope{
+		Vm:           r.settings.VM,
+		Incarnation:  r.incarnation,
+		ConfigOffset: r.state.Load().NextOffset(),
+		HlcWallNs:    stamp.WallNs,
+		HlcCounter:   stamp.Counter,
+	}
+}
+
+// observeEnvelope adopts the clock of a peer.
+func (r *Router) observeEnvelope(e *peer.Envelope) {
+	if e == nil {
+		return
+	}
+	stamp := timeline.Stamp{WallNs: e.HlcWallNs, Counter: e.HlcCounter}
+	if err := r.clock.Observe(stamp, time.Now()); err != nil {
+		r.warn(partMember).Err(err).Str("peer", e.Vm).Msg("member: clock of a peer is refused")
+	}
+}
+
+// readVMList reads the platform's list once.
+func (r *Router) readVMList() {
+	started := time.Now()
+	list, err := r.vms.Read(r.ctx)
+	if err != nil {
+		r.vmListReadable.Store(false)
+		r.debug(partMember).Err(err).Msg("member: VM list is not readable")
+		return
+	}
+	r.vmListReadable.Store(true)
+	r.applyVMListAt(list, started)
+}
+
+func (r *Router) applyVMList(list vmlist.List) {
+	r.applyVMListAt(list, time.Now())
+}
+
+func (r *Router) applyVMListAt(list vmlist.List, started time.Time) {
+	converted := member.List{AsOf: list.AsOf}
+	ev := lease.Evidence{
+		Kind:           lease.ListRead,
+		At:             started,
+		AsOf:           list.AsOf,
+		LogUnreachable: !r.logReadable(),
+	}
+	for _, vm := range list.VMs {
+		converted.VMs = append(converted.VMs, member.VM{
+			Name:       vm.Name,
+			DataCentre: vm.DataCentre,
+			CallerAddr: vm.CallerAddress,
+			PeerAddr:   vm.PeerAddress,
+			State:      member.VMState(vm.State),
+		})
+		ev.Listed = append(ev.Listed, lease.ListedVM{VM: vm.Name, Address: vm.PeerAddress, Leaving: vm.State == vmlist.Leaving})
+	}
+	now := time.Now()
+	r.members.do(func(t *member.Table) { t.ApplyList(converted, started, now) })
+	r.observeLease(ev)
+}
+
+// peerAddresses returns the peer addresses of all other known VMs.
+func (r *Router) peerAddresses() []string {
+	now := time.Now()
+	members := read(&r.members, func(t *member.Table) []member.Member { return t.Members(now) })
+	addresses := make([]string, 0, len(members))
+	for _, m := range members {
+		if m.PeerAddr != "" {
+			addresses = append(addresses, m.PeerAddr)
+		}
+	}
+	return addresses
+}
+
+func (r *Router) peerAddress(vm string) (string, bool) {
+	now := time.Now()
+	members := read(&r.members, func(t *member.Table) []member.Member { return t.Members(now) })
+	i := slices.IndexFunc(members, func(m member.Member) bool { return m.Name == vm })
+	if i < 0 || members[i].PeerAddr == "" {
+		return "", false
+	}
+	return members[i].PeerAddr, true
+}
+
+// observeLogRead notes an answered read of the config stream.
+func (r *Router) observeLogRead(started time.Time, atEnd bool) {
+	r.logAnswered()
+	next := read(&r.config, func(c *config.Replay) int64 { return c.NextOffset() })
+	r.members.do(func(t *member.Table) {
+		if atEnd {
+			t.ObserveRead(started, next)
+			return
+		}
+		t.ObserveConfig(next)
+	})
+}
+
+// heartbeatState describes this VM to its peers.
+func (r *Router) heartbeatState() *peer.HeartbeatRequest {
+	now := time.Now()
+	state := r.state.Load()
+	h := &peer.HeartbeatRequest{
+		Envelope:       r.envelope(),
+		DataCentre:     r.settings.DataCentre,
+		Draining:       r.draining.Load(),
+		LogReadable:    r.logReadable(),
+		VmListReadable: r.vmListReadable.Load(),
+		ConfigDigest:   state.Digest(),
+	}
+	r.members.do(func(t *member.Table) {
+		h.Contact = t.Contact(now) == member.InContact
+		h.Offsets = append(h.Offsets, &peer.StreamOffset{
+			Stream:    logservice.StreamConfig,
+			Next:      state.NextOffset(),
+			ReadAgeMs: ageMillis(t.ContactAge(now)),
+		})
+	})
+	r.leases.do(func(m *lease.Manager) {
+		h.ClaimPending = m.ClaimPending()
+		h.Offsets = append(h.Offsets, &peer.StreamOffset{
+			Stream:    logservice.StreamControl,
+			Next:      m.Next(),
+			ReadAgeMs: r.controlAge(now),
+		})
+		for _, held := range m.Held(now) {
+			h.Slots = append(h.Slots, held.Resource)
+		}
+	})
+	r.limits.do(func(l *limit.Limiter) {
+		for _, spare := range l.Spare(now) {
+			h.Spare = append(h.Spare, &peer.SpareTokens{Workspace: spare.Workspace, Tokens: spare.Tokens})
+		}
+	})
+	h.Loads = r.endpointLoads()
+	h.Accusations = r.accusations()
+	return h
+}
+
+// ageMillis rounds an age up, since an age that is too small would prove too much. -1 means never.
+func ageMillis(age time.Duration) int64 {
+	if age < 0 {
+		return -1
+	}
+	return int64((age + time.Millisecond - 1) / time.Millisecond)
+}
+
+// sendHeartbeats exchanges heartbeats with every other VM.
+func (r *Router) sendHeartbeats() {
+	state := r.heartbeatState()
+	for _, address := range r.peerAddresses() {
+		r.loop(func() { r.sendHeartbeat(address, state) })
+	}
+}
+
+func (r *Router) sendHeartbeat(address string, state *peer.HeartbeatRequest) {
+	ctx, cancel := context.WithTimeout(r.peers.Context(r.ctx), heartbeatTimeout)
+	defer cancel()
+	started := time.Now()
+	count(metricHeartbeats, 1)
+	resp, err := r.peers.At(address).Heartbeat(ctx, state)
+	if err != nil {
+		count(metricHeartbeatFails, 1)
+		return
+	}
+	if resp.State == nil || resp.State.Envelope == nil {
+		return
+	}
+	r.applyHeartbeat(resp.State, address, started, true)
+}
+
+// applyHeartbeat takes the state of a peer. An answer to an own call counts from the start of that call; a state
+// that the peer pushed proves no contact.
+func (r *Router) applyHeartbeat(h *peer.HeartbeatRequest, address string, started time.Time, answer bool) {
+	r.observeEnvelope(h.Envelope)
+	now := time.Now()
+	converted := memberHeartbeat(h, address)
+	r.members.do(func(t *member.Table) {
+		if answer {
+			t.ApplyAnswer(converted, started, now)
+			return
+		}
+		t.ApplyHeartbeat(converted, now)
+	})
+	r.limits.do(func(l *limit.Limiter) {
+		spare := make([]limit.Spare, 0, len(h.Spare))
+		for _, s := range h.Spare {
+			spare = append(spare, limit.Spare{Workspace: s.Workspace, Tokens: s.Tokens})
+		}
+		l.Hint(h.Envelope.Vm, spare, now)
+	})
+	r.mergeAccusations(h.Accusations)
+	if answer {
+		r.observePeerRead(converted, started)
+	}
+	if h.Envelope.ConfigOffset > r.state.Load().NextOffset() && !r.logReadable() {
+		r.wakeCatchUp(address)
+	}
+}
+
+func memberHeartbeat(h *peer.HeartbeatRequest, address string) *member.Heartbeat {
+	out := &member.Heartbeat{
+		VM:             h.Envelope.Vm,
+		Incarnation:    h.Envelope.Incarnation,
+		DataCentre:     h.DataCentre,
+		PeerAddr:       address,
+		Sent:           timeline.Stamp{WallNs: h.Envelope.HlcWallNs, Counter: h.Envelope.HlcCounter},
+		ConfigNext:     h.Envelope.ConfigOffset,
+		ConfigDigest:   h.ConfigDigest,
+		Contact:        h.Contact,
+		LogReadable:    h.LogReadable,
+		VMListReadable: h.VmListReadable,
+		ClaimPending:   h.ClaimPending,
+		Draining:       h.Draining,
+		Slots:          h.Slots,
+	}
+	for _, o := range h.Offsets {
+		out.Offsets = append(out.Offsets, member.StreamOffset{
+			Stream: o.Stream,
+			Next:   o.Next,
+			Age:    time.Duration(o.ReadAgeMs) * time.Millisecond,
+		})
+	}
+	for _, l := range h.Loads {
+		out.Loads = append(out.Loads, member.EndpointLoad{Endpoint: l.Endpoint, InFlight: int(l.InFlight)})
+	}
+	return out
+}
+
+// wakeCatchUp takes the newer configuration of a peer while the log is not readable.
+func (r *Router) wakeCatchUp(address string) {
+	r.loop(func() {
+		state := r.peerState(r.ctx, address)
+		if state == nil || len(state.Snapshot) == 0 {
+			return
+		}
+		r.config.do(func(c *config.Replay) {
+			if err := c.Restore(state.Snapshot); err != nil {
+				r.peerStateRefused(err)
+			}
+		})
+		next := read(&r.config, func(c *config.Replay) int64 { return c.NextOffset() })
+		r.members.do(func(t *member.Table) { t.ObserveConfig(next) })
+		r.publishState()
+	})
+}
+
+// contact returns the outcome of the isolation rule.
+func (r *Router) contact() member.Contact {
+	now := time.Now()
+	return read(&r.members, func(t *member.Table) member.Contact { return t.Contact(now) })
+}
+
+func (r *Router) isolated() bool {
+	return r.contact() == member.Isolated
+}
+
+// watchIsolation closes running requests of a VM that is isolated for too long, since it may miss the withdrawal
+// of their keys.
+func (r *Router) watchIsolation() {
+	now := time.Now()
+	mustClose := read(&r.members, func(t *member.Table) bool { return t.MustClose(now) })
+	if !mustClose {
+		return
+	}
+	ended := r.keys.CancelWithdrawn(func(string) bool { return false })
+	if ended > 0 {
+		r.warn(partMember).Int("requests", ended).Msg("member: isolated, running requests ended")
+	}
+}
