--- /dev/null
+++ b/pkg/route/spread.go
@@ -0,0 +1,203 @@
+package route
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Constants of the spreading of hot prefixes.
+const (
+	// hotRate is the rate of one VM, in requests per second, at which a prefix counts as hot; coldRate is the
+	// rate at which it ceases to.
+	hotRate  = 1.0
+	coldRate = 0.5
+	// rateMemory is the time after which a request counts for 1/e in the rate.
+	rateMemory = 4 * time.Second
+	// A prefix is spread further when the best copy's queue exceeds this share of the time to compute the
+	// prefix, but not below the minimum.
+	growShare     = 0.2
+	minGrowMillis = 20.0
+	// It shrinks when the queue stays below this share of the growth threshold for shrinkAfter.
+	shrinkShare = 0.25
+	shrinkAfter = 5 * time.Second
+	// growPause is the time for a new copy to show in the queues, at least the lag of a load report.
+	growPause = time.Second
+	// delayMemory smooths the queue delay, so that one burst does not spread a prefix.
+	delayMemory = 500 * time.Millisecond
+	// reuseTime is the time over which a new copy is expected to be used before eviction.
+	reuseTime = 2 * time.Second
+	// maxPrefixes bounds the table.
+	maxPrefixes = 8192
+)
+
+// prefix is the demand for one block chain.
+type prefix struct {
+	// demand decays by rateMemory; divided by it, it is the rate in requests per second.
+	demand float64
+	seen   time.Time
+	hot    bool
+	// copies is the number of endpoints that share the prefix, from 1.
+	copies   int
+	delay    float64
+	delayAt  time.Time
+	changed  time.Time
+	lowSince time.Time
+}
+
+func (p *prefix) rate(now time.Time) float64 {
+	return p.demand * math.Exp(-now.Sub(p.seen).Seconds()/rateMemory.Seconds()) / rateMemory.Seconds()
+}
+
+func (p *prefix) touch(now time.Time) {
+	rate := p.rate(now)
+	p.demand = rate*rateMemory.Seconds() + 1
+	p.seen = now
+	if rate >= hotRate {
+		p.hot = true
+	}
+	if rate < coldRate {
+		p.hot = false
+		p.copies = 1
+	}
+}
+
+// prefixes is the bounded table of demands.
+type prefixes struct {
+	table map[uint64]*prefix
+}
+
+// touch counts a request and returns the position of the deepest hot block, or -1.
+func (t *prefixes) touch(hashes []uint64, now time.Time) int {
+	deepest := -1
+	for i, h := range hashes {
+		p := t.table[h]
+		if p == nil {
+			t.makeRoom(now)
+			p = &prefix{copies: 1, seen: now}
+			t.table[h] = p
+		}
+		p.touch(now)
+		if p.hot {
+			deepest = i
+		}
+	}
+	return deepest
+}
+
+// makeRoom drops prefixes that are not hot when the table is full, the coldest half of a sample at once.
+func (t *prefixes) makeRoom(now time.Time) {
+	if len(t.table) < maxPrefixes {
+		return
+	}
+	for h, p := range t.table {
+		if now.Sub(p.seen) > rateMemory {
+			delete(t.table, h)
+		}
+	}
+	const sample = maxPrefixes / 8
+	dropped := 0
+	for h := range t.table {
+		if len(t.table) < maxPrefixes && dropped >= sample {
+			return
+		}
+		delete(t.table, h)
+		dropped++
+	}
+}
+
+// spread is the decision for one request with a hot prefix.
+type spread struct {
+	// depth is the number of blocks of the hot prefix.
+	depth int
+	// order holds the endpoint names by falling rendezvous weight; the first copies are preferred.
+	order  []string
+	copies int
+	// discount is the share of the computation that this request is charged.
+	discount float64
+	// penalty is the charge in milliseconds on holders beyond the copies.
+	penalty float64
+}
+
+// plan decides how many copies a hot prefix has and returns the decision, or nil when nothing is hot. The copies
+// are the first in rendezvous order, so all VMs that count alike choose alike.
+func (t *prefixes) plan(r *Request, candidates []Candidate, peers int, random *rand.Rand, now time.Time) *spread {
+	at := t.touch(r.Hashes, now)
+	if at < 0 || len(candidates) < 2 {
+		return nil
+	}
+	key := r.Hashes[at]
+	p := t.table[key]
+	if p == nil {
+		return nil
+	}
+	order := make([]string, 0, len(candidates))
+	queue := make(map[string]float64, len(candidates))
+	for i := range candidates {
+		order = append(order, candidates[i].Name)
+		queue[candidates[i].Name] = candidates[i].Queue
+	}
+	slices.SortFunc(order, func(a, b string) int {
+		return cmp.Compare(rendezvous(key, b), rendezvous(key, a))
+	})
+	cost := candidates[0].state.computeMillis(r, at+1)
+	grow := max(growShare*cost, minGrowMillis)
+	p.copies = min(p.copies, len(order))
+	p.adapt(order, queue, grow, now)
+	s := &spread{
+		depth:    at + 1,
+		order:    order,
+		copies:   p.copies,
+		discount: 1,
+		penalty:  grow,
+	}
+	// One VM in all starts a new copy at a time on average; the others learn of it from cache events.
+	if random.IntN(max(peers, 0)+1) == 0 {
+		reuses := p.rate(now) * float64(max(peers, 0)+1) * reuseTime.Seconds()
+		s.discount = 1 / (1 + reuses)
+	}
+	return s
+}
+
+// adapt changes the number of copies by at most one.
+func (p *prefix) adapt(order []string, queue map[string]float64, grow float64, now time.Time) {
+	inside, outside := math.Inf(1), math.Inf(1)
+	for i, name := range order {
+		if i < p.copies {
+			inside = min(inside, queue[name])
+		} else {
+			outside = min(outside, queue[name])
+		}
+	}
+	keep := math.Exp(-now.Sub(p.delayAt).Seconds() / delayMemory.Seconds())
+	p.delay = p.delay*keep + inside*(1-keep)
+	p.delayAt = now
+	if p.delay >= grow*shrinkShare {
+		p.lowSince = now
+	}
+	switch {
+	case p.delay > grow && outside+grow/2 < inside && now.Sub(p.changed) >= growPause:
+		p.copies++
+		p.changed = now
+	case p.copies > 1 && now.Sub(p.lowSince) >= shrinkAfter:
+		p.copies--
+		p.changed = now
+		p.lowSince = now
+	}
+}
+
+// score returns the preference for a candidate in milliseconds.
+func (s *spread) score(c *Candidate, r *Request) float64 {
+	rank := slices.Index(s.order, c.Name)
+	if rank >= s.copies {
+		return s.penalty
+	}
+	shared := s.depth - max(c.Import, c.Matched)
+	if shared <= 0 {
+		return 0
+	}
+	tail := c.state.computeMillis(r, 0)
+	return -(c.state.computeMillis(r, shared) - tail) * (1 - s.discount)
+}
