lab: add the engine, the weight store and the KV cache store

Cause: placement, streams, crashes and orders can only be tested and measured against an engine with costs.

--- a/lab/cmd/corneldeal-lab/main.go
+++ b/lab/cmd/corneldeal-lab/main.go
@@ -21,5 +21,13 @@
 	return &cli.Command{
 		Name:  "corneldeal-lab",
 		Usage: "stand-ins and load for corneldeal",
+		Commands: []*cli.Command{
+			engineCommand(),
+			serviceCommand(),
+			logCommand(),
+			vmlistCommand(),
+			weightStoreCommand(),
+			cacheStoreCommand(),
+		},
 	}
 }
--- a/lab/logservice/logservice.go
+++ b/lab/logservice/logservice.go
@@ -183,12 +183,12 @@
 }
 
 func (s *Service) handle(ctx *fasthttp.RequestCtx) {
-	switch path := string(ctx.Path()); {
-	case path == "/healthz":
+	switch path := string(ctx.Path()); path {
+	case "/healthz":
 		ctx.SetBodyString("ok")
-	case path == "/faults":
+	case "/faults":
 		s.faults.Serve(ctx)
-	case path == "/stats":
+	case "/stats":
 		standin.Answer(ctx, fasthttp.StatusOK, s.Stats())
 	default:
 		s.handleStream(ctx, path)
--- a/lab/standin/faults.go
+++ b/lab/standin/faults.go
@@ -126,3 +126,8 @@
 func Millis(ms int64) time.Duration {
 	return time.Duration(ms) * time.Millisecond
 }
+
+// Micros converts microseconds to a duration.
+func Micros(us int64) time.Duration {
+	return time.Duration(us) * time.Microsecond
+}
