--- /dev/null
+++ b/cmd/corneldeal/timeline.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/corneldeal/corneldeal/pkg/httpcall"
+	"github.com/corneldeal/corneldeal/pkg/peer"
+	"github.com/corneldeal/corneldeal/pkg/settings"
+	"github.com/corneldeal/corneldeal/pkg/timeline"
+	"github.com/corneldeal/corneldeal/pkg/vmlist"
+)
+
+// timelineTimeout bounds the request to one VM.
+const timelineTimeout = 5 * time.Second
+
+func timelineCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "timeline",
+		Usage: "merge the events of all VMs into one order",
+		Description: "The settings file of any VM names the VM list and holds the peer token. Events of a VM that does\n" +
+			"not answer are missing; the command says so.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`", Required: true},
+			&cli.DurationFlag{Name: "last", Usage: "how far back to look", Value: time.Minute},
+			&cli.StringFlag{Name: "format", Usage: "text, or trace for a trace viewer", Value: "text"},
+			&cli.StringFlag{Name: "request", Usage: "only events of the request with this `ID`"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, problems := settings.Load(c.String("settings"))
+			if printProblems(problems) > 0 {
+				return &exitError{status: exitInvalid, message: fmt.Sprintf("%d problems found", len(problems))}
+			}
+			write, err := timelineWriter(c.String("format"))
+			if err != nil {
+				return err
+			}
+			events, err := collectEvents(ctx, s, time.Now().Add(-c.Duration("last")))
+			if err != nil {
+				return err
+			}
+			return write(c.Root().Writer, ofRequest(events, c.String("request")))
+		},
+	}
+}
+
+func timelineWriter(format string) (func(io.Writer, []timeline.Event) error, error) {
+	switch format {
+	case "text":
+		return timeline.WriteText, nil
+	case "trace":
+		return timeline.WriteTrace, nil
+	}
+	return nil, &exitError{status: exitInvalid, message: fmt.Sprintf("unknown format %q, expected text or trace", format)}
+}
+
+func ofRequest(events []timeline.Event, request string) []timeline.Event {
+	if request == "" {
+		return events
+	}
+	var out []timeline.Event
+	for _, e := range events {
+		if e.Request == request {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func collectEvents(ctx context.Context, s settings.Settings, since time.Time) ([]timeline.Event, error) {
+	conf, err := peer.TLSConfig(s.PeerTLS)
+	if err != nil {
+		return nil, err
+	}
+	list, err := vmlist.New(s.VMListAddress, httpcall.NewClient()).Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	clients := peer.NewClients(s.PeerToken, conf)
+	defer clients.Close()
+	var lists [][]timeline.Event
+	for _, vm := range list.VMs {
+		events, err := vmEvents(ctx, clients, vm.PeerAddress, since)
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "events of VM %s are missing: %v\n", vm.Name, err)
+			continue
+		}
+		lists = append(lists, events)
+	}
+	return timeline.Merge(lists...), nil
+}
+
+func vmEvents(ctx context.Context, clients *peer.Clients, address string, since time.Time) ([]timeline.Event, error) {
+	ctx, cancel := context.WithTimeout(clients.Context(ctx), timelineTimeout)
+	defer cancel()
+	now := time.Now().UnixNano()
+	resp, err := clients.At(address).Timeline(ctx, &peer.TimelineRequest{
+		Envelope: &peer.Envelope{Vm: "operator", Incarnation: "operator", HlcWallNs: now},
+		SinceNs:  since.UnixNano(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	events := make([]timeline.Event, 0, len(resp.Events))
+	for _, e := range resp.Events {
+		events = append(events, timeline.Event{
+			Stamp:       timeline.Stamp{WallNs: e.HlcWallNs, Counter: e.HlcCounter},
+			VM:          e.Vm,
+			Incarnation: e.Incarnation,
+			Part:        e.Part,
+			Name:        e.Name,
+			Request:     e.Request,
+			Detail:      e.Detail,
+			Duration:    time.Duration(e.DurationNs),
+		})
+	}
+	return events, nil
+}
--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -36,8 +36,6 @@
 	Choices json.RawMessage
 	// Usage is set in the last event before the end.
 	Usage *engine.Usage
-	// Refusal ends the answer early.
-	Refusal *refusal.Error
 }
 
 // Answer is a running chat answer. Events is closed after the last event.
@@ -47,6 +45,8 @@
 	// Created is the time of the first token.
 	Created time.Time
 	Events  <-chan Event
+	// End tells, once Events is closed, why the answer is not complete. Nil means that it is.
+	End func() *refusal.Error
 	// Cancel stops the answer; it may be called more than once.
 	Cancel context.CancelFunc
 }
@@ -237,18 +237,16 @@
 			if writeEvent(out, r, answer, event) != nil {
 				return
 			}
-			if event.Refusal != nil {
-				return
-			}
+		}
+		if ref := answer.End(); ref != nil {
+			_ = out.write(errorJSON(ref))
+			return
 		}
 		_ = out.write([]byte("[DONE]"))
 	})
 }
 
 func writeEvent(out eventWriter, r ChatRequest, answer *Answer, event Event) error {
-	if event.Refusal != nil {
-		return out.write(errorJSON(event.Refusal))
-	}
 	body := chunkBody{
 		ID:      "chatcmpl-" + answer.ID,
 		Object:  "chat.completion.chunk",
@@ -256,20 +254,20 @@
 		Model:   r.Model,
 		Choices: event.Choices,
 	}
-	if len(body.Choices) == 0 {
-		body.Choices = json.RawMessage(`[]`)
-	}
 	if event.TokenIndex >= 0 {
 		body.TokenIndex = &event.TokenIndex
 	}
-	if event.Usage != nil {
-		if !r.IncludeUsage && len(event.Choices) <= len(`[]`) {
-			return nil
-		}
-		if r.IncludeUsage {
-			body.Usage = event.Usage
+	if len(event.Choices) > 0 {
+		if err := out.chunk(body); err != nil {
+			return err
 		}
 	}
+	if event.Usage == nil || !r.IncludeUsage {
+		return nil
+	}
+	body.Choices = json.RawMessage(`[]`)
+	body.TokenIndex = nil
+	body.Usage = event.Usage
 	return out.chunk(body)
 }
 
@@ -287,10 +285,6 @@
 	whole := newCompletion()
 	var usage *engine.Usage
 	for event := range answer.Events {
-		if event.Refusal != nil {
-			writeRefusal(ctx, event.Refusal)
-			return
-		}
 		if err := whole.add(event.Choices); err != nil {
 			writeRefusal(ctx, refusal.New(fasthttp.StatusBadGateway, refusal.CodeEndpointFailed, "the engine sent a malformed answer").With(refusal.Run))
 			return
@@ -299,6 +293,10 @@
 			usage = event.Usage
 		}
 	}
+	if ref := answer.End(); ref != nil {
+		writeRefusal(ctx, ref)
+		return
+	}
 	writeJSON(ctx, completionBody{
 		ID:      "chatcmpl-" + answer.ID,
 		Object:  "chat.completion",
--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -32,29 +32,31 @@
 	maxAnswerBytes = 16 << 20
 )
 
-// LoadedVersion is a weight version that an engine holds.
-type LoadedVersion struct {
-	Model   string `json:"model"`
-	Version string `json:"version"`
-	// State is ready or loading.
-	State string `json:"state"`
+// Weights is a weight version with the adapters that are ready for it.
+type Weights struct {
+	Model    string   `json:"model"`
+	Version  string   `json:"version"`
+	Adapters []string `json:"adapters,omitempty"`
 }
 
 // State is an engine's own report. It lags.
 type State struct {
 	Incarnation string `json:"incarnation"`
-	// Role is the engine's role, such as serve or drain.
-	Role         string          `json:"role"`
-	Versions     []LoadedVersion `json:"versions"`
-	Adapters     []string        `json:"adapters"`
-	Fence        int64           `json:"fence"`
-	Running      int             `json:"running"`
-	Waiting      int             `json:"waiting"`
-	CachedBlocks int             `json:"cached_blocks"`
-	// AgeMs is the age of the report when it was sent, in milliseconds.
-	AgeMs int64 `json:"age_ms"`
+	// Role is the engine's role, such as serve.
+	Role string `json:"role"`
+	// Loaded lists the weights that are ready, Loading those on their way.
+	Loaded  []Weights `json:"loaded"`
+	Loading []Weights `json:"loading"`
+	// Fence is the highest fencing number that the engine has seen.
+	Fence        int64 `json:"fence"`
+	Running      int   `json:"running"`
+	Waiting      int   `json:"waiting"`
+	CachedBlocks int   `json:"cached_blocks"`
 }
 
+// RoleServe is the role of an engine that takes requests.
+const RoleServe = "serve"
+
 // EventKind tells what happened to cached blocks.
 type EventKind string
 
@@ -150,10 +152,10 @@
 }
 
 // Import asks the engine to take blocks from the cache store at store. It returns the hashes that it now holds.
-func (c *Client) Import(ctx context.Context, address, store string, salt uint64, hashes []uint64) ([]uint64, error) {
+func (c *Client) Import(ctx context.Context, address, store string, seed uint64, hashes []uint64) ([]uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
-	order := transferOrder{Store: store, Salt: fmt.Sprint(salt), Hashes: hashes}
+	order := transferOrder{Store: store, Seed: fmt.Sprint(seed), Hashes: hashes}
 	var answer struct {
 		Hashes []uint64 `json:"hashes"`
 	}
@@ -162,16 +164,16 @@
 }
 
 // Export asks the engine to copy blocks to the cache store at store.
-func (c *Client) Export(ctx context.Context, address, store string, salt uint64, hashes []uint64) error {
+func (c *Client) Export(ctx context.Context, address, store string, seed uint64, hashes []uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
-	order := transferOrder{Store: store, Salt: fmt.Sprint(salt), Hashes: hashes}
+	order := transferOrder{Store: store, Seed: fmt.Sprint(seed), Hashes: hashes}
 	return c.post(ctx, "cache export", address, "/v1/cache/export", order, nil)
 }
 
 type transferOrder struct {
 	Store  string   `json:"store"`
-	Salt   string   `json:"cache_salt"`
+	Seed   string   `json:"seed"`
 	Hashes []uint64 `json:"hashes"`
 }
 
--- /dev/null
+++ b/pkg/router/attempt.go
@@ -0,0 +1,277 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/corneldeal/corneldeal/pkg/cacheindex"
+	"github.com/corneldeal/corneldeal/pkg/caller"
+	"github.com/corneldeal/corneldeal/pkg/config"
+	"github.com/corneldeal/corneldeal/pkg/crashguard"
+	"github.com/corneldeal/corneldeal/pkg/engine"
+	"github.com/corneldeal/corneldeal/pkg/refusal"
+	"github.com/corneldeal/corneldeal/pkg/route"
+)
+
+// maxChatAttempts bounds the attempts at one chat request, beside the retry budget.
+const maxChatAttempts = 6
+
+// claim is the right of an accused request to run once.
+type claim struct {
+	event crashguard.Event
+}
+
+// clearance asks whether the request may run. An accused request gets a claim when it stands alone over all VMs.
+func (c *chatRun) clearance() (*claim, *refusal.Error) {
+	now := time.Now()
+	verdict := read(&c.r.crashes, func(g *crashguard.Guard) crashguard.Verdict { return g.Check(c.fingerprint, now) })
+	switch verdict.Action {
+	case crashguard.Run:
+		return nil, nil
+	case crashguard.Busy, crashguard.Refuse:
+		return nil, verdict.Refusal()
+	}
+	return c.claimRun()
+}
+
+func (c *chatRun) claimRun() (*claim, *refusal.Error) {
+	placed, ref := c.place(true, true)
+	if ref != nil {
+		return nil, ref
+	}
+	held := &claim{event: c.r.crashEvent(placed.Endpoint, placed.Incarnation)}
+	accusation := read(&c.r.crashes, func(g *crashguard.Guard) crashguard.Accusation {
+		return g.Begin(c.fingerprint, held.event, time.Now())
+	})
+	c.r.reportAccusations([]crashguard.Accusation{accusation})
+	if read(&c.r.crashes, func(g *crashguard.Guard) bool { return g.MayRun(c.fingerprint, held.event, time.Now()) }) {
+		return held, nil
+	}
+	c.withdraw(held)
+	verdict := read(&c.r.crashes, func(g *crashguard.Guard) crashguard.Verdict { return g.Check(c.fingerprint, time.Now()) })
+	if ref := verdict.Refusal(); ref != nil {
+		return nil, ref
+	}
+	return nil, crashguard.Verdict{Action: crashguard.Busy, RetryAfter: time.Second}.Refusal()
+}
+
+// withdraw ends a claim under which nothing ran.
+func (c *chatRun) withdraw(held *claim) {
+	if held == nil {
+		return
+	}
+	accusation := read(&c.r.crashes, func(g *crashguard.Guard) crashguard.Accusation {
+		return g.Withdraw(c.fingerprint, held.event, time.Now())
+	})
+	c.r.reportAccusations([]crashguard.Accusation{accusation})
+}
+
+// attempt runs the request on one engine. done tells that the request has ended, with the refusal if any.
+func (c *chatRun) attempt(placed route.Placement, held *claim) (ref *refusal.Error, done bool) {
+	endpoint, ok := c.r.state.Load().Endpoint(placed.Endpoint)
+	if !ok {
+		c.withdraw(held)
+		c.excluded = append(c.excluded, placed.Endpoint)
+		return nil, false
+	}
+	c.attempts++
+	count(metricAttempts, 1)
+	count(metricPromptBlocks, int64(len(c.hashes)))
+	count(metricMatchedBlocks, int64(placed.Matched))
+	c.r.record(partChat, "attempt", c.id, placed.Endpoint)
+	c.sent(placed)
+	incarnation, err := c.stream(endpoint)
+	c.done(err == nil)
+	if err == nil {
+		c.cleared(held)
+		return nil, true
+	}
+	c.r.debug(partChat).Err(err).Str("request", c.id).Str("endpoint", endpoint.Name).Msg("chat: attempt failed")
+	if incarnation == "" {
+		incarnation = placed.Incarnation
+	}
+	return c.afterFailure(endpoint, incarnation, held, err)
+}
+
+func (c *chatRun) sent(placed route.Placement) {
+	now := time.Now()
+	request := c.placeRequest(true)
+	c.r.placer.do(func(p *placement) {
+		p.placer.Sent(request, placed, now)
+		p.first[c.number] = make(chan struct{})
+	})
+	c.r.index.do(func(x *cacheindex.Index) { x.Assume(placed.Endpoint, placed.Incarnation, c.hashes, now) })
+}
+
+func (c *chatRun) done(ok bool) {
+	c.r.placer.do(func(p *placement) {
+		p.placer.Done(c.number, ok, time.Now())
+		p.end(c.number)
+	})
+}
+
+// cleared records a clean run of an accused request.
+func (c *chatRun) cleared(held *claim) {
+	if held == nil {
+		return
+	}
+	list := read(&c.r.crashes, func(g *crashguard.Guard) []crashguard.Accusation {
+		return g.Clear(c.fingerprint, held.event, time.Now())
+	})
+	c.r.reportAccusations(list)
+}
+
+// stream passes the engine's events on to the caller. It returns the incarnation that answered.
+func (c *chatRun) stream(endpoint config.Endpoint) (string, error) {
+	ctx, cancel := context.WithCancel(c.ctx)
+	defer cancel()
+	attempt := uuid.NewString()
+	opened, err := c.r.engines.Chat(ctx, endpoint.Name, endpoint.Address, engine.ChatRequest{
+		AttemptID:  attempt,
+		Fields:     c.fields(),
+		CacheSalt:  c.seed,
+		Version:    c.version,
+		Priority:   c.workspace.Priority,
+		ResumeFrom: c.delivered,
+	})
+	if err != nil {
+		return "", err
+	}
+	defer opened.Close()
+	if c.delivered > 0 {
+		count(metricResumed, 1)
+	}
+	first := true
+	for {
+		chunk, err := opened.Next()
+		if errors.Is(err, io.EOF) {
+			return opened.Incarnation, nil
+		}
+		if err != nil {
+			return opened.Incarnation, err
+		}
+		if first {
+			first = false
+			c.firstToken()
+		}
+		if !c.pass(chunk) {
+			return opened.Incarnation, &engine.StreamError{Endpoint: endpoint.Name, Failure: engine.FailureCancelled, Err: context.Cause(c.ctx)}
+		}
+	}
+}
+
+func (c *chatRun) firstToken() {
+	c.r.placer.do(func(p *placement) {
+		p.placer.FirstToken(c.number, time.Now())
+		p.end(c.number)
+	})
+}
+
+// pass passes one event on.
+func (c *chatRun) pass(chunk engine.Chunk) bool {
+	event := caller.Event{TokenIndex: chunk.TokenIndex, Choices: chunk.Choices}
+	switch {
+	case chunk.TokenIndex >= 0:
+		c.delivered = chunk.TokenIndex + 1
+		count(metricTokensOut, 1)
+	case len(chunk.Choices) > len(`[]`):
+		c.resumable = false
+	}
+	if chunk.Usage != nil {
+		usage := *chunk.Usage
+		if c.resumable && c.delivered > 0 {
+			// The engine counts only the tokens of its own attempt.
+			usage.CompletionTokens = c.delivered
+			usage.TotalTokens = usage.PromptTokens + c.delivered
+		}
+		c.usage = &usage
+		event.Usage = &usage
+	}
+	return c.emit(event)
+}
+
+// afterFailure decides whether another attempt follows.
+func (c *chatRun) afterFailure(endpoint config.Endpoint, incarnation string, held *claim, err error) (*refusal.Error, bool) {
+	var failed *engine.StreamError
+	if !errors.As(err, &failed) {
+		failed = &engine.StreamError{Failure: engine.FailureCut, Err: err}
+	}
+	if c.ctx.Err() != nil {
+		c.withdrawAfter(held, failed)
+		return endCause(c.ctx).With(c.runState(failed)), true
+	}
+	c.excluded = append(c.excluded, endpoint.Name)
+	switch failed.Failure {
+	case engine.FailureBadRequest:
+		c.withdraw(held)
+		ref := refusal.New(statusBadRequest, refusal.CodeEndpointRejected, "the engine refused the request: %s", failed.Message)
+		return c.failed(ref), true
+	case engine.FailureNotSent:
+		c.withdraw(held)
+		c.r.markDown(endpoint.Name)
+		return c.mayTry(failed, true)
+	case engine.FailureRejected, engine.FailureVersion:
+		c.withdraw(held)
+		return c.mayTry(failed, c.r.takeRetry())
+	}
+	crashed := c.r.crashed(endpoint, incarnation)
+	if crashed {
+		c.accuse(endpoint, incarnation, held)
+	} else {
+		c.withdraw(held)
+	}
+	// A crash takes many streams down at once. Resuming them is bounded by the crash guard, and the retry budget
+	// would leave most of them incomplete.
+	return c.mayTry(failed, crashed || c.r.takeRetry())
+}
+
+// withdrawAfter ends the claim of a request that was cancelled while it ran.
+func (c *chatRun) withdrawAfter(held *claim, failed *engine.StreamError) {
+	if failed.Failure == engine.FailureCancelled || failed.Failure == engine.FailureNotSent {
+		c.withdraw(held)
+	}
+}
+
+func (c *chatRun) accuse(endpoint config.Endpoint, incarnation string, held *claim) {
+	count(metricCrashes, 1)
+	c.r.record(partEngine, "crash", c.id, endpoint.Name)
+	event := c.r.crashEvent(endpoint.Name, incarnation)
+	if held != nil {
+		event = held.event
+	}
+	list := read(&c.r.crashes, func(g *crashguard.Guard) []crashguard.Accusation {
+		return g.Accuse(event, []uint64{c.fingerprint}, held != nil, time.Now())
+	})
+	c.r.reportAccusations(list)
+}
+
+// mayTry tells whether another attempt follows a failed one.
+func (c *chatRun) mayTry(failed *engine.StreamError, allowed bool) (*refusal.Error, bool) {
+	if c.hasBegun && !c.resumable {
+		return c.failed(refusal.New(statusBadGateway, refusal.CodeStreamCut, "the engine failed")), true
+	}
+	if allowed && c.attempts < maxChatAttempts {
+		count(metricRetries, 1)
+		return nil, false
+	}
+	ref := refusal.New(statusBadGateway, refusal.CodeEndpointFailed, "the engine failed").With(c.runState(failed)).After(time.Second)
+	return c.failed(ref), true
+}
+
+// runState tells what the caller may assume about the request.
+func (c *chatRun) runState(failed *engine.StreamError) refusal.RunState {
+	if c.hasBegun {
+		return refusal.Run
+	}
+	switch failed.Failure {
+	case engine.FailureNotSent, engine.FailureRejected, engine.FailureVersion, engine.FailureBadRequest:
+		if c.attempts <= 1 {
+			return refusal.NotRun
+		}
+	}
+	return refusal.Unknown
+}
--- /dev/null
+++ b/pkg/router/charge.go
@@ -0,0 +1,229 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/corneldeal/corneldeal/pkg/admit"
+	"github.com/corneldeal/corneldeal/pkg/config"
+	"github.com/corneldeal/corneldeal/pkg/limit"
+	"github.com/corneldeal/corneldeal/pkg/peer"
+	"github.com/corneldeal/corneldeal/pkg/refusal"
+)
+
+const (
+	// longestTokenWait bounds the wait of a request for tokens.
+	longestTokenWait = time.Second
+	// tokenPoll is the time between two tries while a request waits for tokens.
+	tokenPoll = 50 * time.Millisecond
+	// debitTimeout bounds one debit. A late answer loses its tokens.
+	debitTimeout = 300 * time.Millisecond
+	// refundTimeout bounds one refund. A lost refund loses its tokens.
+	refundTimeout = time.Second
+)
+
+// payment is what a request has paid and from where.
+type payment struct {
+	workspace string
+	tokens    int64
+	own       []limit.Part
+	remote    []remotePart
+}
+
+// remotePart is what one peer has paid.
+type remotePart struct {
+	address string
+	parts   []limit.Part
+	tokens  int64
+}
+
+// charge takes tokens from the own slots, then from peers, and waits a bounded time where the tokens will be
+// there soon. Nothing is kept after a refusal.
+func (r *Router) charge(ctx context.Context, workspace config.Workspace, tokens int64) (*payment, *refusal.Error) {
+	until := time.Now().Add(longestTokenWait)
+	if deadline, ok := ctx.Deadline(); ok && deadline.Before(until) {
+		until = deadline
+	}
+	for {
+		paid, wait, ref := r.tryCharge(ctx, workspace, tokens)
+		if ref != nil || wait == 0 {
+			return paid, ref
+		}
+		now := time.Now()
+		if now.Add(min(wait, tokenPoll)).After(until) || now.Add(wait).After(until) {
+			return nil, errRateLimited(workspace, wait)
+		}
+		select {
+		case <-time.After(min(wait, tokenPoll)):
+		case <-ctx.Done():
+			return nil, endCause(ctx)
+		}
+	}
+}
+
+func errRateLimited(workspace config.Workspace, wait time.Duration) *refusal.Error {
+	ref := refusal.New(statusTooMany, refusal.CodeRateLimited, "workspace %s has used up its token rate", workspace.Name)
+	return ref.After(min(wait, time.Minute))
+}
+
+// tryCharge returns a payment, or the time after which a new try may succeed.
+func (r *Router) tryCharge(ctx context.Context, workspace config.Workspace, tokens int64) (*payment, time.Duration, *refusal.Error) {
+	paid := &payment{workspace: workspace.Name, tokens: tokens}
+	var donors []limit.Donor
+	var missing int64
+	var outcome limit.Outcome
+	r.limits.do(func(l *limit.Limiter) {
+		var grant limit.Grant
+		grant, missing = l.Take(workspace.Name, tokens, time.Now)
+		outcome = grant.Outcome
+		paid.own = grant.Parts
+		if missing > 0 && outcome == limit.Short {
+			donors = l.Donors(workspace.Name, missing, time.Now())
+		}
+	})
+	switch outcome {
+	case limit.Granted:
+		return paid, 0, nil
+	case limit.AboveBurst:
+		return nil, 0, refusal.New(statusTooMany, refusal.CodeAboveBurst,
+			"the request needs %d tokens, the burst of workspace %s is %d", tokens, workspace.Name, workspace.BurstTokens)
+	case limit.Short:
+	default:
+		return nil, 0, refusal.New(statusUnavailable, refusal.CodeNoConfig, "the limit of workspace %s is not known yet", workspace.Name).After(time.Second)
+	}
+	missing -= r.collect(ctx, paid, donors)
+	if missing <= 0 {
+		return paid, 0, nil
+	}
+	r.refund(paid, 0)
+	wait := read(&r.limits, func(l *limit.Limiter) time.Duration { return l.WaitFor(workspace.Name, tokens, time.Now()) })
+	return nil, max(wait, tokenPoll), nil
+}
+
+// collect debits the donors at the same time and returns the tokens collected.
+func (r *Router) collect(ctx context.Context, paid *payment, donors []limit.Donor) int64 {
+	results := make(chan *remotePart, len(donors))
+	for _, donor := range donors {
+		go func() { results <- r.debit(ctx, paid.workspace, donor) }()
+	}
+	collected := int64(0)
+	for range donors {
+		part := <-results
+		if part == nil {
+			continue
+		}
+		paid.remote = append(paid.remote, *part)
+		collected += part.tokens
+	}
+	return collected
+}
+
+func (r *Router) debit(ctx context.Context, workspace string, donor limit.Donor) *remotePart {
+	address, ok := r.peerAddress(donor.VM)
+	if !ok {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(r.peers.Context(ctx), debitTimeout)
+	defer cancel()
+	count(metricDebits, 1)
+	// The id is new for every call and never sent again, so an answer that is lost loses tokens and makes none.
+	resp, err := r.peers.At(address).Debit(ctx, &peer.DebitRequest{
+		Envelope:  r.envelope(),
+		Id:        uuid.NewString(),
+		Workspace: workspace,
+		Tokens:    donor.Tokens,
+	})
+	if err != nil {
+		r.limits.do(func(l *limit.Limiter) { l.DropHints(donor.VM) })
+		return nil
+	}
+	r.observeEnvelope(resp.Envelope)
+	count(metricDebitsGranted, resp.Granted)
+	return &remotePart{address: address, parts: partsFromWire(resp.Parts), tokens: resp.Granted}
+}
+
+// refund returns what the request did not use: at most once, to the slots that paid.
+func (r *Router) refund(paid *payment, used int64) {
+	if paid == nil {
+		return
+	}
+	unused := limit.Unused(paid.own, used)
+	for _, part := range paid.own {
+		used -= part.Tokens
+	}
+	r.limits.do(func(l *limit.Limiter) {
+		count(metricRefunds, l.Return("", paid.workspace, unused, time.Now()))
+	})
+	for _, remote := range paid.remote {
+		unused := limit.Unused(remote.parts, used)
+		used -= remote.tokens
+		if len(unused) > 0 {
+			r.loop(func() { r.refundPeer(remote.address, paid.workspace, unused) })
+		}
+	}
+	paid.own = nil
+	paid.remote = nil
+}
+
+func (r *Router) refundPeer(address, workspace string, parts []limit.Part) {
+	ctx, cancel := context.WithTimeout(r.peers.Context(r.ctx), refundTimeout)
+	defer cancel()
+	_, err := r.peers.At(address).Refund(ctx, &peer.RefundRequest{
+		Envelope:  r.envelope(),
+		Id:        uuid.NewString(),
+		Workspace: workspace,
+		Parts:     partsToWire(parts),
+	})
+	if err != nil {
+		r.debug(partLimit).Err(err).Msg("limit: refund was lost")
+	}
+}
+
+func partsFromWire(parts []*peer.Part) []limit.Part {
+	out := make([]limit.Part, 0, len(parts))
+	for _, p := range parts {
+		out = append(out, limit.Part{Slot: int(p.Slot), Epoch: p.Epoch, Tokens: p.Tokens})
+	}
+	return out
+}
+
+func partsToWire(parts []limit.Part) []*peer.Part {
+	out := make([]*peer.Part, 0, len(parts))
+	for _, p := range parts {
+		out = append(out, &peer.Part{Slot: int32(p.Slot), Epoch: p.Epoch, Tokens: p.Tokens})
+	}
+	return out
+}
+
+// stateChanged passes a new configuration on to the tables that depend on it.
+func (r *Router) stateChanged(state *config.State) {
+	r.cancelWithdrawn(state)
+	now := time.Now()
+	// A workspace counts as seen to be added only once this VM follows the log, see limit.Workspace.Added.
+	following := r.logReadable()
+	var workspaces []limit.Workspace
+	rates := map[string]int64{}
+	for _, w := range state.Workspaces() {
+		workspaces = append(workspaces, limit.Workspace{
+			Name:            w.Name,
+			TokensPerSecond: w.TokensPerSecond,
+			BurstTokens:     w.BurstTokens,
+			Added:           following,
+		})
+		rates[w.Name] = w.TokensPerSecond
+	}
+	r.limits.do(func(l *limit.Limiter) { l.Configure(state.Defaults().LimitSlots, workspaces, now) })
+	r.holdSlots()
+	r.queues.do(func(t *admissionTable) { t.setWeights(rates) })
+	r.syncEngines(state)
+}
+
+func (r *Router) firstAttempt() {
+	r.retries.do(func(b *admit.RetryBudget) { b.First(time.Now()) })
+}
+
+func (r *Router) takeRetry() bool {
+	return read(&r.retries, func(b *admit.RetryBudget) bool { return b.Take(time.Now()) })
+}
--- /dev/null
+++ b/pkg/router/chat.go
@@ -0,0 +1,337 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/corneldeal/corneldeal/pkg/admit"
+	"github.com/corneldeal/corneldeal/pkg/caller"
+	"github.com/corneldeal/corneldeal/pkg/config"
+	"github.com/corneldeal/corneldeal/pkg/crashguard"
+	"github.com/corneldeal/corneldeal/pkg/engine"
+	"github.com/corneldeal/corneldeal/pkg/refusal"
+	"github.com/corneldeal/corneldeal/pkg/route"
+)
+
+const (
+	// eventBuffer is the number of events held for a slow reader. Beyond it the engine's stream is not read.
+	eventBuffer = 64
+	// bytesPerToken estimates tokens from prompt bytes before the engine has counted them.
+	bytesPerToken = 4
+)
+
+// chatRun is one chat request from acceptance to its last event.
+type chatRun struct {
+	r         *Router
+	id        string
+	number    uint64
+	req       caller.ChatRequest
+	route     config.Route
+	model     config.Model
+	version   string
+	workspace config.Workspace
+	seed      uint64
+	hashes    []uint64
+	// fingerprint survives the caller's sending the request again.
+	fingerprint uint64
+
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	events chan caller.Event
+	// begun is closed at the first event or at the end.
+	begun chan struct{}
+	end   atomic.Pointer[refusal.Error]
+
+	started   time.Time
+	created   time.Time
+	hasBegun  bool
+	delivered int64
+	// resumable is false once a token without an index was delivered.
+	resumable bool
+	usage     *engine.Usage
+	excluded  []string
+	attempts  int
+}
+
+// Chat implements caller.Backend.
+func (r *Router) Chat(req caller.ChatRequest) (*caller.Answer, *refusal.Error) {
+	count(metricRequests, 1)
+	run, ref := r.acceptChat(req)
+	if ref != nil {
+		r.refused(partChat, "", ref)
+		return nil, ref
+	}
+	<-run.begun
+	if ref := run.end.Load(); ref != nil && !run.hasBegun {
+		run.cancel(nil)
+		r.refused(partChat, run.id, ref)
+		return nil, ref
+	}
+	return &caller.Answer{
+		ID:      run.id,
+		Created: run.created,
+		Events:  run.events,
+		End:     run.end.Load,
+		Cancel:  func() { run.cancel(errCallerGone) },
+	}, nil
+}
+
+// acceptChat checks a request and hands it to the worker pool.
+func (r *Router) acceptChat(req caller.ChatRequest) (*chatRun, *refusal.Error) {
+	state, ref := r.gate()
+	if ref != nil {
+		return nil, ref
+	}
+	chatRoute, ok := state.ChatRoute(req.Model)
+	if !ok {
+		return nil, refusal.New(statusNotFound, refusal.CodeUnknownModel, "no route serves model %q", req.Model)
+	}
+	who, ref := r.identify(state, chatRoute, req.Key)
+	if ref != nil {
+		return nil, ref
+	}
+	model, ok := state.Model(chatRoute.Model)
+	if !ok {
+		return nil, refusal.New(statusNotFound, refusal.CodeUnknownModel, "model %q is not configured", chatRoute.Model)
+	}
+	run := r.newRun(req, chatRoute, model, who.workspace)
+	remove, ref := r.register(who, run.cancel)
+	if ref != nil {
+		return nil, ref
+	}
+	err := r.pool.Submit(func() {
+		defer remove()
+		run.run()
+	})
+	if err != nil {
+		remove()
+		return nil, errPoolFull()
+	}
+	return run, nil
+}
+
+func (r *Router) newRun(req caller.ChatRequest, chatRoute config.Route, model config.Model, workspace config.Workspace) *chatRun {
+	run := &chatRun{
+		r:           r,
+		id:          uuid.NewString(),
+		number:      r.requestIDs.Add(1),
+		req:         req,
+		route:       chatRoute,
+		model:       model,
+		version:     r.readyVersion(model),
+		workspace:   workspace,
+		fingerprint: crashguard.Fingerprint(workspace.Name, chatRoute.Name, req.Body),
+		events:      make(chan caller.Event, eventBuffer),
+		begun:       make(chan struct{}),
+		started:     time.Now(),
+		resumable:   true,
+	}
+	run.seed = route.Seed(workspace.Name, model.Name, chatRoute.Adapter, run.version)
+	run.hashes = route.Chain(run.seed, route.Prompt(req.Messages), model.BlockBytes)
+	run.ctx, run.cancel = context.WithCancelCause(r.ctx)
+	return run
+}
+
+// deadline is the latest time of the first event.
+func (c *chatRun) deadline() time.Time {
+	wait := c.req.Wait
+	if wait == 0 {
+		wait = time.Duration(c.route.DeadlineMs) * time.Millisecond
+	}
+	return c.started.Add(wait)
+}
+
+func (c *chatRun) promptTokens() int64 {
+	return int64(len(route.Prompt(c.req.Messages))+bytesPerToken-1) / bytesPerToken
+}
+
+func (c *chatRun) outputTokens() int64 {
+	if c.req.MaxTokens > 0 {
+		return c.req.MaxTokens
+	}
+	return c.model.MaxOutputTokens
+}
+
+// run runs the request to its end in a worker of the pool.
+func (c *chatRun) run() {
+	c.r.running.Add(1)
+	defer c.r.running.Add(-1)
+	timer := time.AfterFunc(time.Until(c.deadline()), func() { c.expire() })
+	defer timer.Stop()
+	ref := c.serve()
+	if ref != nil {
+		c.end.Store(ref)
+	}
+	c.begin()
+	close(c.events)
+	c.cancel(nil)
+	outcome := "answer ended"
+	if ref != nil {
+		outcome = "answer failed: " + string(ref.Code)
+	}
+	c.r.recordTook(partChat, outcome, c.id, c.workspace.Name, time.Since(c.started))
+}
+
+// expire gives up a request whose first event is not there at its deadline.
+func (c *chatRun) expire() {
+	select {
+	case <-c.begun:
+	default:
+		ref := refusal.New(statusTimeout, refusal.CodeDeadline, "the first token was not there at the deadline")
+		c.cancel(ref.After(time.Second))
+	}
+}
+
+// begin marks the first event.
+func (c *chatRun) begin() {
+	select {
+	case <-c.begun:
+	default:
+		close(c.begun)
+	}
+}
+
+// serve charges, queues and runs the request.
+func (c *chatRun) serve() *refusal.Error {
+	estimate := c.promptTokens() + c.outputTokens()
+	paid, ref := c.r.charge(c.ctx, c.workspace, estimate)
+	if ref != nil {
+		return ref
+	}
+	ref = c.admitted()
+	used := estimate
+	switch {
+	case ref != nil && ref.RunState == refusal.NotRun:
+		used = 0
+	case c.usage != nil:
+		used = c.usage.PromptTokens + c.delivered
+	}
+	c.r.refund(paid, used)
+	return ref
+}
+
+func (c *chatRun) admitted() *refusal.Error {
+	cost := admit.Cost(c.promptTokens(), 0, c.outputTokens())
+	place, ref := c.r.enter(c.ctx, c.model.Name, queueItem(c.number, c.workspace, cost, c.deadline()))
+	if ref != nil {
+		return ref
+	}
+	defer place.release()
+	return c.runAttempts()
+}
+
+// runAttempts tries engines until the answer is whole, the request is given up or nothing is left to try.
+func (c *chatRun) runAttempts() *refusal.Error {
+	c.r.firstAttempt()
+	waited := false
+	for {
+		claim, ref := c.clearance()
+		if ref != nil {
+			return c.failed(ref)
+		}
+		placed, ref := c.place(claim != nil, waited)
+		if ref != nil {
+			c.withdraw(claim)
+			return c.failed(ref)
+		}
+		if placed.Wait > 0 {
+			c.waitBehind(placed)
+			waited = true
+			continue
+		}
+		ref, done := c.attempt(placed, claim)
+		if done {
+			return ref
+		}
+	}
+}
+
+// place chooses an engine. suspect tells that the request is accused of a crash.
+func (c *chatRun) place(suspect, waited bool) (route.Placement, *refusal.Error) {
+	now := time.Now()
+	view := c.r.view(c.model, c.route.Adapter, c.version, suspect, now)
+	request := c.placeRequest(waited)
+	placed := read(&c.r.placer, func(p *placement) route.Placement { return p.placer.Place(request, view, now) })
+	if !placed.Found() {
+		ref := refusal.New(statusUnavailable, refusal.CodeNoEndpoint, "no engine can serve model %s now", c.model.Name)
+		return placed, ref.After(time.Second)
+	}
+	return placed, nil
+}
+
+func (c *chatRun) placeRequest(waited bool) route.Request {
+	return route.Request{
+		ID:             c.number,
+		Hashes:         c.hashes,
+		MicrosPerBlock: c.model.PrefillMicrosPerBlock,
+		Exclude:        c.excluded,
+		Waited:         waited,
+	}
+}
+
+// waitBehind waits for the first token of the request that computes the shared prefix.
+func (c *chatRun) waitBehind(placed route.Placement) {
+	first := read(&c.r.placer, func(p *placement) chan struct{} {
+		return p.first[placed.Behind]
+	})
+	if first == nil {
+		return
+	}
+	select {
+	case <-first:
+	case <-time.After(placed.Wait):
+	case <-c.ctx.Done():
+	}
+}
+
+// failed turns a refusal into one that is true for what the caller already has.
+func (c *chatRun) failed(ref *refusal.Error) *refusal.Error {
+	if !c.hasBegun {
+		return ref
+	}
+	return refusal.New(statusBadGateway, refusal.CodeStreamCut, "the answer broke off: %s", ref.Message).With(refusal.Run)
+}
+
+// emit passes an event to the caller. It returns false when the request was cancelled.
+func (c *chatRun) emit(event caller.Event) bool {
+	if !c.hasBegun {
+		c.hasBegun = true
+		c.created = time.Now()
+		c.begin()
+	}
+	select {
+	case c.events <- event:
+		return true
+	case <-c.ctx.Done():
+		return false
+	}
+}
+
+// fields returns the caller's fields with the ones that the route sets.
+func (c *chatRun) fields() map[string]json.RawMessage {
+	fields := make(map[string]json.RawMessage, len(c.req.Fields)+2)
+	for name, value := range c.req.Fields {
+		fields[name] = value
+	}
+	fields["model"] = mustRaw(c.model.Name)
+	fields["max_tokens"] = mustRaw(c.outputTokens())
+	delete(fields, "max_completion_tokens")
+	delete(fields, "adapter")
+	if c.route.Adapter != "" {
+		fields["adapter"] = mustRaw(c.route.Adapter)
+	}
+	return fields
+}
+
+func mustRaw(value any) json.RawMessage {
+	data, err := json.Marshal(value)
+	if err != nil {
+		// Only strings and integers are passed.
+		panic(err)
+	}
+	return data
+}
--- a/pkg/router/guard.go
+++ b/pkg/router/guard.go
@@ -1,6 +1,10 @@
 package router
 
-import "sync"
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
 
 // guarded is a table with its mutex. The order in which several are locked stands in the package comment.
 type guarded[T any] struct {
@@ -21,3 +25,26 @@
 	defer g.mu.Unlock()
 	return f(g.table)
 }
+
+// instant is a point in time that goroutines share. It keeps the monotonic clock, because a step of the wall
+// clock must not make old evidence look fresh.
+type instant struct {
+	at atomic.Pointer[time.Time]
+}
+
+func (i *instant) set(t time.Time) {
+	i.at.Store(&t)
+}
+
+func (i *instant) clear() {
+	i.at.Store(nil)
+}
+
+// age returns the time since the instant, or false where it was never set.
+func (i *instant) age(now time.Time) (time.Duration, bool) {
+	t := i.at.Load()
+	if t == nil {
+		return 0, false
+	}
+	return now.Sub(*t), true
+}
--- a/pkg/router/intents.go
+++ b/pkg/router/intents.go
@@ -158,23 +158,27 @@
 	_, err := r.logs.Append(r.ctx, stream, records)
 	if err != nil {
 		count(metricAppendErrors, 1)
-		r.appendFailed.Store(time.Now().UnixNano())
+		r.appendFailed.set(time.Now())
 		return err
 	}
-	r.appendFailed.Store(0)
+	r.appendFailed.clear()
 	r.logAnswered()
 	return nil
 }
 
 func (r *Router) logAnswered() {
-	r.logAnswer.Store(time.Now().UnixNano())
+	r.logAnswer.set(time.Now())
 }
 
 // logDown tells whether keyed requests are refused at once.
 func (r *Router) logDown() bool {
-	silent := time.Since(time.Unix(0, r.logAnswer.Load())) > logSilence
-	failed := r.appendFailed.Load()
-	return silent || failed != 0 && time.Since(time.Unix(0, failed)) < logSilence
+	now := time.Now()
+	answered, ok := r.logAnswer.age(now)
+	if !ok || answered > logSilence {
+		return true
+	}
+	failed, ok := r.appendFailed.age(now)
+	return ok && failed < logSilence
 }
 
 // requestDigest identifies method, target and body, so that a key cannot be used for two different requests.
--- a/pkg/router/leases.go
+++ b/pkg/router/leases.go
@@ -55,7 +55,7 @@
 	next := read(&r.leases, func(m *lease.Manager) int64 { return m.Next() })
 	r.controlStart.Store(page.Start)
 	if next >= page.End {
-		r.controlRead.Store(started.UnixNano())
+		r.controlRead.set(started)
 		r.observeLease(lease.Evidence{Kind: lease.OwnRead, At: started, Next: next})
 	}
 	return true
@@ -96,17 +96,17 @@
 	if r.controlFailed.Load() {
 		return false
 	}
-	at := r.controlRead.Load()
-	return at != 0 && time.Since(time.Unix(0, at)) < logReadWindow
+	age, ok := r.controlRead.age(time.Now())
+	return ok && age < logReadWindow
 }
 
 // controlAge is the age of the newest complete read of the control stream in milliseconds, or -1.
 func (r *Router) controlAge(now time.Time) int64 {
-	at := r.controlRead.Load()
-	if at == 0 {
+	age, ok := r.controlRead.age(now)
+	if !ok {
 		return -1
 	}
-	return ageMillis(max(0, now.Sub(time.Unix(0, at))))
+	return ageMillis(max(0, age))
 }
 
 // observePeerRead takes a peer's relayed read as evidence (E2).
@@ -201,7 +201,7 @@
 }
 
 // leave releases the leases of a VM that stops, so that others take them over at once.
-func (r *Router) leave(_ interface{ Err() error }) {
+func (r *Router) leave() {
 	until := time.Now().Add(releaseWait)
 	for time.Now().Before(until) {
 		r.planLeases()
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -20,12 +20,18 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/phuslu/log"
 
+	"github.com/corneldeal/corneldeal/pkg/admit"
 	"github.com/corneldeal/corneldeal/pkg/auth"
+	"github.com/corneldeal/corneldeal/pkg/cacheindex"
 	"github.com/corneldeal/corneldeal/pkg/caller"
 	"github.com/corneldeal/corneldeal/pkg/config"
+	"github.com/corneldeal/corneldeal/pkg/crashguard"
 	"github.com/corneldeal/corneldeal/pkg/engine"
 	"github.com/corneldeal/corneldeal/pkg/httpcall"
+	"github.com/corneldeal/corneldeal/pkg/lease"
+	"github.com/corneldeal/corneldeal/pkg/limit"
 	"github.com/corneldeal/corneldeal/pkg/logservice"
+	"github.com/corneldeal/corneldeal/pkg/member"
 	"github.com/corneldeal/corneldeal/pkg/peer"
 	"github.com/corneldeal/corneldeal/pkg/service"
 	"github.com/corneldeal/corneldeal/pkg/settings"
@@ -57,10 +63,38 @@
 	keys   *auth.Registry
 
 	// state is the configuration in force; it is replaced as a whole.
-	state    atomic.Pointer[config.State]
-	config   guarded[*config.Replay]
-	draining atomic.Bool
-	running  atomic.Int64
+	state   atomic.Pointer[config.State]
+	config  guarded[*config.Replay]
+	members guarded[*member.Table]
+	leases  guarded[*lease.Manager]
+	limits  guarded[*limit.Limiter]
+	intents guarded[*intentTable]
+	// queues is keyed by model.
+	queues  guarded[*admissionTable]
+	placer  guarded[*placement]
+	index   guarded[*cacheindex.Index]
+	fleet   guarded[*engineTable]
+	crashes guarded[*crashguard.Guard]
+	retries guarded[*admit.RetryBudget]
+
+	intentsAdded chan struct{}
+	requestIDs   atomic.Uint64
+	crashSeq     atomic.Uint64
+
+	draining       atomic.Bool
+	running        atomic.Int64
+	vmListReadable atomic.Bool
+	controlFailed  atomic.Bool
+	controlStart   atomic.Int64
+	// controlRead is the start of the newest complete read of the control stream.
+	controlRead instant
+	// logAnswer is the newest answer of the log to a read or an append.
+	logAnswer instant
+	// snapshotTick is the newest snapshot record, snapshotSeen when it was first seen.
+	snapshotTick atomic.Int64
+	snapshotSeen instant
+	// appendFailed is the newest failed append since the last one that was answered.
+	appendFailed instant
 
 	callerLn   net.Listener
 	peerLn     net.Listener
@@ -87,8 +121,19 @@
 		events:      timeline.NewRecorder(clock, s.VM, incarnation, s.TimelineEvents),
 		keys:        &auth.Registry{},
 		fatal:       make(chan error, 1),
+
+		intentsAdded: make(chan struct{}, 1),
 	}
 	r.config.table = config.NewReplay()
+	r.members.table = member.NewTable(s.VM)
+	r.leases.table = lease.NewManager(lease.Holder{VM: s.VM, Incarnation: incarnation, Address: s.PeerAddress})
+	r.limits.table = limit.New()
+	r.intents.table = newIntentTable(s.VM, incarnation)
+	r.queues.table = newAdmissionTable(s.QueuePerWorkspace)
+	r.index.table = cacheindex.New(cacheindex.Settings{}, r.started)
+	r.fleet.table = newEngineTable()
+	r.crashes.table = crashguard.New(crashguard.Settings{})
+	r.retries.table = &admit.RetryBudget{}
 	r.state.Store(r.config.table.State())
 	r.logs = logservice.New(s.LogAddress, r.http)
 	r.vms = vmlist.New(s.VMListAddress, r.http)
@@ -106,6 +151,9 @@
 	}
 	r.peerTLS = conf
 	r.peers = peer.NewClients(r.settings.PeerToken, conf)
+	if r.placer.table, err = newPlacement(r.settings); err != nil {
+		return err
+	}
 	// A full pool refuses at once instead of blocking, and no task of the pool submits to the pool.
 	r.pool, err = ants.NewPool(r.settings.Workers, ants.WithNonblocking(true))
 	if err != nil {
@@ -222,7 +270,7 @@
 		return ctx.Err()
 	}
 	err := r.callers.Shutdown(ctx)
-	r.leave(ctx)
+	r.leave()
 	r.record(partProcess, "stopped", "", "")
 	r.info(partProcess).Msg("process: stopped")
 	return err
