Add membership from the VM list and heartbeats

Change: pkg/member keeps listed and heard VMs, applies the isolation rule with aged evidence, proves absences by list reads, and sums in-flight requests of live peers. Evidence of contact counts from the start of the own call and only once this VM has applied what the peer has. Voters are not forgotten while the VM is isolated.

Conclusion: the rule holds in the tests of this package; the wiring is not tested yet.

--- /dev/null
+++ b/pkg/member/member_test.go
@@ -0,0 +1,242 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/corneldeal/corneldeal/pkg/timeline"
+)
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func at(ms int64) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// listOf returns a list read at ms that shows the VMs a, b, c, ... up to n, beside self.
+func listOf(ms int64, names ...string) List {
+	l := List{AsOf: at(ms), VMs: []VM{{Name: "self", State: StateLive}}}
+	for _, name := range names {
+		l.VMs = append(l.VMs, VM{Name: name, State: StateLive})
+	}
+	return l
+}
+
+// beat returns a heartbeat sent at ms by a VM that holds the config stream up to next, proven age ago.
+func beat(vm string, ms, next int64, age time.Duration) *Heartbeat {
+	return &Heartbeat{
+		VM: vm, Incarnation: "1", Sent: timeline.Stamp{WallNs: at(ms).UnixNano()}, ConfigNext: next,
+		Offsets: []StreamOffset{{Stream: StreamConfig, Next: next, Age: age}},
+		Contact: age >= 0 && age < ContactWindow,
+	}
+}
+
+// table returns the table of self with VMs a, b, c and d listed at time 0, and a read of the log at time 0.
+func table() *Table {
+	t := NewTable("self")
+	t.ApplyList(listOf(0, "a", "b", "c", "d"), at(0), at(0))
+	t.ObserveRead(at(0), 5)
+	return t
+}
+
+func wantContact(t *testing.T, table *Table, ms int64, want Contact) {
+	t.Helper()
+	if got := table.Contact(at(ms)); got != want {
+		t.Errorf("at %d ms: %v, want %v", ms, got, want)
+	}
+}
+
+// Guards against serving withdrawn keys on a VM that is cut off, and against refusals in a mere log outage.
+func TestContactRule(t *testing.T) {
+	cut := table()
+	wantContact(t, cut, 2999, InContact)
+	wantContact(t, cut, 3000, Isolated)
+	if cut.MustClose(at(4999)) || !cut.MustClose(at(5000)) {
+		t.Error("streams must close 5 s after the last contact")
+	}
+
+	outage := table()
+	outage.ApplyAnswer(beat("a", 3400, 5, -1), at(3400), at(3401))
+	wantContact(t, outage, 3500, Isolated)
+	outage.ApplyAnswer(beat("b", 3400, 5, 3100*time.Millisecond), at(3400), at(3401))
+	wantContact(t, outage, 3500, Outage)
+	wantContact(t, outage, 5400, Isolated)
+	if outage.MustClose(at(8399)) || !outage.MustClose(at(8400)) {
+		t.Error("streams must close 5 s after the outage was last seen")
+	}
+}
+
+// Guards against an evidence of contact that is relayed by a peer but older than it looks, or from a peer that
+// holds a change which is missing here.
+func TestContactRelayed(t *testing.T) {
+	relayed := table()
+	relayed.ApplyAnswer(beat("a", 3400, 5, time.Second), at(3400), at(3900))
+	wantContact(t, relayed, 5399, InContact)
+	wantContact(t, relayed, 5400, Isolated)
+
+	behind := table()
+	behind.ApplyAnswer(beat("a", 3400, 6, 0), at(3400), at(3401))
+	for _, vm := range []string{"b", "c", "d"} {
+		behind.ApplyAnswer(beat(vm, 3400, 5, -1), at(3400), at(3401))
+	}
+	wantContact(t, behind, 3500, Isolated)
+	behind.ObserveConfig(6)
+	wantContact(t, behind, 3500, InContact)
+
+	received := table()
+	received.ApplyHeartbeat(beat("a", 100, 5, 0), at(4000))
+	wantContact(t, received, 4000, Isolated)
+}
+
+// Guards against two VMs that keep each other in contact after the log is gone.
+func TestContactDoesNotEcho(t *testing.T) {
+	one, two := NewTable("one"), NewTable("two")
+	one.ObserveRead(at(0), 5)
+	two.ObserveConfig(5)
+	for ms := int64(0); ms < 10000; ms += 100 {
+		two.ApplyAnswer(beat("one", ms, 5, one.ContactAge(at(ms))), at(ms), at(ms+1))
+		one.ApplyAnswer(beat("two", ms, 5, two.ContactAge(at(ms+50))), at(ms+50), at(ms+51))
+	}
+	wantContact(t, one, 3000, Isolated)
+	wantContact(t, two, 3000, Isolated)
+}
+
+// Guards against a broken VM list that removes peers, or that turns an isolated VM into a majority of its own.
+func TestShortListForgetsNobody(t *testing.T) {
+	m := table()
+	for _, vm := range []string{"a", "b", "c", "d"} {
+		m.ApplyHeartbeat(beat(vm, 20000, 5, -1), at(20000))
+	}
+	if m.ApplyList(List{AsOf: at(20001)}, at(20001), at(20001)) {
+		t.Error("an empty list was applied")
+	}
+	m.ObserveRead(at(20001), 5)
+	m.ApplyList(listOf(20100), at(20100), at(20100))
+	if n := len(m.Live(at(20200))); n != 4 {
+		t.Errorf("%d live peers after a short list, want 4", n)
+	}
+	for ms := int64(20200); ms < 60000; ms += 1000 {
+		m.ApplyList(listOf(ms), at(ms), at(ms))
+	}
+	wantContact(t, m, 60000, Isolated)
+}
+
+// Guards against a VM that counts VMs which left long ago as missing voters.
+func TestGoneVMsAreForgotten(t *testing.T) {
+	m := table()
+	m.ObserveRead(at(9500), 5)
+	m.ApplyList(listOf(10001), at(10001), at(10001))
+	wantContact(t, m, 13000, Outage)
+	m.ObserveRead(at(3600000), 5)
+	m.ApplyList(listOf(3600000), at(3600000), at(3600000))
+	if n := len(m.peers); n != 0 {
+		t.Errorf("%d VMs remembered after an hour", n)
+	}
+}
+
+// Guards against a takeover from a VM that is up or whose absence was not proven by later lists.
+func TestAbsentSince(t *testing.T) {
+	m := NewTable("self")
+	if _, ok := m.AbsentSince("a"); ok {
+		t.Error("absent before any list")
+	}
+	m.ApplyList(listOf(0, "a", "b"), at(0), at(0))
+	if _, ok := m.AbsentSince("a"); ok {
+		t.Error("a listed VM is absent")
+	}
+	m.ApplyList(listOf(1000, "b"), at(1000), at(1000))
+	m.ApplyList(listOf(1000, "b"), at(90000), at(90000))
+	if got, _ := m.AbsentSince("a"); got.Lasted() != 0 {
+		t.Errorf("a frozen list proved an absence of %v", got.Lasted())
+	}
+	m.ApplyList(listOf(12000, "b"), at(12000), at(12000))
+	if got, _ := m.AbsentSince("a"); got.Lasted() != 11*time.Second {
+		t.Errorf("absent for %v, want 11 s", got.Lasted())
+	}
+	m.ApplyHeartbeat(beat("a", 5000, 0, -1), at(5000))
+	if got, _ := m.AbsentSince("a"); got.Lasted() != 7*time.Second {
+		t.Errorf("absent for %v after a heartbeat, want 7 s", got.Lasted())
+	}
+	if got, ok := m.AbsentSince("never-seen"); !ok || got.Lasted() != 12*time.Second {
+		t.Errorf("unknown VM absent for %v", got.Lasted())
+	}
+}
+
+// Guards against a late heartbeat that brings back what a VM said earlier or before its restart.
+func TestLateHeartbeats(t *testing.T) {
+	m := table()
+	m.ApplyHeartbeat(beat("a", 200, 7, -1), at(200))
+	m.ApplyHeartbeat(beat("a", 100, 6, -1), at(300))
+	if got := m.Behind(7, at(300)); len(got) != 0 {
+		t.Errorf("behind after a late heartbeat: %v", got)
+	}
+	restarted := beat("a", 50, 0, -1)
+	restarted.Incarnation = "2"
+	m.ApplyHeartbeat(restarted, at(400))
+	if m.ApplyHeartbeat(beat("a", 500, 7, -1), at(500)) {
+		t.Error("a heartbeat of an earlier incarnation was applied")
+	}
+	if got := m.Behind(7, at(500)); len(got) != 1 {
+		t.Errorf("behind: %v, want a", got)
+	}
+	if m.NewestOffset(StreamConfig) != 7 {
+		t.Errorf("newest offset %d", m.NewestOffset(StreamConfig))
+	}
+}
+
+// Guards against load sums that keep the requests of peers that are down or count a peer twice.
+func TestInFlightMatchesLivePeers(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := NewTable("self")
+		now := int64(0)
+		model := map[string]*Heartbeat{}
+		heard := map[string]int64{}
+		rt.Repeat(map[string]func(*rapid.T){
+			"heartbeat": func(rt *rapid.T) {
+				vm := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "vm")
+				h := beat(vm, now, 0, -1)
+				for _, e := range []string{"e1", "e2"} {
+					h.Loads = append(h.Loads, EndpointLoad{Endpoint: e, InFlight: rapid.IntRange(0, 5).Draw(rt, e)})
+				}
+				m.ApplyHeartbeat(h, at(now))
+				model[vm], heard[vm] = h, now
+			},
+			"wait": func(rt *rapid.T) { now += rapid.Int64Range(1, 1500).Draw(rt, "ms") },
+			"": func(rt *rapid.T) {
+				for i, endpoint := range []string{"e1", "e2"} {
+					want := 0
+					for vm, h := range model {
+						if now-heard[vm] < HeartbeatTimeout.Milliseconds() {
+							want += h.Loads[i].InFlight
+						}
+					}
+					if got := m.InFlight(endpoint, at(now)); got != want {
+						rt.Fatalf("%s: %d in flight, want %d", endpoint, got, want)
+					}
+				}
+			},
+		})
+	})
+}
+
+// BenchmarkHeartbeatApply measures one heartbeat with the loads of 120 endpoints among 20 peers, the size of a
+// data centre at the target.
+func BenchmarkHeartbeatApply(b *testing.B) {
+	const peers, endpoints = 20, 120
+	m := NewTable("self")
+	var beats []*Heartbeat
+	for i := range peers {
+		h := beat(fmt.Sprintf("vm-%d", i), 0, 0, 0)
+		for e := range endpoints {
+			h.Loads = append(h.Loads, EndpointLoad{Endpoint: fmt.Sprintf("engine-%d", e), InFlight: e % 5})
+		}
+		beats = append(beats, h)
+	}
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		m.ApplyAnswer(beats[i%peers], at(int64(i)), at(int64(i)))
+		i++
+	}
+}
