lab: report engine state in the form that the router's client reads

Cause: the router's engine client expects versions with a state, adapters and the age of the report. Change: the state lists versions as ready or loading; transfers name the chain seed cache_salt; messages whose content is not a string are accepted; a resumed answer with nothing left ends without a token.

--- a/lab/engine/api.go
+++ b/lab/engine/api.go
@@ -21,8 +21,10 @@
 	Adapter  string          `json:"adapter,omitempty"`
 	Messages []route.Message `json:"messages"`
 	// MaxTokens bounds the whole answer, tokens before ResumeFrom included. Default 64.
-	MaxTokens int  `json:"max_tokens,omitempty"`
-	Stream    bool `json:"stream,omitempty"`
+	MaxTokens int `json:"max_tokens,omitempty"`
+	// MaxCompletionTokens is the newer name of MaxTokens; the larger of the two counts.
+	MaxCompletionTokens int  `json:"max_completion_tokens,omitempty"`
+	Stream              bool `json:"stream,omitempty"`
 	// CacheSalt is the seed of the block hash chain, an unsigned 64-bit number in decimal.
 	CacheSalt string `json:"cache_salt,omitempty"`
 	// Priority orders the waiting queue; a higher value is served first.
@@ -49,12 +51,13 @@
 
 // Chunk is one server-sent event of a stream; each carries one token.
 type Chunk struct {
-	ID         string        `json:"id"`
-	Object     string        `json:"object"`
-	Created    int64         `json:"created"`
-	Model      string        `json:"model"`
-	Choices    []ChunkChoice `json:"choices"`
-	TokenIndex int           `json:"token_index"`
+	ID      string        `json:"id"`
+	Object  string        `json:"object"`
+	Created int64         `json:"created"`
+	Model   string        `json:"model"`
+	Choices []ChunkChoice `json:"choices"`
+	// TokenIndex is missing in a chunk without a token.
+	TokenIndex *int `json:"token_index,omitempty"`
 	// Usage stands in the last chunk.
 	Usage *Usage `json:"usage,omitempty"`
 }
@@ -96,13 +99,30 @@
 	Content string `json:"content"`
 }
 
+// Readiness tells whether weights may be used.
+type Readiness string
+
+// States of weights in the load report.
+const (
+	Ready   Readiness = "ready"
+	Loading Readiness = "loading"
+)
+
+// VersionState is one weight version in the load report.
+type VersionState struct {
+	Model   string    `json:"model"`
+	Version string    `json:"version"`
+	State   Readiness `json:"state"`
+}
+
 // State is the load report.
 type State struct {
-	Name        string   `json:"name"`
-	Incarnation string   `json:"incarnation"`
-	Role        string   `json:"role"`
-	Loaded      []Loaded `json:"loaded"`
-	Loading     []Loaded `json:"loading"`
+	Name        string         `json:"name"`
+	Incarnation string         `json:"incarnation"`
+	Role        string         `json:"role"`
+	Versions    []VersionState `json:"versions"`
+	// Adapters are the names of the adapters loaded for any model.
+	Adapters []string `json:"adapters"`
 	// Fence is the highest fencing number seen.
 	Fence        int64 `json:"fence"`
 	Running      int   `json:"running"`
@@ -110,6 +130,8 @@
 	CachedBlocks int   `json:"cached_blocks"`
 	CacheBlocks  int   `json:"cache_blocks"`
 	MaxRunning   int   `json:"max_running"`
+	// AgeMs is the age of the report, in milliseconds.
+	AgeMs int64 `json:"age_ms"`
 	// PrefillLeftUs is the compute time of the prompts that are not finished, in microseconds. Only the exact
 	// state carries it.
 	PrefillLeftUs int64 `json:"prefill_left_us,omitempty"`
@@ -173,9 +195,9 @@
 
 // TransferRequest is the body of POST /v1/cache/export and /v1/cache/import.
 type TransferRequest struct {
-	// Seed is the start of the hash chain in decimal; blocks are kept under it in the store.
-	Seed   string   `json:"seed"`
-	Hashes []uint64 `json:"hashes"`
+	// CacheSalt is the seed of the hash chain in decimal; blocks are kept under it in the store.
+	CacheSalt string   `json:"cache_salt"`
+	Hashes    []uint64 `json:"hashes"`
 	// Store is the address of the KV cache store.
 	Store string `json:"store"`
 	// Model and Version name the weights that imported blocks belong to.
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -41,7 +41,7 @@
 	incarnation string
 	down        bool
 	role        string
-	// loaded and loading are replaced, never changed in place; reports share them.
+	// loaded and loading are replaced, never changed in place.
 	loaded   []Loaded
 	loading  []Loaded
 	fence    int64
@@ -233,6 +233,9 @@
 // ownerLocked returns the weights that serve the request.
 func (e *Engine) ownerLocked(req *ChatRequest) (Loaded, error) {
 	err := errNoModel
+	if req.Version != "" {
+		err = errNoVersion
+	}
 	for _, l := range slices.Backward(e.loaded) {
 		if l.Model != req.Model {
 			continue
@@ -262,6 +265,7 @@
 		}
 		out = r.state
 	}
+	out.AgeMs = e.opt.ReportLag.Milliseconds()
 	return out
 }
 
@@ -317,8 +321,8 @@
 		Name:         e.opt.Name,
 		Incarnation:  e.incarnation,
 		Role:         e.role,
-		Loaded:       e.loaded,
-		Loading:      e.loading,
+		Versions:     e.versionsLocked(),
+		Adapters:     e.adaptersLocked(),
 		Fence:        e.fence,
 		Running:      len(e.running),
 		Waiting:      len(e.waiting),
@@ -328,6 +332,29 @@
 	}
 }
 
+func (e *Engine) versionsLocked() []VersionState {
+	out := make([]VersionState, 0, len(e.loaded)+len(e.loading))
+	for _, l := range e.loaded {
+		out = append(out, VersionState{Model: l.Model, Version: l.Version, State: Ready})
+	}
+	for _, l := range e.loading {
+		out = append(out, VersionState{Model: l.Model, Version: l.Version, State: Loading})
+	}
+	return out
+}
+
+func (e *Engine) adaptersLocked() []string {
+	out := []string{}
+	for _, l := range e.loaded {
+		for _, a := range l.Adapters {
+			if !slices.Contains(out, a) {
+				out = append(out, a)
+			}
+		}
+	}
+	return out
+}
+
 // reportLocked remembers the present state for lagging readers and drops what no reader can see any more.
 func (e *Engine) reportLocked() {
 	now := time.Now()
--- a/lab/engine/engine_test.go
+++ b/lab/engine/engine_test.go
@@ -93,8 +93,8 @@
 	chunks, done := streamed(t, e, ChatRequest{Model: "m", Messages: user("hello"), MaxTokens: 6, ResumeFrom: 4})
 	var text strings.Builder
 	for i, c := range chunks {
-		if c.TokenIndex != 4+i {
-			t.Fatalf("chunk %d has token index %d", i, c.TokenIndex)
+		if *c.TokenIndex != 4+i {
+			t.Fatalf("chunk %d has token index %d", i, *c.TokenIndex)
 		}
 		text.WriteString(c.Choices[0].Delta.Content)
 	}
@@ -231,7 +231,7 @@
 	}
 	await(t, "version 2 only", func() bool {
 		s := e.State()
-		return len(s.Loaded) == 1 && s.Loaded[0].Version == "2" && s.CachedBlocks == 0
+		return len(s.Versions) == 1 && s.Versions[0].Version == "2" && s.Versions[0].State == Ready && s.CachedBlocks == 0
 	})
 }
 
@@ -344,7 +344,7 @@
 	req := ChatRequest{Model: "m", Messages: user("more than ten bytes"), MaxTokens: 1, CacheSalt: "9"}
 	streamed(t, a, req)
 	hashes := route.Chain(9, route.Prompt(req.Messages), 10)
-	move := TransferRequest{Seed: "9", Hashes: hashes, Store: store.Addr()}
+	move := TransferRequest{CacheSalt: "9", Hashes: hashes, Store: store.Addr()}
 	if status, body := post(t, a, "/v1/cache/export", move); status != http.StatusOK {
 		t.Fatalf("export: %d %s", status, body)
 	}
--- a/lab/engine/http.go
+++ b/lab/engine/http.go
@@ -15,6 +15,7 @@
 
 	"github.com/corneldeal/corneldeal/lab/cachestore"
 	"github.com/corneldeal/corneldeal/lab/standin"
+	"github.com/corneldeal/corneldeal/pkg/route"
 )
 
 const (
@@ -102,6 +103,34 @@
 	}
 }
 
+// wireRequest reads messages whose content is a string or any other JSON.
+type wireRequest struct {
+	ChatRequest
+	Messages []wireMessage `json:"messages"`
+}
+
+type wireMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// parseChat reads a request. Content that is not a plain string counts with its raw JSON, as in the router.
+func parseChat(body []byte) (*ChatRequest, error) {
+	var w wireRequest
+	if err := json.Unmarshal(body, &w); err != nil {
+		return nil, err
+	}
+	req := w.ChatRequest
+	for _, m := range w.Messages {
+		var text string
+		if json.Unmarshal(m.Content, &text) != nil {
+			text = string(m.Content)
+		}
+		req.Messages = append(req.Messages, route.Message{Role: m.Role, Content: text})
+	}
+	return &req, nil
+}
+
 // reply writes the answer of one accepted request.
 type reply struct {
 	e     *Engine
@@ -124,8 +153,8 @@
 	if attempt != "" {
 		ctx.Response.Header.Set(HeaderAttempt, attempt)
 	}
-	var req ChatRequest
-	if err := json.Unmarshal(ctx.PostBody(), &req); err != nil {
+	req, err := parseChat(ctx.PostBody())
+	if err != nil {
 		refuse(ctx, fasthttp.StatusBadRequest, "bad_request", err.Error())
 		return
 	}
@@ -133,7 +162,7 @@
 		refuse(ctx, fasthttp.StatusBadRequest, "bad_request", "messages must not be empty, resume_from not negative")
 		return
 	}
-	q, incarnation, err := e.submit(&req)
+	q, incarnation, err := e.submit(req)
 	if err != nil {
 		refuseErr(ctx, err)
 		return
@@ -200,7 +229,9 @@
 		}
 	}
 	if r.sent == 0 {
-		r.writeChunk(w, r.chunk(r.q.end, "", true))
+		end := r.chunk(0, "", true)
+		end.TokenIndex = nil
+		r.writeChunk(w, end)
 	}
 	_, _ = w.WriteString("data: [DONE]\n\n")
 	_ = w.Flush()
@@ -227,7 +258,7 @@
 		Created:    time.Now().Unix(),
 		Model:      r.model,
 		Choices:    []ChunkChoice{{Delta: Delta{Content: text}}},
-		TokenIndex: index,
+		TokenIndex: &index,
 	}
 	if index == 0 {
 		c.Choices[0].Delta.Role = "assistant"
@@ -345,8 +376,8 @@
 
 func (e *Engine) handleTransfer(ctx *fasthttp.RequestCtx, move func(TransferRequest) ([]uint64, error)) {
 	var req TransferRequest
-	if err := json.Unmarshal(ctx.PostBody(), &req); err != nil || req.Store == "" || req.Seed == "" {
-		refuse(ctx, fasthttp.StatusBadRequest, "bad_request", "body must hold seed, hashes and store")
+	if err := json.Unmarshal(ctx.PostBody(), &req); err != nil || req.Store == "" || req.CacheSalt == "" {
+		refuse(ctx, fasthttp.StatusBadRequest, "bad_request", "body must hold cache_salt, hashes and store")
 		return
 	}
 	moved, err := move(req)
@@ -359,18 +390,18 @@
 
 func (e *Engine) export(req TransferRequest) ([]uint64, error) {
 	held := e.held(req.Hashes)
-	_, err := callStore(req.Store, "put", cachestore.Blocks{Seed: req.Seed, Hashes: held})
+	_, err := callStore(req.Store, "put", cachestore.Blocks{Seed: req.CacheSalt, Hashes: held})
 	return held, err
 }
 
 // importBlocks reads blocks from the store and stores them if the answer carries the seed asked for.
 func (e *Engine) importBlocks(req TransferRequest) ([]uint64, error) {
 	generation := e.currentGeneration()
-	got, err := callStore(req.Store, "get", cachestore.Blocks{Seed: req.Seed, Hashes: req.Hashes})
+	got, err := callStore(req.Store, "get", cachestore.Blocks{Seed: req.CacheSalt, Hashes: req.Hashes})
 	if err != nil {
 		return nil, err
 	}
-	if got.Seed != req.Seed {
+	if got.Seed != req.CacheSalt {
 		return nil, errors.New("the store answered with another seed")
 	}
 	if !e.pause(e.importTime(len(got.Hashes))) {
--- a/lab/engine/sequence.go
+++ b/lab/engine/sequence.go
@@ -73,7 +73,7 @@
 }
 
 func outputTokens(opt Options, req *ChatRequest) int {
-	n := req.MaxTokens
+	n := max(req.MaxTokens, req.MaxCompletionTokens)
 	if n <= 0 {
 		n = DefaultOutputTokens
 	}
