Test the cache index and close a way back for dead incarnations

Cause: a rapid property found that a reply asked for at the very instant at which the next incarnation was first observed, and a state report that lags behind a crash seen by the VM, could make a dead incarnation current. Change: Observe accepts an unknown incarnation only from a reply asked for after the current one was first observed, and the incarnation of a dropped endpoint only from a reply asked for 5 s after the drop. Tests for dead incarnations, the table, reports against own decisions, the bound on memory and the end of the time field.

--- a/pkg/cacheindex/index.go
+++ b/pkg/cacheindex/index.go
@@ -57,6 +57,10 @@
 	evictSample = 8
 	// An endpoint that was dropped is forgotten after this time; no reply is in transit for longer.
 	dropMemory = 10 * time.Minute
+	// The incarnation that was current when the endpoint was dropped is accepted again only from a reply asked
+	// for this much later. The drop may have been a broken connection to a live engine, but a state report that
+	// lags may also name an incarnation that has just died.
+	returnDelay = 5 * time.Second
 )
 
 // Stamps hold two flags and the time in ticks since the start of the index.
@@ -80,7 +84,9 @@
 	// since is the time at which the incarnation was first observed, or the endpoint dropped.
 	since time.Time
 	dead  []string
-	table table
+	// dropped is the incarnation that was current when the endpoint was dropped.
+	dropped string
+	table   table
 	// lastSeq is the newest event applied.
 	lastSeq uint64
 	// unsure is the tick of the last gap. Entries up to it are no longer vouched for.
@@ -111,7 +117,7 @@
 // sent. An incarnation not seen before becomes the current one and voids all entries of the one before. It
 // reports whether the incarnation is the current one.
 //
-// A reply that was asked for before the current incarnation was first observed may be older than it, so an
+// A reply that was not asked for after the current incarnation was first observed may be older than it, so an
 // unknown incarnation in such a reply is ignored; the next reply decides.
 func (x *Index) Observe(name, incarnation string, asked, now time.Time) bool {
 	if incarnation == "" {
@@ -127,7 +133,10 @@
 	if e.incarnation == incarnation {
 		return true
 	}
-	if asked.Before(e.since) || e.isDead(incarnation) {
+	if !asked.After(e.since) || e.isDead(incarnation) {
+		return false
+	}
+	if incarnation == e.dropped && asked.Sub(e.since) < returnDelay {
 		return false
 	}
 	x.begin(e, incarnation, now)
@@ -219,7 +228,7 @@
 	return e.incarnation
 }
 
-// Drop voids all entries of an endpoint that crashed, was withdrawn or does not answer. Replies asked for before
+// Drop voids all entries of an endpoint that crashed, was withdrawn or does not answer. Replies asked for up to
 // now bring nothing back.
 func (x *Index) Drop(name string, now time.Time) {
 	e := x.endpoints[name]
@@ -228,6 +237,9 @@
 		x.endpoints[name] = e
 	}
 	x.void(e)
+	if e.incarnation != "" {
+		e.dropped = e.incarnation
+	}
 	e.incarnation = ""
 	e.since = now
 	for other, o := range x.endpoints {
@@ -251,13 +263,16 @@
 }
 
 func (x *Index) begin(e *endpoint, incarnation string, now time.Time) {
-	if e.incarnation != "" {
-		e.dead = append(e.dead, e.incarnation)
+	for _, old := range [...]string{e.incarnation, e.dropped} {
+		if old != "" && old != incarnation {
+			e.dead = append(e.dead, old)
+		}
 	}
 	if len(e.dead) > maxDead {
 		e.dead = append([]string(nil), e.dead[1:]...)
 	}
 	x.void(e)
+	e.dropped = ""
 	e.incarnation = incarnation
 	e.since = now
 }
--- /dev/null
+++ b/pkg/cacheindex/index_test.go
@@ -0,0 +1,318 @@
+package cacheindex
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+// Blocks of a dead incarnation must never be matched again, whatever replies of it are still in transit.
+// Each reply names an incarnation that was alive after its request, or one that the VM saw die. Block hashes carry
+// the incarnation that they belong to.
+func TestDeadIncarnationIsNeverMatched(t *testing.T) {
+	type reply struct {
+		incarnation int
+		asked       time.Time
+		seq         uint64
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		now := epoch
+		x := New(Settings{}, now)
+		alive, newest := 1, 0
+		seen := map[int]bool{}
+		died := map[int]time.Time{}
+		var transit []reply
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
+			seq := uint64(rapid.IntRange(1, 9).Draw(t, "seq"))
+			switch rapid.IntRange(0, 6).Draw(t, "action") {
+			case 0:
+				died[alive] = now
+				alive++
+			case 1, 2:
+				transit = append(transit, reply{alive, now, seq})
+			case 3:
+				// A state reply lags and names an incarnation that may have died meanwhile.
+				old := rapid.IntRange(max(alive-2, 1), alive).Draw(t, "old")
+				at, dead := died[old]
+				if seen[old] && (!dead || now.Sub(at) < returnDelay) {
+					transit = append(transit, reply{old, now, seq})
+				}
+			case 4:
+				// The VM sees the crash itself.
+				died[alive] = now
+				alive++
+				newest = alive
+				x.Drop("e", now)
+			default:
+				if len(transit) == 0 {
+					continue
+				}
+				r := transit[rapid.IntRange(0, len(transit)-1).Draw(t, "reply")]
+				name := fmt.Sprint(r.incarnation)
+				hashes := hashesOf(r.incarnation)
+				if x.Observe("e", name, r.asked, now) {
+					newest = max(newest, r.incarnation)
+					seen[r.incarnation] = true
+				}
+				x.Apply("e", name, []Event{{Seq: r.seq, Kind: Stored, Hashes: hashes}}, now)
+				x.Assume("e", name, hashes, now)
+			}
+			for dead := 1; dead < newest; dead++ {
+				if n := x.Match("e", hashesOf(dead), now); n != 0 {
+					t.Fatalf("step %d: %d blocks of incarnation %d match, %d was seen", step, n, dead, newest)
+				}
+			}
+		}
+		now = now.Add(returnDelay)
+		if !x.Observe("e", fmt.Sprint(alive), now, now) {
+			t.Fatalf("a fresh reply of incarnation %d was not accepted", alive)
+		}
+	})
+}
+
+// A state report that lags must not bring back an incarnation that was replaced, while an endpoint that was
+// dropped for a broken connection must come back with its own incarnation.
+func TestLaggingReport(t *testing.T) {
+	x := New(Settings{}, epoch)
+	at := func(s int) time.Time { return epoch.Add(time.Duration(s) * time.Second) }
+	accept := func(incarnation string, s int, want bool) {
+		if got := x.Observe("e", incarnation, at(s), at(s)); got != want {
+			t.Errorf("incarnation %s at %d s: accepted %v, want %v", incarnation, s, got, want)
+		}
+	}
+	accept("a", 0, true)
+	accept("b", 1, true)
+	accept("a", 2, false)
+	x.Drop("e", at(3))
+	accept("b", 4, false)
+	accept("b", 9, true)
+	x.Drop("e", at(10))
+	accept("c", 11, true)
+	accept("b", 20, false)
+}
+
+func hashesOf(incarnation int) []uint64 {
+	return []uint64{uint64(incarnation) * 100, uint64(incarnation)*100 + 1}
+}
+
+// A cached block must not be lost from the table, nor a removed one found, when others are removed around it.
+func TestTableAgreesWithMap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var own table
+		want := map[uint64]uint32{}
+		hash := rapid.Uint64Range(0, 40)
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			h := hash.Draw(t, "hash")
+			if rapid.Bool().Draw(t, "set") {
+				own.set(h, uint32(h)+1)
+				want[h] = uint32(h) + 1
+			} else {
+				own.remove(h)
+				delete(want, h)
+			}
+			for h := range uint64(41) {
+				if own.get(h) != want[h] {
+					t.Fatalf("hash %d: stamp %d, want %d", h, own.get(h), want[h])
+				}
+			}
+		}
+		if own.used != len(want) {
+			t.Fatalf("%d used, want %d", own.used, len(want))
+		}
+	})
+}
+
+// step is one input to the index and the match expected after it.
+type step struct {
+	after  time.Duration
+	events []Event
+	assume []uint64
+	want   int
+}
+
+func stored(seq uint64, h ...uint64) []Event  { return []Event{{seq, Stored, h}} }
+func removed(seq uint64, h ...uint64) []Event { return []Event{{seq, Removed, h}} }
+
+func TestReportsAndOwnDecisions(t *testing.T) {
+	chain := []uint64{1, 2, 3}
+	cases := []struct {
+		failure string
+		steps   []step
+	}{
+		{"a removal from before an own decision must not undo the decision", []step{
+			{events: stored(1, 1, 2, 3), want: 3},
+			{after: 5 * time.Second, assume: chain, want: 3},
+			{after: 300 * time.Millisecond, events: removed(2, 2), want: 3},
+			{after: 5 * time.Second, events: removed(3, 2), want: 1},
+		}},
+		{"a block evicted after it was reported must not be used", []step{
+			{assume: chain, want: 3},
+			{after: 2 * time.Second, events: stored(1, 1, 2, 3), want: 3},
+			{after: 100 * time.Millisecond, events: removed(2, 3), want: 2},
+		}},
+		{"an own decision that is never confirmed must not be believed for ever", []step{
+			{assume: chain, want: 3},
+			{after: 9 * time.Second, want: 3},
+			{after: 2 * time.Second, want: 0},
+		}},
+		{"a reported block must stay as long as the events are complete", []step{
+			{events: stored(1, 1, 2, 3), want: 3},
+			{after: 10 * time.Minute, want: 3},
+		}},
+		{"a gap must not leave older reports valid for ever", []step{
+			{events: stored(1, 1, 2, 3), want: 3},
+			{after: time.Second, events: stored(5, 1), want: 3},
+			{after: 11 * time.Second, want: 1},
+		}},
+		{"a gap must not discard what was reported after it", []step{
+			{events: stored(7, 1, 2, 3), want: 3},
+			{after: time.Hour, want: 3},
+		}},
+		{"an own decision after a gap must make old reports usable, but only for its own time", []step{
+			{events: stored(1, 1, 2, 3), want: 3},
+			{after: time.Second, events: stored(5, 9), want: 3},
+			{after: 11 * time.Second, want: 0},
+			{assume: chain, want: 3},
+			{after: 11 * time.Second, want: 0},
+		}},
+		{"an event delivered twice must not undo a later one", []step{
+			{events: stored(1, 1, 2, 3), want: 3},
+			{events: removed(2, 1), want: 0},
+			{events: stored(1, 1, 2, 3), want: 0},
+		}},
+		{"a missing block in the middle must end the prefix", []step{
+			{events: stored(1, 1, 3), want: 1},
+		}},
+		{"a cleared cache must not match", []step{
+			{events: stored(1, 1, 2, 3), want: 3},
+			{after: time.Minute, events: []Event{{Seq: 2, Kind: Cleared}}, want: 0},
+		}},
+	}
+	for _, c := range cases {
+		now := epoch
+		x := New(Settings{}, now)
+		x.Observe("e", "i", now, now)
+		for i, s := range c.steps {
+			now = now.Add(s.after)
+			x.Assume("e", "i", s.assume, now)
+			x.Apply("e", "i", s.events, now)
+			if got := x.Match("e", chain, now); got != s.want {
+				t.Errorf("%s: step %d matches %d, want %d", c.failure, i, got, s.want)
+			}
+		}
+	}
+}
+
+// The index must not grow without bound when an engine never reports removals, and must keep recent entries.
+func TestMemoryIsBounded(t *testing.T) {
+	const limit = 1000
+	x := New(Settings{MaxEntries: limit}, epoch)
+	for e := range 4 {
+		x.Observe(fmt.Sprint(e), "i", epoch, epoch)
+	}
+	last := []uint64(nil)
+	for i := range 5000 {
+		last = []uint64{mix(uint64(i))}
+		x.Assume(fmt.Sprint(i%4), "i", last, epoch.Add(time.Duration(i)*tick))
+		if x.Len() > limit {
+			t.Fatalf("%d entries, limit %d", x.Len(), limit)
+		}
+	}
+	if x.Match("3", last, epoch.Add(5000*tick)) != 1 {
+		t.Fatal("the newest entry was evicted")
+	}
+}
+
+// The time field of an entry must not overflow into the flags in a process that runs for months.
+func TestClockOverflow(t *testing.T) {
+	x := New(Settings{}, epoch)
+	x.Observe("e", "i", epoch, epoch)
+	x.Apply("e", "i", stored(1, 1), epoch)
+	late := epoch.Add(tick * time.Duration(tickMask+10))
+	x.Apply("e", "i", stored(2, 2), late)
+	if x.Match("e", []uint64{1}, late) != 0 || x.Match("e", []uint64{2}, late) != 1 || x.Len() != 1 {
+		t.Fatalf("%d entries after the overflow, want only the new one", x.Len())
+	}
+}
+
+// mix spreads small numbers over all bits, as block hashes are.
+func mix(n uint64) uint64 {
+	n *= 0x9e3779b97f4a7c15
+	return n ^ n>>29
+}
+
+// Entries and endpoints of one node at the target size of the design page.
+const (
+	targetEntries   = 325_000
+	targetEndpoints = 120
+)
+
+func filled() *Index {
+	x := New(Settings{}, epoch)
+	for i := range targetEntries {
+		name := fmt.Sprint(i % targetEndpoints)
+		x.Observe(name, "i", epoch, epoch)
+		x.Apply(name, "i", stored(x.After(name)+1, mix(uint64(i))), epoch)
+	}
+	return x
+}
+
+// Prints bytes per entry at the target size.
+func BenchmarkMemory(b *testing.B) {
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		x := filled()
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(x.Len()), "bytes/entry")
+		runtime.KeepAlive(x)
+	}
+}
+
+// One event with one block: a block is removed and another one stored in turn.
+func BenchmarkEvents(b *testing.B) {
+	x := filled()
+	i := 0
+	for b.Loop() {
+		name := "7"
+		kind := Stored
+		if i%2 == 1 {
+			kind = Removed
+		}
+		x.Apply(name, "i", []Event{{x.After(name) + 1, kind, []uint64{mix(uint64(i/2 + targetEntries))}}}, epoch)
+		i++
+	}
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "events/s")
+}
+
+// One placement over all endpoints with a prompt of 32 blocks that four endpoints hold.
+func BenchmarkMatch(b *testing.B) {
+	x := filled()
+	chain := make([]uint64, 32)
+	for i := range chain {
+		chain[i] = mix(uint64(i + 1<<30))
+	}
+	for e := range 4 {
+		x.Assume(fmt.Sprint(e), "i", chain, epoch)
+	}
+	for b.Loop() {
+		for e := range targetEndpoints {
+			x.Match(endpointNames[e], chain, epoch)
+		}
+	}
+}
+
+var endpointNames = func() (out [targetEndpoints]string) {
+	for e := range out {
+		out[e] = fmt.Sprint(e)
+	}
+	return out
+}()
