--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -32,26 +33,41 @@
 	maxAnswerBytes = 16 << 20
 )
 
-// Weights is a weight version with the adapters that are ready for it.
-type Weights struct {
-	Model    string   `json:"model"`
-	Version  string   `json:"version"`
-	Adapters []string `json:"adapters,omitempty"`
+// StateReady marks weights that are ready to serve.
+const StateReady = "ready"
+
+// LoadedVersion is a weight version that an engine holds or loads.
+type LoadedVersion struct {
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	// State is ready or loading.
+	State string `json:"state"`
 }
 
 // State is an engine's own report. It lags.
 type State struct {
 	Incarnation string `json:"incarnation"`
 	// Role is the engine's role, such as serve.
-	Role string `json:"role"`
-	// Loaded lists the weights that are ready, Loading those on their way.
-	Loaded  []Weights `json:"loaded"`
-	Loading []Weights `json:"loading"`
+	Role     string          `json:"role"`
+	Versions []LoadedVersion `json:"versions"`
+	Adapters []string        `json:"adapters"`
 	// Fence is the highest fencing number that the engine has seen.
 	Fence        int64 `json:"fence"`
 	Running      int   `json:"running"`
 	Waiting      int   `json:"waiting"`
 	CachedBlocks int   `json:"cached_blocks"`
+	// AgeMs is the age of the report when it was sent, in milliseconds.
+	AgeMs int64 `json:"age_ms"`
+}
+
+// Ready tells whether the engine holds the weights and the adapter, which may be empty.
+func (s *State) Ready(model, version, adapter string) bool {
+	if adapter != "" && !slices.Contains(s.Adapters, adapter) {
+		return false
+	}
+	return slices.ContainsFunc(s.Versions, func(v LoadedVersion) bool {
+		return v.Model == model && v.Version == version && v.State == StateReady
+	})
 }
 
 // RoleServe is the role of an engine that takes requests.
--- a/pkg/router/attempt.go
+++ b/pkg/router/attempt.go
@@ -17,8 +17,14 @@
 	"github.com/corneldeal/corneldeal/pkg/route"
 )
 
-// maxChatAttempts bounds the attempts at one chat request, beside the retry budget.
-const maxChatAttempts = 6
+const (
+	// maxChatAttempts bounds the attempts at one chat request, beside the retry budget.
+	maxChatAttempts = 6
+	// watchEvery is the time between two looks at whether the engine of an attempt still answers.
+	watchEvery = 250 * time.Millisecond
+	// tokenGap is the time without a token after which a begun stream counts as cut. The target is 53 ms.
+	tokenGap = 5 * time.Second
+)
 
 // claim is the right of an accused request to run once.
 type claim struct {
@@ -127,8 +133,9 @@
 
 // stream passes the engine's events on to the caller. It returns the incarnation that answered.
 func (c *chatRun) stream(endpoint config.Endpoint) (string, error) {
-	ctx, cancel := context.WithCancel(c.ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(c.ctx)
+	defer cancel(nil)
+	progress := c.watch(ctx, cancel, endpoint.Name)
 	attempt := uuid.NewString()
 	opened, err := c.r.engines.Chat(ctx, endpoint.Name, endpoint.Address, engine.ChatRequest{
 		AttemptID:  attempt,
@@ -154,6 +161,7 @@
 		if err != nil {
 			return opened.Incarnation, err
 		}
+		progress.set(time.Now())
 		if first {
 			first = false
 			c.firstToken()
@@ -164,6 +172,32 @@
 	}
 }
 
+// errStalled ends an attempt on an engine that has stopped answering.
+var errStalled = errors.New("the engine has stopped answering")
+
+// watch ends an attempt whose engine does not answer state requests any more, or sends no token for too long
+// after the last one. The result is to be set at each token.
+func (c *chatRun) watch(ctx context.Context, cancel context.CancelCauseFunc, endpoint string) *instant {
+	progress := &instant{}
+	go func() {
+		ticker := time.NewTicker(watchEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+			case <-ctx.Done():
+				return
+			}
+			gap, begun := progress.age(time.Now())
+			if begun && gap > tokenGap || c.r.engineSilent(endpoint) {
+				cancel(errStalled)
+				return
+			}
+		}
+	}()
+	return progress
+}
+
 func (c *chatRun) firstToken() {
 	c.r.placer.do(func(p *placement) {
 		p.placer.FirstToken(c.number, time.Now())
--- a/pkg/router/engines.go
+++ b/pkg/router/engines.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/corneldeal/corneldeal/pkg/cacheindex"
@@ -16,13 +15,11 @@
 const (
 	// statePoll is the time between two state requests to an engine.
 	statePoll = 250 * time.Millisecond
-	// reportLag is the assumed age of an engine's report when it is sent.
-	reportLag = 200 * time.Millisecond
 	// eventPoll is the long-poll time of cache events.
 	eventPoll = time.Second
 	// silentAfter is the time without an answer after which an engine gets no new work.
 	silentAfter = 2 * time.Second
-	// statusNotFound marks engines without a state report; they are taken as serving what they are configured for.
+	// engineWithoutState marks engines without a state report; they are taken as serving what they are configured for.
 	engineWithoutState = statusNotFound
 )
 
@@ -73,7 +70,7 @@
 		c.Load = route.Load{
 			Running:    info.state.Running,
 			Waiting:    info.state.Waiting,
-			MeasuredAt: info.answered.Add(-reportLag),
+			MeasuredAt: info.answered.Add(-time.Duration(info.state.AgeMs) * time.Millisecond),
 		}
 	}
 	return c
@@ -90,9 +87,7 @@
 	if i.state.Role != "" && i.state.Role != engine.RoleServe {
 		return false
 	}
-	return slices.ContainsFunc(i.state.Loaded, func(w engine.Weights) bool {
-		return w.Model == model && w.Version == version && (adapter == "" || slices.Contains(w.Adapters, adapter))
-	})
+	return i.state.Ready(model, version, adapter)
 }
 
 // syncEngines starts and stops the followers of engines after a change of the configuration.
@@ -219,6 +214,15 @@
 	})
 }
 
+// engineSilent tells whether an engine has not answered a state request for too long.
+func (r *Router) engineSilent(endpoint string) bool {
+	now := time.Now()
+	return read(&r.fleet, func(t *engineTable) bool {
+		info, ok := t.engines[endpoint]
+		return !ok || info.known && now.Sub(info.answered) > silentAfter
+	})
+}
+
 // readyVersion returns the weight version that requests of the model go to.
 func (r *Router) readyVersion(model config.Model) string {
 	return read(&r.fleet, func(t *engineTable) string {
