Test the command line with testscript and keep a slow reader's stream

Cause: a mistake in a file must be told from a failure by the exit status; the new stall watch would have ended the stream of a reader that is slower than the engine, since it counted the reader's time. Conclusion: go test ./cmd/corneldeal passes.

--- a/cmd/corneldeal/main.go
+++ b/cmd/corneldeal/main.go
@@ -8,10 +8,9 @@
 	"os"
 
 	"github.com/urfave/cli/v3"
-)
 
-// version is the version of the program.
-const version = "0.1.0"
+	"github.com/corneldeal/corneldeal/pkg/router"
+)
 
 // Exit statuses.
 const (
@@ -59,7 +58,7 @@
 		Usage: "route language-model traffic with long shared prompts",
 		Description: "One kind of process, `corneldeal serve`, stands on every VM behind the platform's balancer.\n" +
 			"Operators steer it with release notes, see `corneldeal publish`.",
-		Version:        version,
+		Version:        router.Version,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			serveCommand(),
@@ -78,7 +77,7 @@
 		Name:  "version",
 		Usage: "print the version",
 		Action: func(_ context.Context, c *cli.Command) error {
-			_, err := fmt.Fprintln(c.Root().Writer, "corneldeal", version)
+			_, err := fmt.Fprintln(c.Root().Writer, "corneldeal", router.Version)
 			return err
 		},
 	}
--- /dev/null
+++ b/cmd/corneldeal/main_test.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"os"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"corneldeal": func() { os.Exit(run(os.Args)) },
+	})
+}
+
+// The commands must report every mistake with file, line and key, and exit with the documented status.
+func TestCommands(t *testing.T) {
+	testscript.Run(t, testscript.Params{Dir: "testdata/script"})
+}
+
+// Automation tells a mistake in a file from a failure by the exit status.
+func TestMistakesExitWithStatusTwo(t *testing.T) {
+	for _, args := range [][]string{
+		{"corneldeal", "check", "--settings", "testdata/missing.yaml"},
+		{"corneldeal", "serve", "--settings", "testdata/missing.yaml"},
+		{"corneldeal", "publish", "--log", "127.0.0.1:1", "--vm-list", "127.0.0.1:1", "testdata/missing.yaml"},
+	} {
+		if got := run(args); got != exitInvalid {
+			t.Errorf("%v: exit status %d, want %d", args, got, exitInvalid)
+		}
+	}
+}
--- a/pkg/router/attempt.go
+++ b/pkg/router/attempt.go
@@ -161,12 +161,15 @@
 		if err != nil {
 			return opened.Incarnation, err
 		}
-		progress.set(time.Now())
 		if first {
 			first = false
 			c.firstToken()
 		}
-		if !c.pass(chunk) {
+		// The time that a slow reader takes is not the engine's.
+		progress.clear()
+		passed := c.pass(chunk)
+		progress.set(time.Now())
+		if !passed {
 			return opened.Incarnation, &engine.StreamError{Endpoint: endpoint.Name, Failure: engine.FailureCancelled, Err: context.Cause(c.ctx)}
 		}
 	}
