--- a/lab/cmd/corneldeal-lab/main.go
+++ b/lab/cmd/corneldeal-lab/main.go
@@ -28,6 +28,9 @@
 			vmlistCommand(),
 			weightStoreCommand(),
 			cacheStoreCommand(),
+			loadCommand(),
+			measureCommand(),
+			demoCommand(),
 		},
 	}
 }
--- a/lab/engine/batch.go
+++ b/lab/engine/batch.go
@@ -153,7 +153,8 @@
 	if len(missing) > 0 {
 		e.stats.ComputedBySalt[q.salt] += int64(len(missing))
 	}
-	e.opt.Ledger.looked(hits, missing, func(h uint64) bool { return e.cache.blocks[h] != nil })
+	own := func(h uint64) bool { return e.cache.blocks[h] != nil }
+	e.opt.Ledger.looked(tokensOf(len(q.prompt)), hits, missing, own)
 	return min(hits+1, len(q.hashes))
 }
 
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -370,3 +370,18 @@
 	}
 	e.reports = append(e.reports, report{state: e.stateLocked(), at: now})
 }
+
+// Expect returns the time to the first token of a new prompt with these blocks: the prompts before it, its own
+// missing blocks, and, when the batch is full, the steps until a place is free. The rest of the prompt behind the
+// last block costs the same on every engine and is left out.
+func (e *Engine) Expect(hashes []uint64) time.Duration {
+	s := e.ExactState()
+	missing := len(hashes) - e.Match(hashes)
+	sum := standin.Micros(s.PrefillLeftUs) + e.opt.MissCost*time.Duration(missing)
+	sum += e.opt.RunningCost * time.Duration(s.Running)
+	if ahead := s.Running + s.Waiting - e.opt.MaxRunning; ahead >= 0 {
+		steps := s.DecodeLeft * (ahead + 1) / max(1, e.opt.MaxRunning*(s.Running+s.Waiting))
+		sum += e.opt.StepCost * time.Duration(steps)
+	}
+	return sum
+}
--- a/lab/engine/engine_test.go
+++ b/lab/engine/engine_test.go
@@ -323,11 +323,11 @@
 	l := NewLedger()
 	none := func(uint64) bool { return false }
 	l.held([]uint64{1}, 1)
-	l.looked(0, []uint64{1, 2}, none)
-	l.looked(0, []uint64{1}, func(uint64) bool { return true })
+	l.looked(5, 0, []uint64{1, 2}, none)
+	l.looked(5, 0, []uint64{1}, func(uint64) bool { return true })
 	l.held([]uint64{1}, -1)
-	l.looked(3, []uint64{1}, none)
-	if got := l.Totals(); got != (LedgerTotals{Computed: 4, Wasted: 1, Hit: 3}) {
+	l.looked(5, 3, []uint64{1}, none)
+	if got := l.Totals(); got != (LedgerTotals{Computed: 4, Wasted: 1, Hit: 3, PromptTokens: 15}) {
 		t.Fatalf("got %+v", got)
 	}
 }
--- a/lab/engine/ledger.go
+++ b/lab/engine/ledger.go
@@ -18,6 +18,8 @@
 	Wasted int64
 	// Hit counts blocks that were found in the engine's own cache.
 	Hit int64
+	// PromptTokens counts the tokens of all prompts that were looked up.
+	PromptTokens int64
 }
 
 // NewLedger returns an empty ledger.
@@ -46,14 +48,15 @@
 	}
 }
 
-// looked records the outcome of one lookup. own tells which missing blocks the engine holds itself behind a hole
+// looked records the outcome of one lookup of a prompt of the given tokens. own tells which missing blocks the engine holds itself behind a hole
 // in the prefix.
-func (l *Ledger) looked(hits int, missing []uint64, own func(uint64) bool) {
+func (l *Ledger) looked(tokens, hits int, missing []uint64, own func(uint64) bool) {
 	if l == nil {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.totals.PromptTokens += int64(tokens)
 	l.totals.Hit += int64(hits)
 	l.totals.Computed += int64(len(missing))
 	for _, h := range missing {
