Test failures between real processes; keep accused requests on separate engines

Cause: after an engine crash every request in flight was accused and demanded an engine for itself, so resumed streams ended with 'no engine can serve'. A repeated innocent request stayed accused after clean runs. Ruled out: retry budget (the refusals said no_endpoint, not endpoint_failed). Change: an accused request runs on an engine without another accused one until its eighth token, waits up to 3 s for such an engine, and any clean run clears it. Two crashes refuse it, whether alone or not.

--- a/lab/deploy/vm.go
+++ b/lab/deploy/vm.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -27,6 +28,7 @@
 	DataCentre      string `yaml:"data_centre"`
 	CallerAddress   string `yaml:"caller_address"`
 	PeerAddress     string `yaml:"peer_address"`
+	PeerAdvertised  string `yaml:"peer_advertise_address,omitempty"`
 	LogAddress      string `yaml:"log_address"`
 	VMListAddress   string `yaml:"vm_list_address"`
 	PeerToken       string `yaml:"peer_token"`
@@ -41,6 +43,11 @@
 	DataCentre string
 	Caller     string
 	Peer       string
+	// Advertised is the peer address in the VM list. Default Peer.
+	Advertised string
+	// Log and VMList replace the addresses of the fleet, for a VM that reaches them by a link of its own.
+	Log     string
+	VMList  string
 	process    *Process
 	killed     atomic.Bool
 }
@@ -105,7 +112,7 @@
 			Name:       v.Name,
 			DataCentre: v.DataCentre,
 			CallerAddr: v.Caller,
-			PeerAddr:   v.Peer,
+			PeerAddr:   cmp.Or(v.Advertised, v.Peer),
 			State:      "live",
 		})
 	}
@@ -128,8 +135,9 @@
 		DataCentre:      v.DataCentre,
 		CallerAddress:   v.Caller,
 		PeerAddress:     v.Peer,
-		LogAddress:      f.Log,
-		VMListAddress:   f.VMList,
+		PeerAdvertised:  v.Advertised,
+		LogAddress:      cmp.Or(v.Log, f.Log),
+		VMListAddress:   cmp.Or(v.VMList, f.VMList),
 		PeerToken:       PeerToken,
 		PlacementPolicy: f.Policy,
 		DrainDelayMs:    f.DrainDelayMs,
--- a/pkg/crashguard/guard.go
+++ b/pkg/crashguard/guard.go
@@ -174,7 +174,7 @@
 	s.expire(now, g.settings.Life)
 	counts := g.count(s, now)
 	switch {
-	case counts.crashes >= maxCrashes && counts.alone > 0:
+	case counts.crashes >= maxCrashes:
 		return Verdict{Action: Refuse, RetryAfter: g.settings.Life - now.Sub(counts.newest)}
 	case counts.claims > 0:
 		return Verdict{Action: Busy, RetryAfter: busyRetry}
@@ -202,7 +202,7 @@
 		return false
 	}
 	counts := g.count(s, now)
-	refused := counts.crashes >= maxCrashes && counts.alone > 0
+	refused := counts.crashes >= maxCrashes
 	return counts.claims == 1 && !refused && !g.overdue(s.events[own], now)
 }
 
--- a/pkg/router/attempt.go
+++ b/pkg/router/attempt.go
@@ -22,33 +22,27 @@
 	maxChatAttempts = 6
 	// watchEvery is the time between two looks at whether the engine of an attempt still answers.
 	watchEvery = 250 * time.Millisecond
+	// settledTokens is the number of tokens after which an accused request no longer keeps other accused requests
+	// from its engine. A request that crashes engines mostly does so before its first token.
+	settledTokens = 8
 	// tokenGap is the time without a token after which a begun stream counts as cut. The target is 53 ms.
 	tokenGap = 5 * time.Second
 )
 
-// claim is the right of an accused request to run once.
+// claim is the right of an accused request to run on an engine without another accused request.
 type claim struct {
 	event crashguard.Event
 }
 
-// clearance asks whether the request may run. An accused request gets a claim when it stands alone over all VMs.
-func (c *chatRun) clearance() (*claim, *refusal.Error) {
+// suspected tells whether the request is accused of a crash, or refuses it.
+func (c *chatRun) suspected() (bool, *refusal.Error) {
 	now := time.Now()
 	verdict := read(&c.r.crashes, func(g *crashguard.Guard) crashguard.Verdict { return g.Check(c.fingerprint, now) })
-	switch verdict.Action {
-	case crashguard.Run:
-		return nil, nil
-	case crashguard.Busy, crashguard.Refuse:
-		return nil, verdict.Refusal()
-	}
-	return c.claimRun()
+	return verdict.Action == crashguard.RunAlone, verdict.Refusal()
 }
 
-func (c *chatRun) claimRun() (*claim, *refusal.Error) {
-	placed, ref := c.place(true, true)
-	if ref != nil {
-		return nil, ref
-	}
+// claim reserves the engine for an accused request. Peers learn of it before the request runs.
+func (c *chatRun) claim(placed route.Placement) (*claim, *refusal.Error) {
 	held := &claim{event: c.r.crashEvent(placed.Endpoint, placed.Incarnation)}
 	accusation := read(&c.r.crashes, func(g *crashguard.Guard) crashguard.Accusation {
 		return g.Begin(c.fingerprint, held.event, time.Now())
@@ -58,8 +52,7 @@
 		return held, nil
 	}
 	c.withdraw(held)
-	verdict := read(&c.r.crashes, func(g *crashguard.Guard) crashguard.Verdict { return g.Check(c.fingerprint, time.Now()) })
-	if ref := verdict.Refusal(); ref != nil {
+	if _, ref := c.suspected(); ref != nil {
 		return nil, ref
 	}
 	return nil, crashguard.Verdict{Action: crashguard.Busy, RetryAfter: time.Second}.Refusal()
@@ -77,23 +70,31 @@
 }
 
 // attempt runs the request on one engine. done tells that the request has ended, with the refusal if any.
-func (c *chatRun) attempt(placed route.Placement, held *claim) (ref *refusal.Error, done bool) {
+func (c *chatRun) attempt(placed route.Placement, suspect bool) (ref *refusal.Error, done bool) {
 	endpoint, ok := c.r.state.Load().Endpoint(placed.Endpoint)
 	if !ok {
-		c.withdraw(held)
 		c.excluded = append(c.excluded, placed.Endpoint)
 		return nil, false
 	}
+	var held *claim
+	if suspect {
+		if held, ref = c.claim(placed); ref != nil {
+			return c.failed(ref), true
+		}
+	}
 	c.attempts++
 	count(metricAttempts, 1)
 	count(metricPromptBlocks, int64(len(c.hashes)))
 	count(metricMatchedBlocks, int64(placed.Matched))
 	c.r.record(partChat, "attempt", c.id, placed.Endpoint)
 	c.sent(placed)
-	incarnation, err := c.stream(endpoint)
+	incarnation, err := c.stream(endpoint, func() {
+		c.withdraw(held)
+		held = nil
+	})
 	c.done(err == nil)
 	if err == nil {
-		c.cleared(held)
+		c.cleared(suspect, held)
 		return nil, true
 	}
 	c.r.debug(partChat).Err(err).Str("request", c.id).Str("endpoint", endpoint.Name).Msg("chat: attempt failed")
@@ -121,18 +122,23 @@
 }
 
 // cleared records a clean run of an accused request.
-func (c *chatRun) cleared(held *claim) {
-	if held == nil {
+func (c *chatRun) cleared(suspect bool, held *claim) {
+	if !suspect {
 		return
 	}
+	event := crashguard.Event{}
+	if held != nil {
+		event = held.event
+	}
 	list := read(&c.r.crashes, func(g *crashguard.Guard) []crashguard.Accusation {
-		return g.Clear(c.fingerprint, held.event, time.Now())
+		return g.Clear(c.fingerprint, event, time.Now())
 	})
 	c.r.reportAccusations(list)
 }
 
-// stream passes the engine's events on to the caller. It returns the incarnation that answered.
-func (c *chatRun) stream(endpoint config.Endpoint) (string, error) {
+// stream passes the engine's events on to the caller. It calls settled once the attempt has produced a few tokens.
+// It returns the incarnation that answered.
+func (c *chatRun) stream(endpoint config.Endpoint, settled func()) (string, error) {
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
 	progress := c.watch(ctx, cancel, endpoint.Name)
@@ -152,8 +158,7 @@
 	if c.delivered > 0 {
 		count(metricResumed, 1)
 	}
-	first := true
-	for {
+	for n := 1; ; n++ {
 		chunk, err := opened.Next()
 		if errors.Is(err, io.EOF) {
 			return opened.Incarnation, nil
@@ -161,9 +166,11 @@
 		if err != nil {
 			return opened.Incarnation, err
 		}
-		if first {
-			first = false
+		switch n {
+		case 1:
 			c.firstToken()
+		case settledTokens:
+			settled()
 		}
 		// The time that a slow reader takes is not the engine's.
 		progress.clear()
--- a/pkg/router/chat.go
+++ b/pkg/router/chat.go
@@ -22,6 +22,10 @@
 	eventBuffer = 64
 	// bytesPerToken estimates tokens from prompt bytes before the engine has counted them.
 	bytesPerToken = 4
+	// suspectWait is the longest time for which an accused request waits for an engine without another one. After
+	// a crash every request that was in flight is accused, and more of them than engines may be left.
+	suspectWait = 3 * time.Second
+	suspectPoll = 20 * time.Millisecond
 )
 
 // chatRun is one chat request from acceptance to its last event.
@@ -229,31 +233,48 @@
 	c.r.firstAttempt()
 	waited := false
 	for {
-		claim, ref := c.clearance()
+		suspect, ref := c.suspected()
 		if ref != nil {
 			return c.failed(ref)
 		}
-		placed, ref := c.place(claim != nil, waited)
+		placed, ref := c.placeWithin(suspect, waited)
 		if ref != nil {
-			c.withdraw(claim)
 			return c.failed(ref)
 		}
-		if placed.Wait > 0 {
+		if placed.Wait > 0 && !suspect {
 			c.waitBehind(placed)
 			waited = true
 			continue
 		}
-		ref, done := c.attempt(placed, claim)
+		ref, done := c.attempt(placed, suspect)
 		if done {
 			return ref
 		}
 	}
 }
 
-// place chooses an engine. suspect tells that the request is accused of a crash.
-func (c *chatRun) place(suspect, waited bool) (route.Placement, *refusal.Error) {
+// placeWithin chooses an engine. An accused request waits a bounded time for an engine without another accused
+// request, then shares one.
+func (c *chatRun) placeWithin(suspect, waited bool) (route.Placement, *refusal.Error) {
+	until := time.Now().Add(suspectWait)
+	for suspect && time.Now().Before(until) {
+		placed, ref := c.place(true, waited)
+		if ref == nil {
+			return placed, nil
+		}
+		select {
+		case <-time.After(suspectPoll):
+		case <-c.ctx.Done():
+			return placed, endCause(c.ctx)
+		}
+	}
+	return c.place(false, waited)
+}
+
+// place chooses an engine. apart keeps the request from engines on which an accused request runs.
+func (c *chatRun) place(apart, waited bool) (route.Placement, *refusal.Error) {
 	now := time.Now()
-	view := c.r.view(c.model, c.route.Adapter, c.version, suspect, now)
+	view := c.r.view(c.model, c.route.Adapter, c.version, apart, now)
 	request := c.placeRequest(waited)
 	placed := read(&c.r.placer, func(p *placement) route.Placement { return p.placer.Place(request, view, now) })
 	if !placed.Found() {
--- a/pkg/router/configloop.go
+++ b/pkg/router/configloop.go
@@ -20,7 +20,7 @@
 	// bootstrapTimeout bounds the wait for peers' state at start.
 	bootstrapTimeout = time.Second
 	// snapshotCheck is the time between two looks at whether a snapshot is due.
-	snapshotCheck = 5 * time.Second
+	snapshotCheck = time.Second
 )
 
 func (r *Router) follower() *configsync.Follower {
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -126,7 +126,7 @@
 	}
 	r.config.table = config.NewReplay()
 	r.members.table = member.NewTable(s.VM)
-	r.leases.table = lease.NewManager(lease.Holder{VM: s.VM, Incarnation: incarnation, Address: s.PeerAddress})
+	r.leases.table = lease.NewManager(lease.Holder{VM: s.VM, Incarnation: incarnation, Address: s.PeerAdvertiseAddress})
 	r.limits.table = limit.New()
 	r.intents.table = newIntentTable(s.VM, incarnation)
 	r.queues.table = newAdmissionTable(s.QueuePerWorkspace)
--- a/pkg/settings/parse.go
+++ b/pkg/settings/parse.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 	"net/netip"
 	"regexp"
@@ -69,6 +70,7 @@
 		return s, r.problems
 	}
 	r.read(root.Values, 1, "", fields(&s))
+	s.PeerAdvertiseAddress = cmp.Or(s.PeerAdvertiseAddress, s.PeerAddress)
 	return s, r.problems
 }
 
@@ -141,6 +143,7 @@
 		nameField("data_centre", &s.DataCentre),
 		addressField("caller_address", &s.CallerAddress),
 		addressField("peer_address", &s.PeerAddress),
+		optional(addressField("peer_advertise_address", &s.PeerAdvertiseAddress)),
 		addressField("log_address", &s.LogAddress),
 		addressField("vm_list_address", &s.VMListAddress),
 		tokenField("peer_token", &s.PeerToken),
@@ -172,6 +175,11 @@
 	}}
 }
 
+func optional(f field) field {
+	f.required = false
+	return f
+}
+
 func tokenField(key string, to *string) field {
 	expected := fmt.Sprintf("a secret of at least %d characters", minPeerTokenLength)
 	return field{key: key, required: true, expected: expected, set: func(v string) bool {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -32,6 +32,9 @@
 	CallerAddress string
 	// PeerAddress is IP:port of the listener for other VMs.
 	PeerAddress string
+	// PeerAdvertiseAddress is IP:port at which other VMs reach PeerAddress, as the VM list shows it. Default
+	// PeerAddress.
+	PeerAdvertiseAddress string
 	// LogAddress is IP:port of the platform's log service.
 	LogAddress string
 	// VMListAddress is IP:port of the platform's VM list.
