--- a/lab/deploy/vm.go
+++ b/lab/deploy/vm.go
@@ -48,8 +48,8 @@
 	// Log and VMList replace the addresses of the fleet, for a VM that reaches them by a link of its own.
 	Log     string
 	VMList  string
-	process    *Process
-	killed     atomic.Bool
+	process *Process
+	killed  atomic.Bool
 }
 
 // Kill ends the process as a failing VM does.
--- a/lab/failure/stream_test.go
+++ b/lab/failure/stream_test.go
@@ -196,7 +196,7 @@
 	}
 	crashes := int64(0)
 	for _, e := range d.engines {
-		crashes += int64(e.Stats().Crashes)
+		crashes += e.Stats().Crashes
 	}
 	if crashes > 2 {
 		t.Errorf("%d engines were lost, want at most 2", crashes)
--- a/pkg/router/leases.go
+++ b/pkg/router/leases.go
@@ -152,7 +152,7 @@
 		view.Live = append(view.Live, r.settings.VM)
 	}
 	for _, m := range read(&r.members, func(t *member.Table) []member.Member { return t.Live(now) }) {
-		if !m.Draining {
+		if m.Listed && !m.Draining {
 			view.Live = append(view.Live, m.Name)
 		}
 	}
