--- a/lab/deploy/vm.go
+++ b/lab/deploy/vm.go
@@ -18,8 +18,8 @@
 	"github.com/corneldeal/corneldeal/pkg/config"
 )
 
-// PeerToken authenticates the VMs of one run to each other. It protects nothing outside of loopback.
-const PeerToken = "lab-peer-token-0123456789"
+// peerToken authenticates the VMs of one run to each other. It protects nothing outside of loopback.
+const peerToken = "lab-peer-token-0123456789"
 
 // Settings is the settings file of a VM.
 type Settings struct {
@@ -130,7 +130,7 @@
 		PeerAddress:     v.Peer,
 		LogAddress:      f.Log,
 		VMListAddress:   f.VMList,
-		PeerToken:       PeerToken,
+		PeerToken:       peerToken,
 		PlacementPolicy: f.Policy,
 		DrainDelayMs:    f.DrainDelayMs,
 		LogLevel:        "warn",
@@ -138,7 +138,7 @@
 	if err != nil {
 		return err
 	}
-	file := filepath.Join(f.Dir, v.Name+".yaml")
+	file := f.SettingsFile(v)
 	if err := os.WriteFile(file, data, 0o600); err != nil {
 		return err
 	}
@@ -151,6 +151,11 @@
 	return err
 }
 
+// SettingsFile returns the name of the VM's settings file.
+func (f *Fleet) SettingsFile(v *VM) string {
+	return filepath.Join(f.Dir, v.Name+".yaml")
+}
+
 // AwaitReady waits until the balancer may send to every VM.
 func (f *Fleet) AwaitReady(ctx context.Context) error {
 	return f.awaitAll(ctx, "/readyz")
