--- a/lab/demo/demo.go
+++ b/lab/demo/demo.go
@@ -54,7 +54,6 @@
 	standIns []*deploy.Process
 	fleet    *deploy.Fleet
 	addr     map[string]string
-	err      error
 }
 
 // Run starts everything, shows it and stops everything that it started.
--- a/lab/load/bucket.go
+++ b/lab/load/bucket.go
@@ -17,8 +17,9 @@
 
 // WrongfulRefusals replays the demands of one workspace, in order of time, on a single exact bucket that starts
 // empty. Admitted requests are charged at their arrival, which is the earliest time at which the router can charge
-// them, so a request counts as inside only if its tokens were there for certain. It returns the number of requests
-// inside rate and burst and how many of those were refused.
+// them, so a request counts as inside only if its tokens were there for certain. A wrongfully refused request also
+// spends its tokens: the exact bucket would have admitted it and then refused the next. It returns the number of
+// requests inside rate and burst and how many of those were refused.
 func WrongfulRefusals(l Limit, demands []Demand) (inside, refused int) {
 	level := 0.0
 	last := time.Duration(0)
@@ -30,13 +31,12 @@
 		if fits {
 			inside++
 		}
-		if d.Refused {
-			if fits {
-				refused++
-			}
-			continue
+		if fits && d.Refused {
+			refused++
+		}
+		if fits || !d.Refused {
+			level -= float64(d.Tokens)
 		}
-		level -= float64(d.Tokens)
 	}
 	return inside, refused
 }
--- a/lab/load/oracle.go
+++ b/lab/load/oracle.go
@@ -46,18 +46,24 @@
 	last  time.Duration
 }
 
-// take spends the tokens if they are there.
-func (b *exactBucket) take(now time.Duration, tokens int64) bool {
+// longestTokenWait bounds the wait of a request for tokens, as in the router.
+const longestTokenWait = time.Second
+
+// take reserves the tokens and returns the time until they are there. It returns false, and reserves nothing, when
+// that is longer than the bounded wait.
+func (b *exactBucket) take(now time.Duration, tokens int64) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.level += (now - b.last).Seconds() * float64(b.limit.TokensPerSecond)
 	b.level = min(b.level, float64(b.limit.BurstTokens))
 	b.last = now
-	if b.level < float64(tokens) {
-		return false
+	missing := float64(tokens) - b.level
+	wait := time.Duration(max(0, missing) / float64(b.limit.TokensPerSecond) * float64(time.Second))
+	if wait > longestTokenWait {
+		return 0, false
 	}
 	b.level -= float64(tokens)
-	return true
+	return wait, true
 }
 
 // send implements sender.
@@ -67,7 +73,8 @@
 	if !a.chat() {
 		return o
 	}
-	if !s.limits[a.Workspace].take(o.Sent, a.Tokens) {
+	wait, ok := s.limits[a.Workspace].take(o.Sent, a.Tokens)
+	if !ok || !sleepUntil(ctx, start.Add(o.Sent+wait)) {
 		o.End = Refused
 		o.Code = "rate_limited"
 		o.RunState = "not_run"
--- a/lab/load/profile.go
+++ b/lab/load/profile.go
@@ -65,10 +65,10 @@
 // Points of a run, as shares of its length.
 const (
 	overloadFrom = 0.25
-	overloadTo   = 0.75
-	crashAt      = 0.35
+	overloadTo   = 0.50
+	crashAt      = 0.40
 	shiftAt      = 0.50
-	killAt       = 0.65
+	killAt       = 0.75
 )
 
 // Profiles returns the measured profiles.
@@ -165,3 +165,12 @@
 func at(length time.Duration, share float64) time.Duration {
 	return time.Duration(float64(length) * share)
 }
+
+// overloading returns the workspaces that send above their rate.
+func (p Profile) overloading() map[string]bool {
+	out := map[string]bool{}
+	for _, w := range p.Workspaces {
+		out[w.Name] = w.overloading()
+	}
+	return out
+}
--- a/lab/load/report.go
+++ b/lab/load/report.go
@@ -50,6 +50,18 @@
 	OverAdmittedTokens  int64   `json:"over_admitted_tokens"`
 	Requests            int     `json:"requests"`
 	IncompleteAnswers   int     `json:"incomplete_answers"`
+	// InRate are the percentiles without the overloading workspace, whose requests wait for tokens. They are shown
+	// in the table only.
+	InRate Percentiles `json:"-"`
+	// WrongfulInRate is the number of wrongful refusals of the other workspaces, shown in the table only.
+	WrongfulInRate int `json:"-"`
+}
+
+// Percentiles of the time to first token.
+type Percentiles struct {
+	P50Ms float64
+	P95Ms float64
+	P99Ms float64
 }
 
 // Overhead compares an idle engine with and without the router in front of it.
@@ -87,7 +99,8 @@
 
 // Summarize computes the figures of one run.
 func Summarize(p Profile, outcomes []Outcome, totals engine.LedgerTotals) Metrics {
-	first, gaps := newHistogram(), newHistogram()
+	first, inRate, gaps := newHistogram(), newHistogram(), newHistogram()
+	over := p.overloading()
 	m := Metrics{}
 	for i := range outcomes {
 		o := &outcomes[i]
@@ -101,6 +114,9 @@
 		if o.First > 0 {
 			first.add(o.ttft())
 		}
+		if o.First > 0 && !over[o.Arrival.Workspace] {
+			inRate.add(o.ttft())
+		}
 		for _, g := range o.Gaps {
 			gaps.add(g)
 		}
@@ -108,11 +124,12 @@
 	m.TTFTP50Ms = first.ms(50)
 	m.TTFTP95Ms = first.ms(95)
 	m.TTFTP99Ms = first.ms(99)
+	m.InRate = Percentiles{P50Ms: inRate.ms(50), P95Ms: inRate.ms(95), P99Ms: inRate.ms(99)}
 	m.InterTokenP95Ms = gaps.ms(95)
 	m.PrefixHitRate = ratio(totals.Hit, totals.Hit+totals.Computed)
 	m.WastedRecomputeRatio = ratio(totals.Wasted*BlockBytes/bytesPerToken, totals.PromptTokens)
 	m.WorstWorkspaceRatio = worstWorkspace(p, outcomes)
-	m.WrongfulRefusalRate, m.OverAdmittedTokens = limits(p, outcomes)
+	m.addLimits(p, outcomes)
 	return m
 }
 
@@ -148,8 +165,8 @@
 	return p95[len(p95)-1] / middle
 }
 
-// limits returns the wrongful refusal rate and the largest excess over all workspaces.
-func limits(p Profile, outcomes []Outcome) (rate float64, excess int64) {
+// addLimits sets the figures about rate and burst over all workspaces.
+func (m *Metrics) addLimits(p Profile, outcomes []Outcome) {
 	inside, refused := 0, 0
 	for _, w := range p.Workspaces {
 		limit := p.Limit(w)
@@ -157,9 +174,12 @@
 		in, out := WrongfulRefusals(limit, demands)
 		inside += in
 		refused += out
-		excess = max(excess, OverAdmitted(limit, charges))
+		if !w.overloading() {
+			m.WrongfulInRate += out
+		}
+		m.OverAdmittedTokens = max(m.OverAdmittedTokens, OverAdmitted(limit, charges))
 	}
-	return ratio(int64(refused), int64(inside)), excess
+	m.WrongfulRefusalRate = ratio(int64(refused), int64(inside))
 }
 
 func bucketView(workspace string, outcomes []Outcome) (demands []Demand, charges []Charge) {
@@ -198,12 +218,14 @@
 		if len(rows) == 0 {
 			continue
 		}
-		_, _ = fmt.Fprintf(w, "\n%s\thit rate\tTTFT p50\tp95\tp99 ms\tgap p95 ms\twasted\tworst ws\twrongful\tover tokens\trequests\tincomplete\t\n", p.Name)
+		_, _ = fmt.Fprintf(w, "\n%s\thit rate\tTTFT p50\tp95\tp99 ms\tin rate p50\tp95\tp99 ms\tgap p95 ms\twasted\tworst ws\t"+
+			"wrongful\tin rate\tover tokens\trequests\tincomplete\t\n", p.Name)
 		for _, policy := range Policies() {
 			if m, ok := rows[policy]; ok {
-				_, _ = fmt.Fprintf(w, "%s\t%.3f\t%.1f\t%.1f\t%.1f\t%.1f\t%.3f\t%.2f\t%.4f\t%d\t%d\t%d\t\n", policy,
-					m.PrefixHitRate, m.TTFTP50Ms, m.TTFTP95Ms, m.TTFTP99Ms, m.InterTokenP95Ms, m.WastedRecomputeRatio,
-					m.WorstWorkspaceRatio, m.WrongfulRefusalRate, m.OverAdmittedTokens, m.Requests, m.IncompleteAnswers)
+				_, _ = fmt.Fprintf(w, "%s\t%.3f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.3f\t%.2f\t%.4f\t%d\t%d\t%d\t%d\t\n", policy,
+					m.PrefixHitRate, m.TTFTP50Ms, m.TTFTP95Ms, m.TTFTP99Ms, m.InRate.P50Ms, m.InRate.P95Ms, m.InRate.P99Ms,
+					m.InterTokenP95Ms, m.WastedRecomputeRatio, m.WorstWorkspaceRatio, m.WrongfulRefusalRate, m.WrongfulInRate,
+					m.OverAdmittedTokens, m.Requests, m.IncompleteAnswers)
 			}
 		}
 	}
