Check records strictly and test the replay with several VMs

Cause: encoding/json ignores the case of keys and takes the last of two equal keys, and its messages change between versions, so verdicts could differ between VMs built with different libraries. The replay had a smoke test only.

Change: records are walked against the record type before they are decoded; reasons are text of the package. Indexes of unchanged tables are kept, and references of unchanged kinds are not checked again.

--- /dev/null
+++ b/pkg/config/bench_test.go
@@ -0,0 +1,97 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+)
+
+// targetNote holds the configuration of the target: 360 workspaces with a key each, 7 models and 2,400 endpoints.
+func targetNote() ReleaseNote {
+	note := ReleaseNote{ID: "target", Base: -1}
+	for i := range 360 {
+		name := fmt.Sprintf("workspace-%d", i)
+		note.Added.Workspaces = append(note.Added.Workspaces, Workspace{Name: name, TokensPerSecond: 1000, BurstTokens: 9000})
+		note.Added.Keys = append(note.Added.Keys, Key{Digest: fmt.Sprintf("%064x", i), Workspace: name})
+	}
+	for i := range 7 {
+		name := fmt.Sprintf("model-%d", i)
+		note.Added.Models = append(note.Added.Models, Model{Name: name, Version: "v1"})
+		note.Added.Routes = append(note.Added.Routes, Route{Name: name, Kind: RouteChat, Model: name})
+	}
+	for i := range 2400 {
+		note.Added.Endpoints = append(note.Added.Endpoints, Endpoint{
+			Name: fmt.Sprintf("engine-%d", i), Kind: EndpointEngine, DataCentre: fmt.Sprintf("dc-%d", i%20),
+			Address: fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250), Models: []string{fmt.Sprintf("model-%d", i%7)},
+		})
+	}
+	return note
+}
+
+func targetReplay(b *testing.B) *Replay {
+	b.Helper()
+	r := NewReplay()
+	if v := mustApply(b, r, targetNote()); !v.Accepted {
+		b.Fatal(v.Reason)
+	}
+	return r
+}
+
+// BenchmarkNoteApply measures one note that changes one item, at the size of the target.
+func BenchmarkNoteApply(b *testing.B) {
+	note := targetNote()
+	for _, c := range []struct {
+		name   string
+		change func(*ReleaseNote)
+	}{
+		{"workspace", func(n *ReleaseNote) { n.Changed.Workspaces = note.Added.Workspaces[:1] }},
+		{"endpoint", func(n *ReleaseNote) { n.Changed.Endpoints = note.Added.Endpoints[:1] }},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			r := targetReplay(b)
+			b.ReportAllocs()
+			for i := int64(0); b.Loop(); i++ {
+				change := ReleaseNote{ID: fmt.Sprint("n-", i), Base: r.State().Offset()}
+				c.change(&change)
+				if v := mustApply(b, r, change); !v.Accepted {
+					b.Fatal(v.Reason)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkSnapshot measures the digest, writing and restoring of a snapshot, and reports its size.
+func BenchmarkSnapshot(b *testing.B) {
+	r := targetReplay(b)
+	data := r.Snapshot()
+	b.Run("digest", func(b *testing.B) {
+		for b.Loop() {
+			digestOf(bodyOf(r.State()))
+		}
+	})
+	b.Run("write", func(b *testing.B) {
+		b.ReportMetric(float64(len(data)), "record-bytes")
+		for b.Loop() {
+			r.Snapshot()
+		}
+	})
+	b.Run("restore", func(b *testing.B) {
+		for b.Loop() {
+			if err := NewReplay().Restore(data); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+// BenchmarkLookup measures the lookups of one request.
+func BenchmarkLookup(b *testing.B) {
+	s := targetReplay(b).State()
+	digest := fmt.Sprintf("%064x", 200)
+	b.ReportAllocs()
+	for b.Loop() {
+		s.KeyWorkspace(digest)
+		s.ChatRoute("model-3")
+		s.ModelEndpoints("model-3")
+	}
+}
--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -232,7 +232,13 @@
 func checkRef(r *Ref, c *checker) {
 	c.expect(knownKind(r.Kind), "kind", "workspace, key, model, route, endpoint or defaults, not %s",
 		quote(string(r.Kind)))
-	c.expect(r.Name != "", "name", "the name of the item, or the digest of a key")
+	c.expect(validName(r.Name) || validDigest(r.Name), "name", "the name of the item, or the digest of a key, not %s",
+		quote(r.Name))
+}
+
+// validRef tells whether an item can have that kind and name.
+func validRef(r Ref) bool {
+	return knownKind(r.Kind) && (validName(r.Name) || validDigest(r.Name))
 }
 
 func knownKind(kind Kind) bool {
--- a/pkg/config/evaluate.go
+++ b/pkg/config/evaluate.go
@@ -44,7 +44,7 @@
 	s.endpoints = merge(e, endpointTraits, s.endpoints, note.Added.Endpoints, note.Changed.Endpoints, note.Withdrawn)
 	s.defaults = merge(e, defaultsTraits, s.defaults, single(note.Added.Defaults), single(note.Changed.Defaults), note.Withdrawn)
 	if len(e.faults) == 0 {
-		e.references(s)
+		e.references(r.state, s)
 	}
 	return e
 }
@@ -170,17 +170,35 @@
 	if !validID(id) {
 		v.ID = ""
 	}
-	var texts []string
 	for _, f := range e.faults {
-		texts = append(texts, f.String())
-		if f.ref.Kind != "" && !slices.Contains(v.Conflicts, f.ref) {
-			v.Conflicts = append(v.Conflicts, f.ref)
-		}
+		v.addReason(f.String())
+		v.addConflict(f.ref)
 	}
-	v.Reason = strings.Join(texts, "; ")
 	return v
 }
 
+// addReason appends to the reason up to its limit.
+func (v *Verdict) addReason(text string) {
+	if len(v.Reason) >= maxReasonBytes {
+		return
+	}
+	if v.Reason != "" {
+		v.Reason += "; "
+	}
+	v.Reason += text
+	if len(v.Reason) > maxReasonBytes {
+		v.Reason = v.Reason[:maxReasonBytes-3] + "..."
+	}
+}
+
+// addConflict names an item up to the limit. Names that no item can have would only fill the memory.
+func (v *Verdict) addConflict(ref Ref) {
+	if len(v.Conflicts) >= maxConflicts || !validRef(ref) || slices.Contains(v.Conflicts, ref) {
+		return
+	}
+	v.Conflicts = append(v.Conflicts, ref)
+}
+
 func (f itemFault) sortKey() string {
 	return string(f.ref.Kind) + "\x00" + f.ref.Name + "\x00" + f.text
 }
@@ -192,14 +210,3 @@
 	}
 	return fmt.Sprintf("%s %s: %s", f.ref.Kind, quote(f.ref.Name), f.text)
 }
-
-// bounded cuts a verdict to its size limits.
-func bounded(v Verdict) Verdict {
-	if len(v.Reason) > maxReasonBytes {
-		v.Reason = v.Reason[:maxReasonBytes-3] + "..."
-	}
-	if len(v.Conflicts) > maxConflicts {
-		v.Conflicts = v.Conflicts[:maxConflicts]
-	}
-	return v
-}
--- a/pkg/config/fields.go
+++ b/pkg/config/fields.go
@@ -3,14 +3,22 @@
 import (
 	"reflect"
 	"strings"
+	"sync"
 )
 
+// fieldCache holds the results of fieldsOf by type; a snapshot has thousands of items of few types.
+var fieldCache sync.Map
+
 // fieldsOf maps the keys of a struct, the same in YAML and JSON, to its field indexes.
 func fieldsOf(t reflect.Type) map[string]int {
+	if fields, ok := fieldCache.Load(t); ok {
+		return fields.(map[string]int)
+	}
 	fields := make(map[string]int, t.NumField())
 	for i := range t.NumField() {
 		fields[keyOf(t.Field(i))] = i
 	}
+	fieldCache.Store(t, fields)
 	return fields
 }
 
--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"math"
 	"reflect"
 	"slices"
 
@@ -88,7 +89,7 @@
 
 // value decodes a node into a Go value and reports what does not fit.
 func (p *noteParser) value(node ast.Node, into reflect.Value, path string) {
-	if node.Type() == ast.NullType {
+	if node.Type() == ast.NullType && isContainer(into.Kind()) {
 		return
 	}
 	switch into.Kind() {
@@ -108,6 +109,11 @@
 	}
 }
 
+// isContainer tells whether a key without a value means that nothing is listed.
+func isContainer(kind reflect.Kind) bool {
+	return kind == reflect.Pointer || kind == reflect.Struct || kind == reflect.Slice
+}
+
 func (p *noteParser) mapping(node ast.Node, into reflect.Value, path string) {
 	m, ok := node.(ast.MapNode)
 	if !ok {
@@ -169,22 +175,24 @@
 }
 
 func (p *noteParser) integer(node ast.Node, into reflect.Value, path string) {
-	n, ok := node.(*ast.IntegerNode)
-	if !ok {
-		p.problem(lineOf(node), path, "a whole number")
-		return
+	if n, ok := node.(*ast.IntegerNode); ok {
+		if value, ok := signed(n.Value); ok {
+			into.SetInt(value)
+			return
+		}
 	}
-	switch v := n.Value.(type) {
+	p.problem(lineOf(node), path, wantInteger)
+}
+
+// signed converts the value of an integer node where it fits.
+func signed(value any) (int64, bool) {
+	switch v := value.(type) {
 	case int64:
-		into.SetInt(v)
-		return
+		return v, true
 	case uint64:
-		if v <= 1<<63-1 {
-			into.SetInt(int64(v))
-			return
-		}
+		return int64(v), v <= math.MaxInt64
 	}
-	p.problem(lineOf(node), path, "a whole number of at most 63 bits")
+	return 0, false
 }
 
 // require reports keys of the note that are missing.
--- a/pkg/config/record.go
+++ b/pkg/config/record.go
@@ -1,9 +1,8 @@
 package config
 
 import (
-	"bytes"
 	"encoding/json"
-	"io"
+	"reflect"
 )
 
 // Kinds of records on the config stream.
@@ -41,17 +40,14 @@
 	}})
 }
 
-// decodeRecord decodes strictly: unknown fields, wrong types and text after the record are errors. The reason
-// is text of this package only, because verdicts must not vary with the version of the JSON library.
+// decodeRecord decodes strictly: unknown or repeated keys, wrong types and text after the record are refused.
 func decodeRecord(data []byte) (record, string) {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	var rec record
-	if err := decoder.Decode(&rec); err != nil {
-		return record{}, "the record is not JSON, has an unknown field or a field of the wrong type"
+	if reason := strictJSON(data, reflect.TypeFor[record]()); reason != "" {
+		return record{}, reason
 	}
-	if _, err := decoder.Token(); err != io.EOF {
-		return record{}, "the record has text after the JSON value"
+	var rec record
+	if err := json.Unmarshal(data, &rec); err != nil {
+		return record{}, "the record has a value out of range"
 	}
 	switch {
 	case rec.Kind == recordNote && rec.Note != nil && rec.Snapshot == nil:
--- a/pkg/config/references.go
+++ b/pkg/config/references.go
@@ -2,14 +2,27 @@
 
 import "slices"
 
-// references checks that every item refers only to items that exist, and that routes and addresses are unique.
-// It looks at the whole state, because a withdrawal can break references of items that the note does not list.
-func (e *evaluation) references(s *State) {
+// references checks that every item refers only to items that exist, and that routes and addresses are unique. It
+// looks at all items of a kind, because a withdrawal can break references of items that the note does not list,
+// but passes over kinds whose items and targets are those of the previous state, which was checked.
+func (e *evaluation) references(previous, s *State) {
+	workspaces := s.workspaces != previous.workspaces
+	models := s.models != previous.models
+	if workspaces || s.keys != previous.keys {
+		e.keyReferences(s)
+	}
+	if workspaces || models || s.routes != previous.routes {
+		e.routeReferences(s)
+	}
+	if models || s.endpoints != previous.endpoints {
+		e.endpointReferences(s)
+	}
+}
+
+func (e *evaluation) keyReferences(s *State) {
 	for digest, k := range s.keys.entries {
 		e.refers(Ref{KindKey, digest}, Ref{KindWorkspace, k.item.Workspace}, s.workspaces.has(k.item.Workspace))
 	}
-	e.routeReferences(s)
-	e.endpointReferences(s)
 }
 
 // refers adds a fault on both ends of a reference to an item that does not exist.
--- a/pkg/config/replay.go
+++ b/pkg/config/replay.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 )
@@ -9,9 +10,9 @@
 	// windowTicks is the number of ticks for which ids and withdrawals are remembered. A tick is a snapshot
 	// record, appended every quarter of the retention, so the window spans at least the retention.
 	windowTicks = 4
-	// maxVerdicts bounds the id memory when snapshots fail to come or notes flood the log. It holds 28 hours
+	// maxVerdicts bounds the id memory when snapshots fail to come or notes flood the log. It holds 14 hours
 	// at the target of 14,000 changes a day.
-	maxVerdicts = 16384
+	maxVerdicts = 8192
 	// historyStates is the number of recent states kept to check snapshot records against. A snapshot is
 	// usually appended within a few records of the state that it holds.
 	historyStates = 32
@@ -62,6 +63,19 @@
 // snapshot when it has seen no tick for a quarter of the retention, counted from its own start at the earliest.
 func (r *Replay) LastTick() int64 { return r.state.lastTick() }
 
+// Preview returns the verdict that a note would get as the next record. It changes nothing.
+func (r *Replay) Preview(note *ReleaseNote) Verdict {
+	if first, ok := r.Verdict(note.ID); ok {
+		return first
+	}
+	offset := r.state.next
+	evaluation := r.evaluate(offset, note)
+	if len(evaluation.faults) > 0 {
+		return evaluation.refusal(note.ID, offset)
+	}
+	return Verdict{ID: note.ID, Offset: offset, Accepted: true}
+}
+
 // Verdict returns the verdict on a note, as long as its id is remembered.
 func (r *Replay) Verdict(id string) (Verdict, bool) {
 	offset, ok := r.ids[id]
@@ -107,7 +121,6 @@
 		r.advance(r.state.following())
 		return first
 	}
-	v = bounded(v)
 	next := r.state.following()
 	r.remember(next, v)
 	r.advance(next)
@@ -145,7 +158,7 @@
 // advance makes next the current state after it forgot what the window no longer covers.
 func (r *Replay) advance(next *State) {
 	r.forget(next)
-	next.finish()
+	next.finish(r.state)
 	r.state = next
 	r.history = append(r.history, next)
 	if len(r.history) > historyStates {
@@ -262,7 +275,7 @@
 // verdictAt returns the remembered verdict of an offset.
 func (s *State) verdictAt(offset int64) (Verdict, bool) {
 	i, ok := slices.BinarySearchFunc(s.verdicts, offset, func(v Verdict, o int64) int {
-		return int(v.Offset - o)
+		return cmp.Compare(v.Offset, o)
 	})
 	if !ok {
 		return Verdict{}, false
--- a/pkg/config/replay_test.go
+++ b/pkg/config/replay_test.go
@@ -1,39 +1,363 @@
 package config
 
-import "testing"
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
 
-// Guards against a first deployment that accepts nothing.
-func TestApplyAcceptsFirstNote(t *testing.T) {
-	r := NewReplay()
-	note := ReleaseNote{ID: "first", Base: -1, Added: Items{
-		Workspaces: []Workspace{{Name: "shop", TokensPerSecond: 10, BurstTokens: 100}},
-		Keys:       []Key{{Digest: testDigest, Workspace: "shop"}},
-		Models:     []Model{{Name: "small", Version: "v1"}},
-		Routes: []Route{{Name: "chat", Kind: RouteChat, Model: "small"},
-			{Name: "book", Kind: RouteService, Prefix: "/services/book", Service: "bookings"}},
-		Endpoints: []Endpoint{{Name: "e1", Kind: EndpointEngine, Address: "127.0.0.1:1", DataCentre: "a", Models: []string{"small"}}},
-		Defaults:  &Defaults{LimitSlots: 4},
-	}}
-	v, err := r.Apply(0, NewNoteRecord(note))
-	if err != nil || !v.Accepted {
-		t.Fatalf("verdict %+v, error %v", v, err)
-	}
-	s := r.State()
-	if w, ok := s.KeyWorkspace(testDigest); !ok || w.Name != "shop" {
-		t.Errorf("workspace of key: %+v %v", w, ok)
-	}
-	if _, ok := s.ServiceRoute("/services/book/42"); !ok {
-		t.Error("no service route")
-	}
-	if _, ok := s.ServiceRoute("/services/bookings"); ok {
-		t.Error("a prefix matched a part of a segment")
-	}
-	other := NewReplay()
-	if err := other.Restore(r.Snapshot()); err != nil {
+	"pgregory.net/rapid"
+)
+
+// fleet drives several replays over one log. A reference replay reads every record once and in order.
+type fleet struct {
+	log [][]byte
+	// start is the oldest record that the log still holds.
+	start     int64
+	reference *Replay
+	// digests holds the reference's digest by next offset.
+	digests  []string
+	verdicts []Verdict
+	vms      []*Replay
+	// accepted and touched are kept for ever, unlike the memory of a replay.
+	accepted map[string]int64
+	touched  map[Ref]int64
+	notes    map[int64]ReleaseNote
+}
+
+func newFleet() *fleet {
+	f := &fleet{
+		reference: NewReplay(),
+		vms:       []*Replay{NewReplay(), NewReplay(), NewReplay()},
+		accepted:  map[string]int64{},
+		touched:   map[Ref]int64{},
+		notes:     map[int64]ReleaseNote{},
+	}
+	f.digests = []string{f.reference.State().Digest()}
+	return f
+}
+
+// append adds a record to the log and checks the reference verdict against facts that are never forgotten.
+func (f *fleet) append(rt *rapid.T, data []byte, note *ReleaseNote) {
+	offset := int64(len(f.log))
+	f.log = append(f.log, data)
+	v, err := f.reference.Apply(offset, data)
+	if err != nil {
+		rt.Fatalf("reference at %d: %v", offset, err)
+	}
+	f.digests = append(f.digests, f.reference.State().Digest())
+	f.verdicts = append(f.verdicts, v)
+	if note == nil {
+		return
+	}
+	f.notes[offset] = *note
+	if !v.Accepted || v.Offset != offset {
+		return
+	}
+	if first, ok := f.accepted[note.ID]; ok {
+		rt.Fatalf("id %s accepted at %d and %d", note.ID, first, offset)
+	}
+	f.accepted[note.ID] = offset
+	for _, ref := range refsOf(note) {
+		if last, ok := f.touched[ref]; ok && last > note.Base {
+			rt.Fatalf("note at %d with base %d changes %v, which was touched at %d", offset, note.Base, ref, last)
+		}
+		f.touched[ref] = offset
+	}
+}
+
+func refsOf(note *ReleaseNote) []Ref {
+	refs := append([]Ref{}, note.Withdrawn...)
+	for _, items := range []Items{note.Added, note.Changed} {
+		for _, w := range items.Workspaces {
+			refs = append(refs, Ref{KindWorkspace, w.Name})
+		}
+		for _, k := range items.Keys {
+			refs = append(refs, Ref{KindKey, k.Digest})
+		}
+		for _, m := range items.Models {
+			refs = append(refs, Ref{KindModel, m.Name})
+		}
+	}
+	return refs
+}
+
+// check compares a VM with the reference at the same offset.
+func (f *fleet) check(rt *rapid.T, vm int) {
+	r := f.vms[vm]
+	if want := f.digests[r.NextOffset()]; r.State().Digest() != want {
+		rt.Fatalf("vm %d at %d has digest %s, reference %s", vm, r.NextOffset(), r.State().Digest(), want)
+	}
+}
+
+// catchUp lets a VM read up to max records, and recover from a gap by a snapshot in the log.
+func (f *fleet) catchUp(rt *rapid.T, vm, max int) {
+	r := f.vms[vm]
+	for offset := f.start; offset < int64(len(f.log)) && max > 0; offset++ {
+		before := r.NextOffset()
+		v, err := r.Apply(offset, f.log[offset])
+		var gap *GapError
+		switch {
+		case errors.As(err, &gap):
+			if !f.restoreFromLog(rt, r) {
+				return
+			}
+			continue
+		case err != nil:
+			rt.Fatalf("vm %d at %d: %v", vm, offset, err)
+		case offset < before:
+			if r.NextOffset() != before {
+				rt.Fatalf("vm %d went from %d to %d by an old record", vm, before, r.NextOffset())
+			}
+			continue
+		}
+		max--
+		if fmt.Sprint(v) != fmt.Sprint(f.verdicts[offset]) {
+			rt.Fatalf("vm %d at %d: verdict %+v, reference %+v", vm, offset, v, f.verdicts[offset])
+		}
+		f.check(rt, vm)
+	}
+}
+
+func (f *fleet) restoreFromLog(rt *rapid.T, r *Replay) bool {
+	var records []Record
+	for offset := f.start; offset < int64(len(f.log)); offset++ {
+		records = append(records, Record{Offset: offset, Data: f.log[offset]})
+	}
+	data, ok := NewestSnapshot(records)
+	if !ok {
+		return false
+	}
+	if err := r.Restore(data); err != nil {
+		rt.Fatalf("restore: %v", err)
+	}
+	return r.NextOffset() >= f.start
+}
+
+// drawNote draws a note that mostly fits the newest state and sometimes is stale or wrong.
+func (f *fleet) drawNote(rt *rapid.T) ReleaseNote {
+	end := int64(len(f.log))
+	note := ReleaseNote{ID: fmt.Sprintf("n-%d", end), Base: end - 1}
+	if rapid.IntRange(0, 2).Draw(rt, "stale") == 0 {
+		note.Base = rapid.Int64Range(-1, end).Draw(rt, "base")
+	}
+	s := f.reference.State()
+	for range rapid.IntRange(1, 3).Draw(rt, "items") {
+		f.drawItem(rt, s, &note)
+	}
+	return note
+}
+
+func (f *fleet) drawItem(rt *rapid.T, s *State, note *ReleaseNote) {
+	n := rapid.IntRange(0, 2).Draw(rt, "number")
+	wrong := rapid.IntRange(0, 9).Draw(rt, "wrong") == 0
+	withdraw := rapid.IntRange(0, 2).Draw(rt, "withdraw") == 0
+	rate := rapid.Int64Range(0, 20).Draw(rt, "rate")
+	name := fmt.Sprintf("i-%d", n)
+	var ref Ref
+	var exists bool
+	var item Items
+	switch rapid.IntRange(0, 2).Draw(rt, "kind") {
+	case 0:
+		ref, exists = Ref{KindWorkspace, name}, s.workspaces.has(name)
+		item.Workspaces = []Workspace{{Name: name, TokensPerSecond: rate, BurstTokens: 5}}
+	case 1:
+		digest := strings.Repeat(fmt.Sprint(n), digestBytes)
+		ref, exists = Ref{KindKey, digest}, s.keys.has(digest)
+		item.Keys = []Key{{Digest: digest, Workspace: fmt.Sprintf("i-%d", rate%3)}}
+	default:
+		ref, exists = Ref{KindModel, name}, s.models.has(name)
+		item.Models = []Model{{Name: name, Version: fmt.Sprintf("v%d", rate)}}
+	}
+	switch {
+	case exists != wrong && withdraw:
+		note.Withdrawn = append(note.Withdrawn, ref)
+	case exists != wrong:
+		addItems(&note.Changed, item)
+	default:
+		addItems(&note.Added, item)
+	}
+}
+
+func addItems(to *Items, from Items) {
+	to.Workspaces = append(to.Workspaces, from.Workspaces...)
+	to.Keys = append(to.Keys, from.Keys...)
+	to.Models = append(to.Models, from.Models...)
+}
+
+// Guards against VMs that reach different states from one log, states that revert, and ids or stale notes that
+// are accepted after restarts, expiry, lost replies and racing notes.
+func TestReplaysAgree(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFleet()
+		vm := rapid.IntRange(0, len(f.vms)-1)
+		rt.Repeat(map[string]func(*rapid.T){
+			"publish": func(rt *rapid.T) {
+				note := f.drawNote(rt)
+				f.append(rt, NewNoteRecord(note), &note)
+			},
+			"repeat": func(rt *rapid.T) {
+				if len(f.log) == 0 {
+					rt.Skip("the log is empty")
+				}
+				offset := rapid.Int64Range(0, int64(len(f.log))-1).Draw(rt, "offset")
+				if note, ok := f.notes[offset]; ok {
+					f.append(rt, f.log[offset], &note)
+					return
+				}
+				f.append(rt, f.log[offset], nil)
+			},
+			"garbage": func(rt *rapid.T) {
+				f.append(rt, rapid.SliceOfN(rapid.Byte(), 0, 20).Draw(rt, "data"), nil)
+			},
+			"damage": func(rt *rapid.T) {
+				note := f.drawNote(rt)
+				data := NewNoteRecord(note)
+				data[rapid.IntRange(0, len(data)-1).Draw(rt, "position")] = rapid.Byte().Draw(rt, "byte")
+				f.append(rt, data, nil)
+			},
+			"snapshot": func(rt *rapid.T) {
+				f.append(rt, f.vms[vm.Draw(rt, "vm")].Snapshot(), nil)
+			},
+			"read": func(rt *rapid.T) {
+				f.catchUp(rt, vm.Draw(rt, "vm"), rapid.IntRange(1, 20).Draw(rt, "records"))
+			},
+			"restart": func(rt *rapid.T) {
+				f.vms[vm.Draw(rt, "vm")] = NewReplay()
+			},
+			"restore from a peer": func(rt *rapid.T) {
+				to, from := vm.Draw(rt, "to"), vm.Draw(rt, "from")
+				before := f.vms[to].NextOffset()
+				if err := f.vms[to].Restore(f.vms[from].Snapshot()); err != nil {
+					rt.Fatalf("restore: %v", err)
+				}
+				if f.vms[to].NextOffset() < before {
+					rt.Fatalf("vm %d went back from %d to %d", to, before, f.vms[to].NextOffset())
+				}
+				f.check(rt, to)
+			},
+			"expire": func(rt *rapid.T) {
+				f.start = rapid.Int64Range(f.start, int64(len(f.log))).Draw(rt, "start")
+			},
+		})
+	})
+}
+
+func mustApply(t testing.TB, r *Replay, note ReleaseNote) Verdict {
+	t.Helper()
+	v, err := r.Apply(r.NextOffset(), NewNoteRecord(note))
+	if err != nil {
 		t.Fatal(err)
 	}
-	if other.State().Digest() != s.Digest() {
-		t.Error("digest differs after restore")
+	return v
+}
+
+// tickTimes applies n snapshot records that count as ticks.
+func tickTimes(t testing.TB, r *Replay, n int) {
+	t.Helper()
+	for range n {
+		if _, err := r.Apply(r.NextOffset(), r.Snapshot()); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func workspaceNote(id string, base int64, names ...string) ReleaseNote {
+	note := ReleaseNote{ID: id, Base: base}
+	for _, name := range names {
+		note.Added.Workspaces = append(note.Added.Workspaces, Workspace{Name: name, TokensPerSecond: 1, BurstTokens: 1})
+	}
+	return note
+}
+
+// Guards against an id memory that grows without bound, and against a late copy that is accepted after its id
+// was forgotten. The first copy is refused, so no conflict would stop the second one.
+func TestForgottenIDIsNotAccepted(t *testing.T) {
+	r := NewReplay()
+	key := ReleaseNote{ID: "key", Base: -1, Added: Items{Keys: []Key{{Digest: testDigest, Workspace: "shop"}}}}
+	if v := mustApply(t, r, key); v.Accepted {
+		t.Fatal("a key without its workspace was accepted")
+	}
+	mustApply(t, r, workspaceNote("shop", 0, "shop"))
+	tickTimes(t, r, windowTicks)
+	if _, ok := r.Verdict("key"); !ok {
+		t.Error("the verdict is forgotten within the window")
+	}
+	tickTimes(t, r, 1)
+	if _, ok := r.Verdict("key"); ok {
+		t.Error("the verdict is remembered beyond the window")
+	}
+	if v := mustApply(t, r, key); v.Accepted {
+		t.Error("a late copy of a forgotten note was accepted")
+	}
+}
+
+// Guards against memory that a flood of notes fills when no snapshot comes.
+func TestVerdictsAreBounded(t *testing.T) {
+	r := NewReplay()
+	for i := range int64(maxVerdicts + 10) {
+		mustApply(t, r, ReleaseNote{ID: fmt.Sprint("n-", i), Base: max(i-1, r.State().OldestBase())})
+	}
+	if n := len(r.State().verdicts); n != maxVerdicts {
+		t.Errorf("%d verdicts, want %d", n, maxVerdicts)
+	}
+	if len(r.ids) != maxVerdicts || r.State().OldestBase() != 9 {
+		t.Errorf("%d ids, oldest base %d", len(r.ids), r.State().OldestBase())
+	}
+}
+
+// Guards against a window that shrinks because several VMs append the same snapshot at once.
+func TestRacingSnapshotsCountOnce(t *testing.T) {
+	r := NewReplay()
+	mustApply(t, r, workspaceNote("a", -1, "a"))
+	snapshot := r.Snapshot()
+	for range 3 * windowTicks {
+		if _, err := r.Apply(r.NextOffset(), snapshot); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, ok := r.Verdict("a"); !ok || r.LastTick() != 1 {
+		t.Errorf("last tick %d, want 1", r.LastTick())
+	}
+}
+
+// Guards against a VM that goes on with a state which differs from that of other VMs.
+func TestSnapshotMismatchIsReported(t *testing.T) {
+	r, other := NewReplay(), NewReplay()
+	mustApply(t, r, workspaceNote("a", -1, "a"))
+	mustApply(t, other, workspaceNote("b", -1, "b"))
+	mustApply(t, r, workspaceNote("c", 0, "c"))
+	var mismatch *DigestError
+	if err := r.Restore(other.Snapshot()); !errors.As(err, &mismatch) || mismatch.Next != 1 {
+		t.Errorf("restore: %v, want a digest error at 1", err)
+	}
+	if _, err := r.Apply(2, other.Snapshot()); !errors.As(err, &mismatch) || mismatch.Next != 1 {
+		t.Errorf("apply: %v, want a digest error at 1", err)
+	}
+}
+
+// Guards against a damaged, foreign or premature snapshot that is taken for a state.
+func TestUnusableSnapshotIsRefused(t *testing.T) {
+	r := NewReplay()
+	mustApply(t, r, workspaceNote("a", -1, "a", "b"))
+	good := string(r.Snapshot())
+	damaged := map[string]string{
+		"content": strings.Replace(good, `"burst_tokens":1`, `"burst_tokens":2`, 1),
+		"digest":  strings.Replace(good, r.State().Digest(), testDigest, 1),
+		"format":  strings.Replace(good, `"format":1`, `"format":2`, 1),
+		"field":   strings.Replace(good, `"format":1`, `"format":1,"extra":0`, 1),
+		"note":    string(NewNoteRecord(workspaceNote("n", -1, "n"))),
+	}
+	for name, data := range damaged {
+		fresh := NewReplay()
+		var refused *SnapshotError
+		if err := fresh.Restore([]byte(data)); !errors.As(err, &refused) || fresh.NextOffset() != 0 {
+			t.Errorf("%s: restored with %v", name, err)
+		}
+	}
+	fresh := NewReplay()
+	if v, err := fresh.Apply(0, []byte(good)); v.Accepted || err != nil {
+		t.Errorf("a snapshot from beyond its offset: %+v, %v", v, err)
 	}
 }
 
--- a/pkg/config/snapshot.go
+++ b/pkg/config/snapshot.go
@@ -102,7 +102,7 @@
 		withdrawals: b.Withdrawals,
 		verdicts:    b.Verdicts,
 	}
-	s.finish()
+	s.finish(&State{})
 	if !bytes.Equal(mustJSON(bodyOf(s)), mustJSON(b)) {
 		return nil, &SnapshotError{Reason: "lists are not in canonical order"}
 	}
--- a/pkg/config/state.go
+++ b/pkg/config/state.go
@@ -26,10 +26,9 @@
 	withdrawals []withdrawal
 	verdicts    []Verdict
 
-	digest   func() string
-	chat     map[string]string
-	prefixes map[string]string
-	serving  func() servingIndex
+	digest  func() string
+	routing func() routingIndex
+	serving func() servingIndex
 }
 
 // withdrawal remembers that an item was withdrawn, so that a note with an older base conflicts with it.
@@ -38,6 +37,12 @@
 	Offset int64 `json:"offset"`
 }
 
+// routingIndex maps what callers name to routes.
+type routingIndex struct {
+	byModel  map[string]Route
+	byPrefix map[string]Route
+}
+
 // servingIndex lists endpoints by what they serve.
 type servingIndex struct {
 	byModel   map[string][]Endpoint
@@ -54,24 +59,33 @@
 		endpoints:  newTable(map[string]*entry[Endpoint]{}),
 		defaults:   newTable(map[string]*entry[Defaults]{}),
 	}
-	s.finish()
+	s.finish(&State{})
 	return s
 }
 
-// finish computes the indexes of a new state, reusing nothing of the state that it was copied from.
-func (s *State) finish() {
+// finish prepares the digest and the indexes of a new state, which are computed on first use. Indexes of tables
+// that the previous state has too are kept.
+func (s *State) finish(previous *State) {
 	s.digest = sync.OnceValue(func() string { return digestOf(bodyOf(s)) })
-	s.chat = map[string]string{}
-	s.prefixes = map[string]string{}
-	for name, e := range s.routes.entries {
-		if e.item.Kind == RouteChat {
-			s.chat[e.item.Model] = name
+	routes, endpoints := s.routes, s.endpoints
+	if routes != previous.routes {
+		s.routing = sync.OnceValue(func() routingIndex { return indexRouting(routes) })
+	}
+	if endpoints != previous.endpoints {
+		s.serving = sync.OnceValue(func() servingIndex { return indexServing(endpoints) })
+	}
+}
+
+func indexRouting(routes *table[Route]) routingIndex {
+	index := routingIndex{byModel: map[string]Route{}, byPrefix: map[string]Route{}}
+	for _, r := range routes.sorted() {
+		if r.Kind == RouteChat {
+			index.byModel[r.Model] = r
 			continue
 		}
-		s.prefixes[e.item.Prefix] = name
+		index.byPrefix[r.Prefix] = r
 	}
-	endpoints := s.endpoints
-	s.serving = sync.OnceValue(func() servingIndex { return indexServing(endpoints) })
+	return index
 }
 
 func indexServing(endpoints *table[Endpoint]) servingIndex {
@@ -119,19 +133,17 @@
 
 // ChatRoute returns the chat route of a model name, with defaults filled in.
 func (s *State) ChatRoute(model string) (Route, bool) {
-	name, ok := s.chat[model]
-	if !ok {
-		return Route{}, false
-	}
-	return s.routes.lookup(name)
+	r, ok := s.routing().byModel[model]
+	return r, ok
 }
 
 // ServiceRoute returns the service route with the longest prefix of path, with defaults filled in. A prefix
 // matches whole path segments only.
 func (s *State) ServiceRoute(path string) (Route, bool) {
+	prefixes := s.routing().byPrefix
 	for path != "" {
-		if name, ok := s.prefixes[path]; ok {
-			return s.routes.lookup(name)
+		if r, ok := prefixes[path]; ok {
+			return r, true
 		}
 		path = path[:max(strings.LastIndexByte(path, '/'), 0)]
 	}
