--- a/pkg/timeline/clock.go
+++ b/pkg/timeline/clock.go
@@ -65,9 +65,8 @@
 // Observe adopts the stamp of a received message, so that later stamps of this clock are after it. It returns a
 // *DriftError, and adopts nothing, where the stamp is more than MaxDrift ahead of now.
 func (c *Clock) Observe(remote Stamp, now time.Time) error {
-	ahead := time.Duration(remote.WallNs - now.UnixNano())
-	if ahead > MaxDrift {
-		return &DriftError{Ahead: ahead}
+	if remote.WallNs > now.Add(MaxDrift).UnixNano() {
+		return &DriftError{Ahead: time.Duration(remote.WallNs - now.UnixNano())}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
