--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -29,6 +29,8 @@
 	renewFraction = 5
 	// carryFraction is the part of the retention after which any VM repeats the state of a silent holder.
 	carryFraction = 2
+	// carryDelay is the least time for which other VMs leave repeating a state to the holder.
+	carryDelay = 2 * time.Second
 	// DefaultRetention is used until the configuration names one.
 	DefaultRetention = time.Hour
 )
@@ -49,6 +51,10 @@
 	Slots int
 	// Live are the VMs that share the slots: on the VM list, answering and not draining. It includes this VM.
 	Live []string
+	// AllAnswer tells that every other VM on a fresh VM list answered a request within Forfeit, and PeerHolds the
+	// resources that they said they act on.
+	AllAnswer bool
+	PeerHolds []string
 	// Draining asks to release everything.
 	Draining bool
 	// Orders tells that this VM may issue engine orders.
@@ -78,6 +84,10 @@
 	// not show it.
 	listedAt time.Time
 
+	// answeredSince is the first of an unbroken series of plans, up to plannedAt, in which all listed VMs answered.
+	// It is zero where the newest plan breaks the series.
+	answeredSince time.Time
+	plannedAt     time.Time
 	// slots is the number of limit slots as of the newest Plan.
 	slots int
 	notes map[string]*note
@@ -91,6 +101,10 @@
 	changedAt time.Time
 	// statedAt is when the newest record that tells the state was applied.
 	statedAt time.Time
+	// peerHeldAt is when a peer last said that it acts on the resource.
+	peerHeldAt time.Time
+	// staleAt is when the state was first found to need repeating; zero while it does not.
+	staleAt time.Time
 	// releasing is the epoch that this process has decided to give up. It never acts under it again.
 	releasing int64
 	sent      map[Kind]sent
@@ -152,6 +166,7 @@
 	}
 	if s.Stated == offset {
 		n.statedAt = now
+		n.staleAt = time.Time{}
 	}
 	m.settle(s, n)
 	return outcome
@@ -175,13 +190,14 @@
 	}
 }
 
-// mustStateStop reports whether the log still names this process as holder or possible holder of the epoch.
+// mustStateStop reports whether the log still names this process as holder of the epoch, or it or an earlier one as
+// a possible holder.
 func (m *Manager) mustStateStop(s State, epoch int64) bool {
 	if s.Epoch == epoch {
 		return !s.Released && s.Holder.sameProcess(m.self)
 	}
 	return slices.ContainsFunc(s.Displaced, func(d Displaced) bool {
-		return d.Epoch == epoch && d.sameProcess(m.self)
+		return d.Epoch == epoch && m.self.replaces(d.Holder)
 	})
 }
 
--- a/pkg/lease/plan.go
+++ b/pkg/lease/plan.go
@@ -22,6 +22,7 @@
 // planned unless the VM read the log to its end less than Forfeit ago.
 func (m *Manager) Plan(now time.Time, v View) []Record {
 	m.slots = v.Slots
+	m.hear(now, v)
 	if m.ownReadAt.IsZero() || now.Sub(m.ownReadAt) >= Forfeit {
 		return nil
 	}
@@ -79,14 +80,14 @@
 	return time.Duration(p.view.Jitter * float64(d))
 }
 
-// stops states that this process, displaced by a claim that it has read, no longer acts. The claimant need not
-// wait then.
+// stops states that this process, displaced by a claim that it has read, no longer acts, or that an earlier process
+// at its address has ended. The claimant need not wait then.
 func (p *planner) stops() {
 	for _, resource := range p.table.resources() {
 		s, _ := p.table.State(resource)
 		for _, d := range s.Displaced {
-			if d.sameProcess(p.self) {
-				p.send(Record{Kind: KindRelease, Resource: resource, Epoch: d.Epoch, Holder: p.self})
+			if p.self.replaces(d.Holder) {
+				p.send(Record{Kind: KindRelease, Resource: resource, Epoch: d.Epoch, Holder: d.Holder})
 			}
 		}
 	}
@@ -168,7 +169,7 @@
 			p.renew(s, true)
 		case own && !s.Assumed && p.stale(s, p.view.Retention/renewFraction, 0):
 			p.renew(s, len(s.Displaced) == 0)
-		case !own && !s.Assumed && p.stale(s, p.view.Retention/carryFraction, repeatJitter):
+		case !own && !s.Assumed && p.stale(s, p.view.Retention/carryFraction, carryDelay+p.jittered(carryDelay)):
 			p.renew(s, false)
 		case !own && s.Assumed && p.age(s) >= p.view.Retention*3/4+p.jittered(repeatJitter):
 			// Every VM that knew otherwise would have repeated the state by now.
@@ -183,6 +184,7 @@
 		Resource:  s.Resource,
 		Epoch:     s.Epoch,
 		Holder:    s.Holder,
+		Read:      p.table.Next(),
 		Fence:     s.Fence,
 		Released:  s.Released,
 		Active:    active,
@@ -202,13 +204,17 @@
 	return p.now.Sub(p.note(s.Resource).statedAt)
 }
 
-// stale reports whether the state must be repeated: it is old, its record has expired, or a VM did not know it.
-func (p *planner) stale(s State, limit, jitter time.Duration) bool {
-	wait := p.jittered(jitter)
-	if s.Contested || s.Stated < p.view.LogStart {
-		return p.now.Sub(p.caughtUpAt) >= wait
+// stale reports whether the state must be repeated: it is old, its record has expired, or a VM did not know it. Other
+// VMs than the holder wait a little longer, so that usually the holder alone repeats it.
+func (p *planner) stale(s State, limit, delay time.Duration) bool {
+	n := p.note(s.Resource)
+	if !s.Contested && s.Stated >= p.view.LogStart && p.age(s) < limit {
+		return false
+	}
+	if n.staleAt.IsZero() {
+		n.staleAt = p.now
 	}
-	return p.age(s) >= limit+wait
+	return p.now.Sub(n.staleAt) >= delay
 }
 
 // waited reports whether a takeover by this process may become active: the displaced holders had time to lapse
@@ -217,6 +223,9 @@
 	if !s.Assumed && len(s.Displaced) == 0 {
 		return false
 	}
+	if s.Assumed && !p.unheld(s.Resource) {
+		return false
+	}
 	if p.now.Sub(p.note(s.Resource).changedAt) < TakeoverWait {
 		return false
 	}
@@ -228,6 +237,31 @@
 	return true
 }
 
+// hear remembers which VMs answered and what they said they act on.
+func (m *Manager) hear(now time.Time, v View) {
+	unbroken := now.Sub(m.plannedAt) < Forfeit
+	m.plannedAt = now
+	for _, resource := range v.PeerHolds {
+		m.note(resource).peerHeldAt = now
+	}
+	switch {
+	case !v.AllAnswer:
+		m.answeredSince = time.Time{}
+	case m.answeredSince.IsZero() || !unbroken:
+		m.answeredSince = now
+	}
+}
+
+// unheld reports whether no VM acts on a resource of which the log holds no certain state. Its holder may be cut off
+// from the log and go on by E3. It is on the VM list then and has answered, or has left the list for long enough to
+// lapse.
+func (p *planner) unheld(resource string) bool {
+	if p.answeredSince.IsZero() || p.now.Sub(p.answeredSince) < TakeoverWait {
+		return false
+	}
+	return p.now.Sub(p.note(resource).peerHeldAt) >= TakeoverWait
+}
+
 func (p *planner) claims() {
 	mine := p.held[p.self.VM] + p.pendingSlots()
 	for _, resource := range p.candidates() {
@@ -309,7 +343,7 @@
 	s, known := p.table.State(resource)
 	if !known {
 		// A holder whose records have expired repeats its state as soon as it reads the log.
-		return p.table.base == 0 || p.now.Sub(p.caughtUpAt) >= TakeoverWait
+		return p.table.base == 0 || p.now.Sub(p.caughtUpAt) >= TakeoverWait && p.unheld(resource)
 	}
 	return s.Released && !s.Assumed && p.now.Sub(p.note(resource).changedAt) >= p.jittered(freeJitter)
 }
--- a/pkg/lease/record.go
+++ b/pkg/lease/record.go
@@ -81,6 +81,9 @@
 	Holder
 	// Partial states in a claim that the claimant could not tell the state of the resource from the kept records.
 	Partial bool `json:"partial,omitempty"`
+	// Read is the next offset that the author of a renew record had not read. A reader that starts behind it cannot
+	// know whether the state has changed in between.
+	Read int64 `json:"read,omitempty"`
 	// Fence is the offset of the claim, in a renew record.
 	Fence int64 `json:"fence,omitempty"`
 	// Released states in a renew record that nobody holds the resource.
--- a/pkg/lease/table.go
+++ b/pkg/lease/table.go
@@ -192,20 +192,24 @@
 func (t *Table) renew(offset int64, r Record) Outcome {
 	s, known := t.states[r.Resource]
 	if !known || r.Epoch > s.Epoch || (s.Assumed && r.Epoch == s.Epoch) {
+		// Whoever repeated the state may not have read a release that stands before the renew record.
+		released := known && s.Released && s.Epoch == r.Epoch && s.Holder.sameProcess(r.Holder)
 		t.states[r.Resource] = &State{
 			Resource:  r.Resource,
 			Epoch:     r.Epoch,
 			Holder:    r.Holder,
-			Released:  r.Released,
+			Released:  r.Released || released,
 			Fence:     r.Fence,
 			Displaced: slices.Clone(r.Displaced),
+			Assumed:   r.Read < t.base,
 			Stated:    offset,
 		}
 		return Accepted
 	}
-	if r.Epoch != s.Epoch || !s.Holder.sameProcess(r.Holder) || r.Released != s.Released {
+	if r.Epoch != s.Epoch || !s.Holder.sameProcess(r.Holder) || s.Released && !r.Released {
 		return Ignored
 	}
+	s.Released = r.Released
 	if r.Active {
 		s.Displaced = nil
 	}
