--- a/pkg/once/apply.go
+++ b/pkg/once/apply.go
@@ -49,7 +49,7 @@
 		incarnation: r.Incarnation,
 		offset:      offset,
 		atMs:        r.AtMs,
-		untilMs:     r.AtMs + t.s.life(r.Key, r.AtMs),
+		untilMs:     r.AtMs + r.WindowMs,
 		loggedMs:    loggedMs,
 	}
 }
@@ -148,7 +148,7 @@
 // counts even if earlier records of the key were not read.
 func (t *Table) applyResult(id entryID, in intent, rec *Record, ms int64) {
 	t.confirmResult(&in)
-	until := rec.ResultAtMs + t.s.life(rec.Key, rec.AtMs)
+	until := rec.ResultAtMs + rec.WindowMs
 	if t.forgotten(until, ms) {
 		return
 	}
@@ -176,11 +176,9 @@
 	e.result = result
 	e.untilMs = until
 	t.deadlines.add(deadline{ms: until + t.s.Margin.Milliseconds(), kind: deadlineEntry, id: e.id})
-	if len(result.Body) > 0 {
-		t.bodyBytes += int64(len(result.Body))
-		t.bodies = append(t.bodies, e.id)
-		t.limitBodies()
-	}
+	t.answerBytes += int64(result.size())
+	t.answers = append(t.answers, e.id)
+	t.limitAnswers()
 }
 
 func (t *Table) confirmResult(in *intent) {
@@ -208,7 +206,7 @@
 	result := e.result
 	e.expireBefore(ms)
 	if result != nil && e.result == nil {
-		t.bodyBytes -= int64(len(result.Body))
+		t.answerBytes -= int64(result.size())
 	}
 }
 
@@ -218,19 +216,21 @@
 	}
 }
 
-// limitBodies drops the oldest bodies while they take more than MaxResultBytes.
-func (t *Table) limitBodies() {
-	for t.bodyBytes > t.s.MaxResultBytes && len(t.bodies) > 0 {
-		id := t.bodies[0]
-		t.bodies = t.bodies[1:]
-		e := t.entries[id]
-		if e == nil || !e.finished() || len(e.result.Body) == 0 {
+// limitAnswers drops the oldest answers while they take more than MaxResultBytes.
+func (t *Table) limitAnswers() {
+	for len(t.answers) > 0 {
+		e := t.entries[t.answers[0]]
+		held := e != nil && e.finished() && !e.result.Truncated
+		if held && t.answerBytes <= t.s.MaxResultBytes {
+			return
+		}
+		t.answers = t.answers[1:]
+		if !held {
 			continue
 		}
-		t.bodyBytes -= int64(len(e.result.Body))
+		t.answerBytes -= int64(e.result.size())
 		short := *e.result
-		short.Body = nil
-		short.Truncated = true
+		short.truncate()
 		e.result = &short
 	}
 }
@@ -248,6 +248,7 @@
 			if e := t.entries[d.id]; e != nil {
 				t.expireBefore(e, ms-t.s.Margin.Milliseconds())
 				t.dropEmpty(e)
+				t.limitAnswers()
 			}
 		case deadlineVoid:
 			delete(t.voids, d.nonce)
--- a/pkg/once/carry.go
+++ b/pkg/once/carry.go
@@ -27,7 +27,7 @@
 			}
 			records = append(records, carried(e, in, ms))
 			// The next try comes after the log had time to return the record.
-			in.loggedMs += t.s.Retention.Milliseconds() / 8
+			in.carryAfterMs = ms + t.s.Retention.Milliseconds()/16
 			if len(records) == carryBatch {
 				return records
 			}
@@ -49,7 +49,7 @@
 		return false
 	}
 	spread := int64(xxh3.HashString(t.s.VM+"/"+in.nonce) % uint64(retention/4+1))
-	return ms >= in.loggedMs+retention/2+spread
+	return ms >= max(in.loggedMs+retention/2+spread, in.carryAfterMs)
 }
 
 func carried(e *entry, in *intent, ms int64) Record {
@@ -63,6 +63,7 @@
 		Incarnation: in.incarnation,
 		Nonce:       in.nonce,
 		AtMs:        in.atMs,
+		WindowMs:    in.untilMs - in.atMs,
 		Offset:      in.offset,
 		Result:      e.result,
 		ResultAtMs:  e.resultAtMs,
--- a/pkg/once/decision.go
+++ b/pkg/once/decision.go
@@ -92,6 +92,7 @@
 
 // HTTP statuses of the refusals.
 const (
+	statusBadRequest    = 400
 	statusConflict      = 409
 	statusUnprocessable = 422
 	statusUnavailable   = 503
@@ -108,6 +109,11 @@
 	return Decision{Action: Refuse, Refusal: e}
 }
 
+func errBadKey() *refusal.Error {
+	return refusal.New(statusBadRequest, refusal.CodeBadRequest,
+		"an idempotency key has 1 to %d bytes", MaxKeyBytes)
+}
+
 func errLogSlow() *refusal.Error {
 	return refusal.New(statusUnavailable, refusal.CodeLogDown,
 		"the intent was not recorded in time; the request was not sent").After(retrySoon)
@@ -124,7 +130,7 @@
 
 func errKeyExpired(window time.Duration) *refusal.Error {
 	return refusal.New(statusConflict, refusal.CodeKeyExpired,
-		"the idempotency key is older than %s; this request was not sent", window)
+		"the idempotency key is older than %s; this request was not sent, earlier ones may have been", window)
 }
 
 func errTableFull() *refusal.Error {
--- a/pkg/once/entry.go
+++ b/pkg/once/entry.go
@@ -20,6 +20,8 @@
 	untilMs int64
 	// loggedMs is the time of the newest log record that restores the intent, with its result if it has one.
 	loggedMs int64
+	// carryAfterMs is the time of the next try to carry the intent over.
+	carryAfterMs int64
 }
 
 func (i *intent) holder() Holder {
--- a/pkg/once/group.go
+++ b/pkg/once/group.go
@@ -51,15 +51,28 @@
 type Group struct {
 	s       GroupSettings
 	streams map[string]*queue
-	queued  int
+	// queued holds the records that wait, so that a repeat of one is not queued twice while the log is down.
+	queued map[recordID]struct{}
 	// tokens is the number of appends that may start; filled is when it was computed.
 	tokens float64
 	filled time.Time
 }
 
+// recordID tells records of a group apart.
+type recordID struct {
+	kind  Kind
+	nonce string
+}
+
+// waiting is one queued record.
+type waiting struct {
+	id   recordID
+	data []byte
+}
+
 // queue holds the waiting records of one stream.
 type queue struct {
-	data     [][]byte
+	records  []waiting
 	bytes    int
 	oldest   time.Time
 	inFlight bool
@@ -68,7 +81,7 @@
 // NewGroup returns an empty group.
 func NewGroup(s GroupSettings) *Group {
 	s = s.withDefaults()
-	return &Group{s: s, streams: make(map[string]*queue), tokens: float64(s.Burst)}
+	return &Group{s: s, streams: make(map[string]*queue), queued: make(map[recordID]struct{}), tokens: float64(s.Burst)}
 }
 
 // SetRate sets this VM's share of the log's appends per second, for example after the number of VMs changed.
@@ -81,12 +94,17 @@
 
 // Queued returns the number of waiting records.
 func (g *Group) Queued() int {
-	return g.queued
+	return len(g.queued)
 }
 
-// Add queues a record. It returns false where the queue is full; the record is then not appended.
+// Add queues a record. A record of the same kind and nonce that still waits is kept instead. It returns false where
+// the queue is full; the record is then not appended.
 func (g *Group) Add(r *Record, now time.Time) bool {
-	if g.queued >= g.s.MaxQueued {
+	id := recordID{kind: r.Kind, nonce: r.Nonce}
+	if _, ok := g.queued[id]; ok {
+		return true
+	}
+	if len(g.queued) >= g.s.MaxQueued {
 		return false
 	}
 	q := g.streams[r.Stream]
@@ -94,13 +112,13 @@
 		q = &queue{}
 		g.streams[r.Stream] = q
 	}
-	if len(q.data) == 0 {
+	if len(q.records) == 0 {
 		q.oldest = now
 	}
-	data := r.Encode()
-	q.data = append(q.data, data)
-	q.bytes += len(data)
-	g.queued++
+	w := waiting{id: id, data: r.Encode()}
+	q.records = append(q.records, w)
+	q.bytes += len(w.data)
+	g.queued[id] = struct{}{}
 	return true
 }
 
@@ -136,28 +154,28 @@
 }
 
 func (g *Group) ready(q *queue, now time.Time) bool {
-	if q.inFlight || len(q.data) == 0 {
+	if q.inFlight || len(q.records) == 0 {
 		return false
 	}
-	full := len(q.data) >= g.s.MaxRecords || q.bytes >= g.s.MaxBytes
+	full := len(q.records) >= g.s.MaxRecords || q.bytes >= g.s.MaxBytes
 	return full || now.Sub(q.oldest) >= g.s.Delay
 }
 
 // take removes a batch from a queue.
 func (g *Group) take(q *queue) [][]byte {
-	n, size := 0, 0
-	for n < len(q.data) && n < g.s.MaxRecords {
-		size += len(q.data[n])
-		if n > 0 && size > g.s.MaxBytes {
-			size -= len(q.data[n])
+	var batch [][]byte
+	size := 0
+	for len(batch) < min(len(q.records), g.s.MaxRecords) {
+		w := q.records[len(batch)]
+		if len(batch) > 0 && size+len(w.data) > g.s.MaxBytes {
 			break
 		}
-		n++
+		size += len(w.data)
+		batch = append(batch, w.data)
+		delete(g.queued, w.id)
 	}
-	batch := q.data[:n:n]
-	q.data = q.data[n:]
+	q.records = q.records[len(batch):]
 	q.bytes -= size
-	g.queued -= n
 	q.inFlight = true
 	return batch
 }
@@ -174,7 +192,7 @@
 	var next time.Time
 	found := false
 	for _, q := range g.streams {
-		if q.inFlight || len(q.data) == 0 {
+		if q.inFlight || len(q.records) == 0 {
 			continue
 		}
 		at := q.oldest.Add(g.s.Delay)
--- a/pkg/once/record.go
+++ b/pkg/once/record.go
@@ -16,8 +16,10 @@
 const (
 	// Streams is the number of intent streams. It is part of the log format.
 	Streams = 16
-	// MaxBodyBytes is the largest answer body that is recorded. Larger ones are recorded without body.
+	// MaxBodyBytes is the largest answer, body and headers, that is recorded. Of larger ones only the status is.
 	MaxBodyBytes = 64 << 10
+	// MaxKeyBytes is the longest idempotency key. It bounds the memory of an entry.
+	MaxKeyBytes = 256
 )
 
 // Kind tells what a record says about an intent.
@@ -47,7 +49,7 @@
 	Status int `json:"status"`
 	// Headers are the response headers to repeat.
 	Headers []Header `json:"headers,omitempty"`
-	// Body is the answer body, at most MaxBodyBytes.
+	// Body is the answer body. Finish keeps body and headers of at most MaxBodyBytes.
 	Body []byte `json:"body,omitempty"`
 	// Truncated tells that the body was too large to be kept; a repeat is refused with run state run.
 	Truncated bool `json:"truncated,omitempty"`
@@ -55,6 +57,22 @@
 	Unknown bool `json:"unknown,omitempty"`
 }
 
+// size is the number of bytes that a recorded answer holds.
+func (r *Result) size() int {
+	n := len(r.Body)
+	for i := range r.Headers {
+		n += len(r.Headers[i].Name) + len(r.Headers[i].Value)
+	}
+	return n
+}
+
+// truncate keeps the status alone.
+func (r *Result) truncate() {
+	r.Headers = nil
+	r.Body = nil
+	r.Truncated = true
+}
+
 // Record is one record of an intent stream.
 type Record struct {
 	Kind Kind `json:"kind"`
@@ -72,6 +90,9 @@
 	Nonce string `json:"nonce"`
 	// AtMs is the time at which the holder accepted the request, in milliseconds since 1970.
 	AtMs int64 `json:"at_ms"`
+	// WindowMs is the time for which repeats are recognised, in milliseconds. It stands in the record so that VMs
+	// with different settings agree on which intents have expired.
+	WindowMs int64 `json:"window_ms"`
 	// Offset is the offset of the intent in a result or a carried entry.
 	Offset int64 `json:"offset,omitempty"`
 	// Result is the outcome in a result or a carried finished entry.
--- a/pkg/once/settings.go
+++ b/pkg/once/settings.go
@@ -84,11 +84,10 @@
 	return min(s.Window, s.Retention/2)
 }
 
-// life returns the time in milliseconds for which an entry that was accepted at atMs is recognised. It depends on
-// the record alone, so that every VM computes the same.
-func (s *Settings) life(key string, atMs int64) int64 {
+// window returns the time for which repeats of a key that is accepted at atMs are recognised.
+func (s *Settings) window(key string, atMs int64) time.Duration {
 	if _, ok := s.dated(key, atMs); ok {
-		return s.datedWindow().Milliseconds()
+		return s.datedWindow()
 	}
-	return s.Window.Milliseconds()
+	return s.Window
 }
--- a/pkg/once/table.go
+++ b/pkg/once/table.go
@@ -21,9 +21,9 @@
 	unconfirmed map[string]*request
 	next        map[string]int64
 	deadlines   deadlines
-	// bodies lists the finished entries by the order in which their results were read.
-	bodies    []entryID
-	bodyBytes int64
+	// answers lists the finished entries in the order in which their results were read.
+	answers     []entryID
+	answerBytes int64
 }
 
 // request is a local request.
@@ -32,11 +32,13 @@
 	nonce  string
 	digest string
 	atMs   int64
-	state  Status
+	// windowMs is the time for which repeats are recognised.
+	windowMs int64
+	state    Status
 	// readBack tells that the intent was read from the log.
 	readBack bool
-	// refusal is the final refusal of an abandoned request.
-	refusal *refusal.Error
+	// final is the last decision of an abandoned request.
+	final Decision
 	// record is appended until it is read back: the intent, its void or its result.
 	record     Record
 	appendedMs int64
@@ -64,6 +66,14 @@
 	}
 }
 
+// Configure sets the log's retention and the window when the configuration changes. Zero means the default.
+// Entries keep the window under which they were accepted.
+func (t *Table) Configure(retention, window time.Duration) {
+	t.s.Retention = retention
+	t.s.Window = window
+	t.s = t.s.withDefaults()
+}
+
 // Next returns the offset of a stream from which records are to be read.
 func (t *Table) Next(stream string) int64 {
 	return t.next[stream]
@@ -81,11 +91,15 @@
 	if _, ok := t.own[req.Nonce]; ok {
 		return t.Decide(req.Nonce, now), nil
 	}
+	if req.Key == "" || len(req.Key) > MaxKeyBytes {
+		return refuse(errBadKey()), nil
+	}
 	id := entryID{workspace: req.Workspace, key: req.Key}
 	if d, ok := t.atOnce(id, req.Digest, now); ok {
 		return d, nil
 	}
 	r := &request{id: id, nonce: req.Nonce, digest: req.Digest, atMs: millis(now), state: StatusPending}
+	r.windowMs = t.s.window(r.id.key, r.atMs).Milliseconds()
 	r.record = t.record(r, KindIntent)
 	r.appendedMs = millis(now)
 	t.own[r.nonce] = r
@@ -131,11 +145,12 @@
 func (t *Table) Decide(nonce string, now time.Time) Decision {
 	r := t.own[nonce]
 	if r == nil {
-		return refuse(errGivenUp())
+		// Nothing is known of the request any more, so nothing may be claimed.
+		return refuse(errOutcomeUnknown())
 	}
 	switch r.state {
 	case StatusAbandoned:
-		return refuse(r.refusal)
+		return r.final
 	case StatusPending:
 		return t.decidePending(r, now)
 	}
@@ -146,40 +161,37 @@
 	ms := millis(now)
 	e := t.entries[r.id]
 	if e != nil && e.finished() && e.untilMs >= ms {
-		d := outcome(e.result, e.intents[0].digest, r.digest)
-		t.abandon(r, d.Refusal)
-		return d
+		return t.end(r, outcome(e.result, e.intents[0].digest, r.digest))
 	}
 	// A late send could meet VMs that forgot the intents before it.
-	if ms-r.atMs > t.s.SendWithin.Milliseconds() {
-		return t.refuseOwn(r, errLogSlow())
-	}
-	if !r.readBack {
+	late := ms-r.atMs > t.s.SendWithin.Milliseconds()
+	if !r.readBack && !late {
 		return Decision{Action: Wait}
 	}
-	if e == nil || len(e.intents) == 0 || e.index(r.nonce) < 0 {
-		return t.refuseOwn(r, errLogSlow())
+	if !r.readBack || e == nil || e.index(r.nonce) < 0 {
+		return t.end(r, refuse(errLogSlow().With(t.runState(r))))
 	}
 	lowest := &e.intents[0]
-	if lowest.nonce == r.nonce {
-		t.setState(r, StatusRunning)
-		return Decision{Action: Send}
+	switch {
+	case lowest.nonce != r.nonce:
+		return t.decideLater(r, lowest, ms)
+	case late:
+		return t.end(r, refuse(errLogSlow()))
 	}
-	return t.decideLater(r, lowest, ms)
+	t.setState(r, StatusRunning)
+	return Decision{Action: Send}
 }
 
 // decideLater decides a request whose key has an earlier open intent.
 func (t *Table) decideLater(r *request, lowest *intent, ms int64) Decision {
 	if lowest.digest != r.digest {
-		return t.refuseOwn(r, errKeyReused())
+		return t.end(r, refuse(errKeyReused()))
 	}
 	if lowest.vm == t.s.VM && lowest.incarnation != t.s.Incarnation {
-		return t.refuseOwn(r, errOutcomeUnknown())
+		return t.end(r, refuse(errOutcomeUnknown()))
 	}
 	if o := t.own[lowest.nonce]; o != nil && o.state == StatusDone {
-		d := outcome(o.record.Result, lowest.digest, r.digest)
-		t.abandon(r, d.Refusal)
-		return d
+		return t.end(r, outcome(o.record.Result, lowest.digest, r.digest))
 	}
 	if r.asked != lowest.nonce || ms-r.askedMs >= t.s.AskEvery.Milliseconds() {
 		r.asked = lowest.nonce
@@ -192,9 +204,9 @@
 	}
 	switch r.reply {
 	case StatusUnknown:
-		return t.refuseOwn(r, errOutcomeUnknown())
+		return t.end(r, refuse(errOutcomeUnknown()))
 	case StatusUnreachable:
-		return t.refuseOwn(r, errOutcomeUnknown().After(retryHolder))
+		return t.end(r, refuse(errOutcomeUnknown().After(retryHolder)))
 	}
 	return Decision{Action: Wait}
 }
@@ -230,9 +242,8 @@
 	if r == nil || r.state != StatusRunning {
 		return nil
 	}
-	if len(result.Body) > MaxBodyBytes {
-		result.Body = nil
-		result.Truncated = true
+	if result.size() > MaxBodyBytes {
+		result.truncate()
 	}
 	offset := r.record.Offset
 	t.setState(r, StatusDone)
@@ -248,7 +259,7 @@
 func (t *Table) Abandon(nonce string, now time.Time) ([]Record, refusal.RunState) {
 	r := t.own[nonce]
 	if r == nil {
-		return nil, refusal.NotRun
+		return nil, refusal.Unknown
 	}
 	switch r.state {
 	case StatusRunning:
@@ -256,8 +267,9 @@
 	case StatusDone:
 		return nil, refusal.Run
 	}
-	t.abandon(r, errGivenUp().With(t.runState(r)))
-	return t.appendUntilReadBack(r, now), t.runState(r)
+	state := t.runState(r)
+	t.end(r, refuse(errGivenUp().With(state)))
+	return t.appendUntilReadBack(r, now), state
 }
 
 // Unsent gives up a request that Send handed out and of which no byte was written. It is never sent afterwards.
@@ -266,7 +278,7 @@
 	if r == nil || r.state != StatusRunning {
 		return nil
 	}
-	t.abandon(r, errGivenUp())
+	t.end(r, refuse(errGivenUp()))
 	return t.appendUntilReadBack(r, now)
 }
 
@@ -315,24 +327,17 @@
 	return 1
 }
 
-func (t *Table) refuseOwn(r *request, e *refusal.Error) Decision {
-	t.abandon(r, e)
-	return refuse(e)
-}
-
-// abandon ends a request that is never sent. Its void is appended until it is read back.
-func (t *Table) abandon(r *request, e *refusal.Error) {
+// end ends a request that is never sent. Its void is appended until it is read back.
+func (t *Table) end(r *request, d Decision) Decision {
 	if r.state == StatusAbandoned {
-		return
-	}
-	if e == nil {
-		e = errGivenUp()
+		return r.final
 	}
-	r.refusal = e
+	r.final = d
 	t.setState(r, StatusAbandoned)
 	r.record = t.record(r, KindVoid)
 	r.appendedMs = 0
 	t.unconfirmed[r.nonce] = r
+	return d
 }
 
 func (t *Table) appendUntilReadBack(r *request, now time.Time) []Record {
@@ -364,6 +369,7 @@
 		Incarnation: t.s.Incarnation,
 		Nonce:       r.nonce,
 		AtMs:        r.atMs,
+		WindowMs:    r.windowMs,
 	}
 	if kind != KindVoid {
 		rec.Digest = r.digest
