Let a failing stream end its test instead of hanging it

Cause: TestWithdrawnKeyEndsConnectedCallers waited ten minutes for first tokens of streams that had been refused: six requests of 16,000 tokens met empty buckets filled with 100,000 tokens a second. Conclusion: the same failure now shows as a failed assertion.

--- a/lab/failure/config_test.go
+++ b/lab/failure/config_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync"
 	"testing"
 
 	"github.com/corneldeal/corneldeal/lab/deploy"
@@ -36,21 +35,9 @@
 // A withdrawn key must stop streams that run under it on every VM, and be refused afterwards; other keys go on.
 func TestWithdrawnKeyEndsConnectedCallers(t *testing.T) {
 	d := start(t, shape{vms: 3, engines: 2})
-	var begun, ended sync.WaitGroup
-	results := make([]result, 6)
-	for i := range results {
-		begun.Add(1)
-		ended.Go(func() {
-			results[i] = d.chatEach(d.VMs[i%3], keySmall, "withdrawn", 16000, func(n int) {
-				if n == 1 {
-					begun.Done()
-				}
-			})
-		})
-	}
-	begun.Wait()
-	d.publish(withdrawKey("withdraw", keySmall))
-	ended.Wait()
+	results := d.streams(6, keySmall, "withdrawn", 16000, d.VMs, func() {
+		d.publish(withdrawKey("withdraw", keySmall))
+	})
 	for _, r := range results {
 		if r.end != "error" {
 			t.Errorf("stream of a withdrawn key: %v", r)
@@ -183,24 +170,14 @@
 func TestIsolatedVMStopsServing(t *testing.T) {
 	d := start(t, shape{vms: 3, engines: 1, linked: true})
 	v := d.VMs[0]
-	var ended sync.WaitGroup
-	begun := make(chan struct{})
-	var r result
-	ended.Go(func() {
-		r = d.chatEach(v, keySmall, "isolated", 16000, func(n int) {
-			if n == 1 {
-				close(begun)
-			}
-		})
+	results := d.streams(1, keySmall, "isolated", 16000, []*deploy.VM{v}, func() {
+		d.cutPlatform(v, true)
+		for _, l := range d.links {
+			l.peer.Cut(true)
+		}
 	})
-	<-begun
-	d.cutPlatform(v, true)
-	for _, l := range d.links {
-		l.peer.Cut(true)
-	}
-	ended.Wait()
-	if r.end != "error" {
-		t.Errorf("the stream of an isolated VM: %v", r)
+	if results[0].end != "error" {
+		t.Errorf("the stream of an isolated VM: %v", results[0])
 	}
 	if refused := d.chat(v, keySmall, "isolated", 2); refused.code != "cut_off" || !refused.notRun() {
 		t.Errorf("want a refusal as not run: %v", refused)
--- a/lab/failure/harness_test.go
+++ b/lab/failure/harness_test.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -39,6 +40,9 @@
 
 var routerProgram string
 
+// running bounds the deployments at one time, so that tests do not slow each other down.
+var running = make(chan struct{}, 4)
+
 func TestMain(m *testing.M) {
 	os.Exit(runTests(m))
 }
@@ -96,6 +100,9 @@
 // start starts a deployment with its first release note in force.
 func start(t *testing.T, s shape) *deployment {
 	t.Helper()
+	t.Parallel()
+	running <- struct{}{}
+	t.Cleanup(func() { <-running })
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
 	t.Cleanup(cancel)
 	d := &deployment{t: t, ctx: ctx, log: logservice.New(s.log), vms: vmlist.New(vmlist.Options{})}
@@ -201,7 +208,7 @@
 func (d *deployment) firstNote() config.ReleaseNote {
 	items := config.Items{
 		Workspaces: []config.Workspace{
-			{Name: "small", TokensPerSecond: 100_000, BurstTokens: 200_000},
+			{Name: "small", TokensPerSecond: 1_000_000, BurstTokens: 2_000_000},
 			{Name: "large", TokensPerSecond: 1_000_000, BurstTokens: 2_000_000},
 		},
 		Keys: []config.Key{
@@ -370,6 +377,25 @@
 	return r.stream(resp.Body, each)
 }
 
+// streams runs n streams at once, stream i through VM i modulo the number of VMs, and calls begun when each has its
+// first token or has ended without one. It returns when all have ended.
+func (d *deployment) streams(n int, key, prompt string, tokens int, vms []*deploy.VM, begun func()) []result {
+	d.t.Helper()
+	var first sync.WaitGroup
+	first.Add(n)
+	go func() {
+		first.Wait()
+		begun()
+	}()
+	results := make([]result, n)
+	many(n, func(i int) {
+		var once sync.Once
+		results[i] = d.chatEach(vms[i%len(vms)], key, prompt, tokens, func(int) { once.Do(first.Done) })
+		once.Do(first.Done)
+	})
+	return results
+}
+
 func (r result) stream(body io.Reader, each func(n int)) result {
 	r.end = "broken"
 	scanner := bufio.NewScanner(body)
--- a/lab/failure/stream_test.go
+++ b/lab/failure/stream_test.go
@@ -85,21 +85,9 @@
 func TestGracefulShutdownCutsNoRequest(t *testing.T) {
 	d := start(t, shape{vms: 2, engines: 2, drainDelayMs: 300})
 	v := d.VMs[0]
-	var begun, ended sync.WaitGroup
-	results := make([]result, 8)
-	for i := range results {
-		begun.Add(1)
-		ended.Go(func() {
-			results[i] = d.chatEach(v, keyLarge, "shutdown", 200, func(n int) {
-				if n == 1 {
-					begun.Done()
-				}
-			})
-		})
-	}
-	begun.Wait()
-	d.check(v.Process().Stop())
-	ended.Wait()
+	stopped := make(chan error, 1)
+	results := d.streams(8, keyLarge, "shutdown", 200, []*deploy.VM{v}, func() { stopped <- v.Process().Stop() })
+	d.check(<-stopped)
 	for _, r := range results {
 		d.wantWhole(r, "shutdown", 200)
 	}
