Apply VM lists of equal time and report the own list entry

Change: a list with the time of the last one is applied but proves no absence; SelfLive tells what the newest list says of this VM. A test reads a state from several goroutines while the replay goes on.

Conclusion: a list that never advances as_of works, but no VM is ever proven absent by it.

--- a/pkg/config/replay_test.go
+++ b/pkg/config/replay_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -322,6 +323,31 @@
 	}
 }
 
+// Guards against readers that see a state change, or race with the replay on the lists that states share. Run with
+// the race detector.
+func TestStatesAreImmutable(t *testing.T) {
+	r := NewReplay()
+	mustApply(t, r, workspaceNote("first", -1, "first"))
+	old := r.State()
+	digest := digestOf(bodyOf(old))
+	var group sync.WaitGroup
+	for range 4 {
+		group.Go(func() {
+			for range 50 {
+				if digestOf(bodyOf(old)) != digest || old.Digest() != digest || len(old.Workspaces()) != 1 {
+					t.Error("a state has changed")
+				}
+			}
+		})
+	}
+	for i := range int64(50) {
+		name := fmt.Sprint("w-", i)
+		mustApply(t, r, workspaceNote(name, 2*i, name))
+		mustApply(t, r, ReleaseNote{ID: name + "-off", Base: 2*i + 1, Withdrawn: []Ref{{KindWorkspace, name}}})
+	}
+	group.Wait()
+}
+
 // Guards against memory that a flood of notes fills when no snapshot comes.
 func TestVerdictsAreBounded(t *testing.T) {
 	r := NewReplay()
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -3,6 +3,7 @@
 package member
 
 import (
+	"slices"
 	"time"
 
 	"github.com/corneldeal/corneldeal/pkg/timeline"
@@ -49,11 +50,16 @@
 
 // List is one reading of the platform's VM list.
 type List struct {
-	// AsOf is the time by the platform's clock; a reading that is not newer than the last one is ignored.
+	// AsOf is the time by the platform's clock; a reading that is older than the last one is ignored.
 	AsOf time.Time
 	VMs  []VM
 }
 
+// shows tells whether the list shows a VM as live.
+func (l *List) shows(name string) bool {
+	return slices.ContainsFunc(l.VMs, func(vm VM) bool { return vm.Name == name && vm.State == StateLive })
+}
+
 // StreamOffset tells how far a VM has read a stream.
 type StreamOffset struct {
 	Stream string
--- a/pkg/member/member_test.go
+++ b/pkg/member/member_test.go
@@ -131,6 +131,9 @@
 	for _, vm := range []string{"a", "b", "c", "d"} {
 		m.ApplyHeartbeat(beat(vm, 20000, 5, -1), at(20000))
 	}
+	if m.ApplyList(listOf(-1), at(20000), at(20000)) {
+		t.Error("an older list was applied")
+	}
 	if m.ApplyList(List{AsOf: at(20001)}, at(20001), at(20001)) {
 		t.Error("an empty list was applied")
 	}
@@ -181,6 +184,9 @@
 	if got, _ := m.AbsentSince("a"); got.Lasted() != 7*time.Second {
 		t.Errorf("absent for %v after a heartbeat, want 7 s", got.Lasted())
 	}
+	if read, live := m.SelfLive(); !live || !read.Equal(at(12000)) {
+		t.Errorf("self listed as live %v at %v", live, read)
+	}
 	if got, ok := m.AbsentSince("never-seen"); !ok || got.Lasted() != 12*time.Second {
 		t.Errorf("unknown VM absent for %v", got.Lasted())
 	}
--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -53,6 +53,8 @@
 	firstRead  time.Time
 	newestRead time.Time
 	asOf       time.Time
+	// selfLive tells that the list of newestRead shows this VM as live.
+	selfLive bool
 
 	// evidence is the newest time at which the end of the config stream was known and is applied here.
 	evidence time.Time
@@ -69,18 +71,22 @@
 	return &Table{self: self, peers: map[string]*peer{}, newest: map[string]int64{}, inFlight: map[string]int{}}
 }
 
-// ApplyList takes a reading of the VM list that began at started. An empty list or one that is not newer than the
-// last is ignored, and false is returned. A list never removes a VM that still sends heartbeats.
+// ApplyList takes a reading of the VM list that began at started. An empty list or one that is older than the
+// last is ignored, and false is returned. A list never removes a VM that still sends heartbeats. A list with the time
+// of the last one proves no absence, since the platform may be repeating an old answer.
 func (t *Table) ApplyList(list List, started, now time.Time) bool {
-	if len(list.VMs) == 0 || (t.listedOnce && !list.AsOf.After(t.asOf)) {
+	if len(list.VMs) == 0 || (t.listedOnce && list.AsOf.Before(t.asOf)) {
 		return false
 	}
 	if !t.listedOnce {
 		t.firstRead = started
 	}
+	if !t.listedOnce || list.AsOf.After(t.asOf) {
+		t.newestRead = started
+		t.selfLive = list.shows(t.self)
+	}
 	t.listedOnce = true
 	t.asOf = list.AsOf
-	t.newestRead = started
 	for _, p := range t.peers {
 		p.listed = false
 	}
@@ -96,6 +102,9 @@
 	return true
 }
 
+// SelfLive returns the start of the newest list read, and whether it showed this VM as live.
+func (t *Table) SelfLive() (time.Time, bool) { return t.newestRead, t.selfLive }
+
 // show notes that the list shows a VM.
 func (t *Table) show(vm VM, at time.Time) {
 	if vm.Name == t.self {
