Let the command line set the steps of the replay test

Cause: the test raised rapid.steps even where the command line had set it.

Change: only the default value is raised to 80 steps.

Conclusion: longer runs can be asked for with -rapid.steps.

--- a/pkg/config/replay_test.go
+++ b/pkg/config/replay_test.go
@@ -198,8 +198,10 @@
 // are accepted after restarts, expiry, lost replies and racing notes.
 func TestReplaysAgree(t *testing.T) {
 	// With the default of 30 steps few runs withdraw an item, restore a VM and then repeat a stale note.
-	if err := flag.Set("rapid.steps", "80"); err != nil {
-		t.Fatal(err)
+	if steps := flag.Lookup("rapid.steps"); steps.Value.String() == steps.DefValue {
+		if err := steps.Value.Set("80"); err != nil {
+			t.Fatal(err)
+		}
 	}
 	rapid.Check(t, func(rt *rapid.T) {
 		f := newFleet()
