--- a/pkg/once/apply.go
+++ b/pkg/once/apply.go
@@ -31,7 +31,7 @@
 	case KindIntent:
 		t.applyIntent(id, t.intent(&r, offset, r.AtMs), ms)
 	case KindResult:
-		t.applyResult(id, t.intent(&r, r.Offset, r.ResultAtMs), &r, ms)
+		t.applyResult(id, t.intent(&r, r.Offset, r.LoggedMs), &r, ms)
 	case KindVoid:
 		t.applyVoid(id, t.intent(&r, 0, 0), ms)
 	case KindCarry:
@@ -148,8 +148,7 @@
 // counts even if earlier records of the key were not read.
 func (t *Table) applyResult(id entryID, in intent, rec *Record, ms int64) {
 	t.confirmResult(&in)
-	until := rec.ResultAtMs + rec.WindowMs
-	if t.forgotten(until, ms) {
+	if t.forgotten(in.untilMs, ms) {
 		return
 	}
 	e := t.entries[id]
@@ -167,15 +166,14 @@
 	if e.index(in.nonce) < 0 && len(e.intents) > 0 && in.untilMs < e.intents[0].atMs {
 		return
 	}
-	e.resultAtMs = rec.ResultAtMs
-	t.finish(e, in, rec.Result, until)
+	t.finish(e, in, rec.Result)
 }
 
-func (t *Table) finish(e *entry, in intent, result *Result, until int64) {
+func (t *Table) finish(e *entry, in intent, result *Result) {
 	e.intents = append(e.intents[:0:0], in)
 	e.result = result
-	e.untilMs = until
-	t.deadlines.add(deadline{ms: until + t.s.Margin.Milliseconds(), kind: deadlineEntry, id: e.id})
+	e.untilMs = in.untilMs
+	t.deadlines.add(deadline{ms: in.untilMs + t.s.Margin.Milliseconds(), kind: deadlineEntry, id: e.id})
 	t.answerBytes += int64(result.size())
 	t.answers = append(t.answers, e.id)
 	t.limitAnswers()
--- a/pkg/once/carry.go
+++ b/pkg/once/carry.go
@@ -40,12 +40,8 @@
 	if _, ok := t.s.dated(e.id.key, in.atMs); ok {
 		return false
 	}
-	until := in.untilMs
-	if e.finished() {
-		until = e.untilMs
-	}
 	retention := t.s.Retention.Milliseconds()
-	if until+t.s.Margin.Milliseconds() <= in.loggedMs+retention {
+	if in.untilMs+t.s.Margin.Milliseconds() <= in.loggedMs+retention {
 		return false
 	}
 	spread := int64(xxh3.HashString(t.s.VM+"/"+in.nonce) % uint64(retention/4+1))
@@ -66,7 +62,6 @@
 		WindowMs:    in.untilMs - in.atMs,
 		Offset:      in.offset,
 		Result:      e.result,
-		ResultAtMs:  e.resultAtMs,
 		LoggedMs:    ms,
 	}
 }
--- a/pkg/once/entry.go
+++ b/pkg/once/entry.go
@@ -16,7 +16,8 @@
 	incarnation string
 	offset      int64
 	atMs        int64
-	// untilMs is the time until which repeats are recognised.
+	// untilMs is the time until which repeats are recognised. It depends on the intent alone, so that VMs agree on it
+	// whatever the order in which they read the result and later intents.
 	untilMs int64
 	// loggedMs is the time of the newest log record that restores the intent, with its result if it has one.
 	loggedMs int64
@@ -35,8 +36,6 @@
 	intents []intent
 	// result is set once the entry is finished.
 	result *Result
-	// resultAtMs is the time of the result.
-	resultAtMs int64
 	// untilMs is the time until which repeats are recognised.
 	untilMs int64
 }
--- a/pkg/once/record.go
+++ b/pkg/once/record.go
@@ -90,16 +90,14 @@
 	Nonce string `json:"nonce"`
 	// AtMs is the time at which the holder accepted the request, in milliseconds since 1970.
 	AtMs int64 `json:"at_ms"`
-	// WindowMs is the time for which repeats are recognised, in milliseconds. It stands in the record so that VMs
+	// WindowMs is the time for which repeats are recognised, in milliseconds after AtMs. It stands in the record so that VMs
 	// with different settings agree on which intents have expired.
 	WindowMs int64 `json:"window_ms"`
 	// Offset is the offset of the intent in a result or a carried entry.
 	Offset int64 `json:"offset,omitempty"`
 	// Result is the outcome in a result or a carried finished entry.
 	Result *Result `json:"result,omitempty"`
-	// ResultAtMs is the time of the result, in milliseconds since 1970.
-	ResultAtMs int64 `json:"result_at_ms,omitempty"`
-	// LoggedMs is the time at which a void or a carried entry was written, in milliseconds since 1970.
+	// LoggedMs is the time at which a result or a carried entry was written, in milliseconds since 1970.
 	LoggedMs int64 `json:"logged_ms,omitempty"`
 }
 
--- a/pkg/once/settings.go
+++ b/pkg/once/settings.go
@@ -13,7 +13,8 @@
 	Incarnation string
 	// Retention is the time for which the log keeps records. Default 1 h.
 	Retention time.Duration
-	// Window is the time for which repeats are recognised. Default half of Retention. UUIDv7 keys are recognised
+	// Window is the time for which repeats are recognised, from the acceptance of the request. A request must end well
+	// within it. Default half of Retention. UUIDv7 keys are recognised
 	// for at most half of Retention, since their entries are not carried over.
 	Window time.Duration
 	// SendWithin is the longest time between acceptance and the send of a request. An intent that is read back
--- a/pkg/once/table.go
+++ b/pkg/once/table.go
@@ -141,7 +141,7 @@
 }
 
 // Decide tells what to do next with a local request. Answer and Refuse end it; Send is returned once, after which
-// the request ends with Finish, or with Unsent if no byte was written.
+// MaySend is checked right before the first byte. The request ends with Finish, or with Unsent if no byte was written.
 func (t *Table) Decide(nonce string, now time.Time) Decision {
 	r := t.own[nonce]
 	if r == nil {
@@ -221,6 +221,13 @@
 	r.reply = s
 }
 
+// MaySend reports whether a request that Send handed out may still be sent. Check it right before the first byte, so
+// that a process that was paused in between does not send after the window; give up with Unsent if it is false.
+func (t *Table) MaySend(nonce string, now time.Time) bool {
+	r := t.own[nonce]
+	return r != nil && r.state == StatusRunning && millis(now)-r.atMs <= t.s.SendWithin.Milliseconds()
+}
+
 // Status returns what this VM knows about an intent that it holds, for replies to other VMs.
 func (t *Table) Status(nonce, incarnation string) Status {
 	if incarnation != t.s.Incarnation {
@@ -250,7 +257,7 @@
 	r.record = t.record(r, KindResult)
 	r.record.Offset = offset
 	r.record.Result = &result
-	r.record.ResultAtMs = millis(now)
+	r.record.LoggedMs = millis(now)
 	return t.appendUntilReadBack(r, now)
 }
 
