lab: print the note of a profile, check runs of bookings, describe the figures

Cause: load on running VMs needs the matching release note; a booking that runs twice must fail a measurement.

--- a/lab/cmd/corneldeal-lab/main.go
+++ b/lab/cmd/corneldeal-lab/main.go
@@ -28,6 +28,7 @@
 			vmlistCommand(),
 			weightStoreCommand(),
 			cacheStoreCommand(),
+			noteCommand(),
 			loadCommand(),
 			measureCommand(),
 			demoCommand(),
--- a/lab/cmd/corneldeal-lab/tools.go
+++ b/lab/cmd/corneldeal-lab/tools.go
@@ -79,14 +79,37 @@
 	}
 }
 
+func profileFlag() cli.Flag {
+	return &cli.StringFlag{Name: "profile", Value: "naktsgaisma", Usage: "profile `NAME`: naktsgaisma or stitchdesk"}
+}
+
+func noteCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "note",
+		Usage: "print the release note that VMs must hold before load of a profile is sent to them",
+		Flags: []cli.Flag{
+			profileFlag(),
+			&cli.StringSliceFlag{Name: "engine", Usage: "`IP:PORT` of an engine that holds house-7b@v1; may be repeated"},
+			&cli.StringSliceFlag{Name: "service", Usage: "`IP:PORT` of a plain service; may be repeated"},
+			&cli.StringFlag{Name: "cache-store", Usage: "`IP:PORT` of the KV cache store"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			return load.PrintNote(os.Stdout, c.String("profile"), load.Addresses{
+				Engines:    c.StringSlice("engine"),
+				Services:   c.StringSlice("service"),
+				CacheStore: c.String("cache-store"),
+			})
+		},
+	}
+}
+
 func loadCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "load",
-		Usage: "send the arrivals of a profile to running VMs and print the figures that callers can see",
-		Description: "The VMs must hold the workspaces, model and routes of the profile, see docs/emulator.md. The\n" +
-			"key of a workspace is lab-key-WORKSPACE.",
+		Name:        "load",
+		Usage:       "send the arrivals of a profile to running VMs and print the figures that callers can see",
+		Description: "The VMs must hold the release note that `corneldeal-lab note` prints.",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "profile", Value: "naktsgaisma", Usage: "profile `NAME`"},
+			profileFlag(),
 			&cli.StringSliceFlag{Name: "target", Usage: "`IP:PORT` of a VM; may be repeated", Required: true},
 			&cli.DurationFlag{Name: "length", Value: defaultLength, Usage: "time in which requests arrive"},
 			&cli.Uint64Flag{Name: "seed", Value: defaultSeed, Usage: "seed of the arrivals"},
--- a/lab/engine/engine_test.go
+++ b/lab/engine/engine_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/corneldeal/corneldeal/lab/cachestore"
+	"github.com/corneldeal/corneldeal/lab/weightstore"
 	"github.com/corneldeal/corneldeal/pkg/route"
 )
 
@@ -357,3 +358,28 @@
 		t.Fatalf("import: %d, %d blocks", status, b.Match(hashes))
 	}
 }
+
+// Loads that bypass the weight store would hide what loading everywhere at once costs; a load that the store refuses
+// must not make the version usable.
+func TestLoadGoesThroughTheWeightStore(t *testing.T) {
+	store := weightstore.New(weightstore.Options{LoadTime: time.Millisecond})
+	if err := store.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(store.Close)
+	e := started(t, Options{WeightStore: store.Addr(), LoadTime: time.Hour})
+	versions := func() []VersionState { return e.ExactState().Versions }
+	store.SetFaults(weightstore.Faults{Down: true})
+	if err := e.Order(Order{Kind: OrderLoad, Model: "m", Version: "2"}); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "the refused load ends", func() bool { return len(versions()) == 1 })
+	store.SetFaults(weightstore.Faults{})
+	if err := e.Order(Order{Kind: OrderLoad, Model: "m", Version: "2"}); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "version 2 is ready", func() bool { return len(versions()) == 2 && versions()[1].State == Ready })
+	if s := store.Stats(); s.Done != 1 {
+		t.Fatalf("the store counts %+v", s)
+	}
+}
--- a/lab/load/load_test.go
+++ b/lab/load/load_test.go
@@ -31,8 +31,10 @@
 
 // A profile without overload, shared levels or shift would not measure what it is meant to.
 func TestArrivalsFollowTheProfile(t *testing.T) {
-	const length = 60 * time.Second
+	const length = 400 * time.Second
 	for _, p := range Profiles() {
+		// Short texts keep the test fast; they do not change the times.
+		p.RulesBytes, p.CatalogueBytes, p.OrderBytes = 40, 40, 40
 		early, late := map[string]int{}, map[string]int{}
 		hot := [2]map[string]int{{}, {}}
 		for _, a := range Arrivals(p, 1, length) {
--- a/lab/load/measure.go
+++ b/lab/load/measure.go
@@ -126,9 +126,10 @@
 			continue
 		}
 		rows[policy] = Summarize(p, r.outcomes, r.totals)
+		failed = errors.Join(failed, r.check(p))
 		ttft = append(ttft, TTFTCurve(policy, r.outcomes, m.Length))
 		hits = append(hits, HitCurve(policy, r.samples))
-		m.logf("%s, %s: %s", p.Name, policy, describe(r))
+		m.logf("%s, %s: %s; most runs of one booking %d", p.Name, policy, describe(r.outcomes), r.mostRuns)
 	}
 	base := strings.TrimSuffix(m.Out, filepath.Ext(m.Out)) + "-" + p.Name
 	err := Plot(base+"-ttft.svg", p.Name+": time to first token, p95 by second", "ms", ttft)
@@ -137,11 +138,22 @@
 	return rows, errors.Join(failed, err)
 }
 
+// check reports broken promises that the metrics do not hold.
+func (r result) check(p Profile) error {
+	if r.mostRuns > 1 {
+		return fmt.Errorf("%s, %s: a booking ran %d times", p.Name, r.policy, r.mostRuns)
+	}
+	if r.stale > 0 {
+		return fmt.Errorf("%s, %s: %d cached blocks of other weights were used", p.Name, r.policy, r.stale)
+	}
+	return nil
+}
+
 // describe lists what the metrics do not hold: refusals by code, faults, calls to the plain service.
-func describe(r result) string {
+func describe(outcomes []Outcome) string {
 	counts := map[string]int{}
-	for i := range r.outcomes {
-		o := &r.outcomes[i]
+	for i := range outcomes {
+		o := &outcomes[i]
 		kind := "chat "
 		if !o.Arrival.chat() {
 			kind = "call "
@@ -165,7 +177,6 @@
 		lines = append(lines, fmt.Sprintf("%d %s", n, text))
 	}
 	slices.Sort(lines)
-	lines = append(lines, fmt.Sprintf("most runs of one booking %d", r.mostRuns), fmt.Sprintf("blocks used from other weights %d", r.stale))
 	return strings.Join(lines, "; ")
 }
 
@@ -250,7 +261,7 @@
 	plat.vms.Set(f.List())
 	err = f.Start(ctx)
 	if err == nil {
-		_, err = f.Publish(ctx, plat.note(p))
+		_, err = f.Publish(ctx, Note(p, plat.addresses()))
 	}
 	if err == nil {
 		err = f.AwaitReady(ctx)
--- a/lab/load/platform.go
+++ b/lab/load/platform.go
@@ -87,8 +87,27 @@
 	return "lab-key-" + workspace
 }
 
-// note returns the release note of the profile for the endpoints of the platform.
-func (p *platform) note(profile Profile) config.ReleaseNote {
+// Addresses are the endpoints that a release note names.
+type Addresses struct {
+	Engines  []string
+	Services []string
+	// CacheStore is the address of the KV cache store, or empty.
+	CacheStore string
+}
+
+func (p *platform) addresses() Addresses {
+	out := Addresses{CacheStore: p.store.Addr()}
+	for _, e := range p.engines {
+		out.Engines = append(out.Engines, e.Addr())
+	}
+	for _, s := range p.services {
+		out.Services = append(out.Services, s.Addr())
+	}
+	return out
+}
+
+// Note returns the release note of the profile for the endpoints.
+func Note(profile Profile, to Addresses) config.ReleaseNote {
 	items := config.Items{
 		Models: []config.Model{{
 			Name:                  Model,
@@ -100,7 +119,7 @@
 			{Name: "chat", Kind: config.RouteChat, Model: Model},
 			{Name: "orders", Kind: config.RouteService, Prefix: ServicePrefix, Service: ServiceName},
 		},
-		Defaults: &config.Defaults{CacheStore: p.store.Addr()},
+		Defaults: &config.Defaults{CacheStore: to.CacheStore},
 	}
 	for _, w := range profile.Workspaces {
 		limit := profile.Limit(w)
@@ -111,28 +130,29 @@
 		})
 		items.Keys = append(items.Keys, config.Key{Digest: auth.Digest(keyOf(w.Name)), Workspace: w.Name})
 	}
-	items.Endpoints = p.endpoints(profile)
+	items.Endpoints = endpoints(profile.DataCentres, to)
 	return config.ReleaseNote{ID: "profile-" + profile.Name, Base: -1, Author: "load tool", Added: items}
 }
 
-func (p *platform) endpoints(profile Profile) []config.Endpoint {
+// endpoints lists the endpoints, evenly over the data centres.
+func endpoints(dataCentres []string, to Addresses) []config.Endpoint {
 	var out []config.Endpoint
-	for i, e := range p.engines {
+	for i, address := range to.Engines {
 		out = append(out, config.Endpoint{
 			Name:       engineName(i),
 			Kind:       config.EndpointEngine,
-			Address:    e.Addr(),
-			DataCentre: profile.DataCentres[i%len(profile.DataCentres)],
+			Address:    address,
+			DataCentre: dataCentres[i%len(dataCentres)],
 			Models:     []string{Model},
 			MaxRunning: engine.DefaultMaxRunning,
 		})
 	}
-	for i, s := range p.services {
+	for i, address := range to.Services {
 		out = append(out, config.Endpoint{
 			Name:       serviceName(i),
 			Kind:       config.EndpointService,
-			Address:    s.Addr(),
-			DataCentre: profile.DataCentres[i%len(profile.DataCentres)],
+			Address:    address,
+			DataCentre: dataCentres[i%len(dataCentres)],
 			Service:    ServiceName,
 		})
 	}
--- a/lab/load/send.go
+++ b/lab/load/send.go
@@ -9,6 +9,7 @@
 
 	"github.com/corneldeal/corneldeal/lab/deploy"
 	"github.com/corneldeal/corneldeal/lab/engine"
+	"github.com/corneldeal/corneldeal/pkg/route"
 )
 
 // SendOptions configure load on running VMs.
@@ -23,8 +24,8 @@
 	Out    io.Writer
 }
 
-// Send sends the arrivals of a profile and prints the metrics as JSON. Figures that need the engines' own counters
-// (hit rate, recomputation) are 0.
+// Send sends the arrivals of a profile and prints the metrics as JSON. The hit rate comes from the usage that callers
+// get; the recomputation needs the engines' own counters and is 0.
 func Send(ctx context.Context, opt SendOptions) error {
 	p, err := profileByName(opt.Profile)
 	if err != nil {
@@ -38,12 +39,39 @@
 	ctx, cancel := context.WithTimeout(ctx, opt.Length+drainTime)
 	defer cancel()
 	outcomes := Run(ctx, s, Arrivals(p, opt.Seed, opt.Length), nil)
-	if _, err := fmt.Fprintln(opt.Out, describe(result{outcomes: outcomes})); err != nil {
+	if _, err := fmt.Fprintln(opt.Out, describe(outcomes)); err != nil {
 		return err
 	}
 	encoder := json.NewEncoder(opt.Out)
 	encoder.SetIndent("", "  ")
-	return encoder.Encode(Summarize(p, outcomes, engine.LedgerTotals{}))
+	return encoder.Encode(Summarize(p, outcomes, seenByCallers(outcomes)))
+}
+
+// seenByCallers returns the blocks found and computed according to the usage of complete answers.
+func seenByCallers(outcomes []Outcome) engine.LedgerTotals {
+	var out engine.LedgerTotals
+	for i := range outcomes {
+		o := &outcomes[i]
+		if !o.Arrival.chat() || o.End != Complete {
+			continue
+		}
+		blocks := int64(len(route.Prompt(o.Arrival.Messages)) / BlockBytes)
+		hit := int64(o.Cached * bytesPerToken / BlockBytes)
+		out.Hit += hit
+		out.Computed += blocks - hit
+	}
+	return out
+}
+
+// PrintNote prints the release note that the VMs must hold before load of the profile is sent.
+func PrintNote(out io.Writer, profile string, to Addresses) error {
+	p, err := profileByName(profile)
+	if err != nil {
+		return err
+	}
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(Note(p, to))
 }
 
 func profileByName(name string) (Profile, error) {
