--- a/lab/engine/batch.go
+++ b/lab/engine/batch.go
@@ -217,6 +217,7 @@
 		}
 		q.finished = nil
 	}
+	e.stats.BlocksEvicted += int64(len(evicted))
 	e.opt.Ledger.held(evicted, -1)
 	e.opt.Ledger.held(stored, 1)
 	return stored, evicted
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -72,6 +72,7 @@
 	Tokens         int64                       `json:"tokens"`
 	BlocksComputed int64                       `json:"blocks_computed"`
 	BlocksHit      int64                       `json:"blocks_hit"`
+	BlocksEvicted  int64                       `json:"blocks_evicted"`
 	// StaleHits counts blocks that were found but computed with another version.
 	StaleHits      int64            `json:"stale_hits"`
 	ComputedBySalt map[string]int64 `json:"computed_by_salt"`
--- a/lab/load/measure.go
+++ b/lab/load/measure.go
@@ -63,6 +63,7 @@
 	totals   engine.LedgerTotals
 	mostRuns int64
 	stale    int64
+	evicted  int64
 }
 
 // Measure runs every policy under every profile, writes the report and the plots and prints a table.
@@ -129,7 +130,7 @@
 		failed = errors.Join(failed, r.check(p))
 		ttft = append(ttft, TTFTCurve(policy, r.outcomes, m.Length))
 		hits = append(hits, HitCurve(policy, r.samples))
-		m.logf("%s, %s: %s; most runs of one booking %d", p.Name, policy, describe(r.outcomes), r.mostRuns)
+		m.logf("%s, %s: %s; most runs of one booking %d; %d blocks evicted", p.Name, policy, describe(r.outcomes), r.mostRuns, r.evicted)
 	}
 	base := strings.TrimSuffix(m.Out, filepath.Ext(m.Out)) + "-" + p.Name
 	err := Plot(base+"-ttft.svg", p.Name+": time to first token, p95 by second", "ms", ttft)
@@ -208,7 +209,9 @@
 	r.totals = plat.ledger.Totals()
 	r.mostRuns = plat.mostRuns()
 	for _, e := range plat.engines {
-		r.stale += e.Stats().StaleHits
+		stats := e.Stats()
+		r.stale += stats.StaleHits
+		r.evicted += stats.BlocksEvicted
 	}
 	return r, nil
 }
