--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -37,8 +37,8 @@
 
 // delayPicker takes the lowest score. Scores within the tolerance count as equal, since the prediction is not
 // more exact. Among equals with blocks to compute, the rendezvous hash of the first missing block decides, so
-// that all VMs compute a new prefix on the same endpoint; otherwise chance decides, so that they do not all
-// take the same one.
+// that all VMs compute a new prefix on the same endpoint; otherwise chance decides among the nearest, so that
+// the VMs do not all take the same one.
 type delayPicker struct {
 	random *rand.Rand
 }
@@ -69,6 +69,7 @@
 	}
 	matched := candidates[best].Matched
 	if matched >= len(r.Hashes) {
+		near = nearest(candidates, near)
 		return near[p.random.IntN(len(near))]
 	}
 	key := r.Hashes[matched]
@@ -77,6 +78,15 @@
 	})
 }
 
+// nearest returns those of the indices whose candidates have the lowest network time.
+func nearest(candidates []Candidate, indices []int) []int {
+	lowest := candidates[indices[0]].Distance
+	for _, i := range indices {
+		lowest = min(lowest, candidates[i].Distance)
+	}
+	return slices.DeleteFunc(indices, func(i int) bool { return candidates[i].Distance > lowest })
+}
+
 // roundRobinPicker takes the endpoints in turn.
 type roundRobinPicker struct {
 	next int
--- a/pkg/route/placement.go
+++ b/pkg/route/placement.go
@@ -14,6 +14,8 @@
 	ID uint64
 	// Hashes is the block chain of the prompt.
 	Hashes []uint64
+	// RestBlocks is the length of the prompt behind the last complete block, as a share of a block.
+	RestBlocks float64
 	// MicrosPerBlock is the configured time to compute one block, in microseconds. Default 25000.
 	MicrosPerBlock int64
 	// StoreBlocks is the number of leading blocks that the cache store holds. Zero when unknown.
@@ -22,8 +24,8 @@
 	Exclude []string
 	// Alone asks for an endpoint on which nothing else runs, for a request that is suspected of a crash.
 	Alone bool
-	// Waited tells that the request was held back once by Placement.Wait and must now be sent.
-	Waited bool
+	// Held is the time for which the request was held back so far because of Placement.Wait.
+	Held time.Duration
 }
 
 // Load is an engine's own report. It describes a moment before it arrives.
@@ -96,7 +98,7 @@
 	// Queue is the part of Expected that is not computation or transfer for this request.
 	Queue time.Duration
 	// Wait is positive when the request should be held back until the first token of request Behind, at most
-	// for this time, and then be placed again with Waited set. The engine computes a shared prefix only once
+	// for this time, and then be placed again with the time added to Held. The engine computes a shared prefix only once
 	// when the second request arrives after the first has computed it.
 	Wait time.Duration
 	// Behind is the request that computes the shared prefix now.
@@ -119,6 +121,8 @@
 	InFlight float64
 	// ReportedLoad is the number of requests last reported plus those this VM sent since.
 	ReportedLoad float64
+	// Distance is the added network time, in milliseconds.
+	Distance float64
 	// Score is the sum of the scorers, in milliseconds.
 	Score float64
 	// Queue is the predicted queue delay, in milliseconds.
--- a/pkg/route/placer.go
+++ b/pkg/route/placer.go
@@ -39,16 +39,24 @@
 // Placer chooses the endpoint of each request of one VM and learns from the outcome. It is safe for one
 // goroutine.
 type Placer struct {
-	options  Options
-	filters  []Filter
-	picker   Picker
-	random   *rand.Rand
-	states   map[string]*endpointState
-	pending  map[uint64]*pending
+	options Options
+	filters []Filter
+	picker  Picker
+	random  *rand.Rand
+	states  map[string]*endpointState
+	pending map[uint64]*pending
+	// held are the requests that wait behind a first computation.
+	held     map[uint64]hold
 	prefixes prefixes
 	swept    time.Time
 }
 
+// hold is a request that waits. It counts as load of the endpoint, since it will soon be sent there.
+type hold struct {
+	endpoint string
+	until    time.Time
+}
+
 // NewPlacer returns a placer. The error names an unknown policy.
 func NewPlacer(options Options) (*Placer, error) {
 	options.Policy = cmp.Or(options.Policy, PolicyDelay)
@@ -61,6 +69,7 @@
 		random:   rand.New(rand.NewPCG(options.Seed, 0)),
 		states:   make(map[string]*endpointState),
 		pending:  make(map[uint64]*pending),
+		held:     make(map[uint64]hold),
 		prefixes: prefixes{table: make(map[uint64]*prefix)},
 	}
 	switch options.Policy {
@@ -80,6 +89,7 @@
 
 // Place chooses an endpoint. The caller reports Sent when it sends the request there.
 func (p *Placer) Place(r Request, v View, now time.Time) Placement {
+	p.release(r.ID, now)
 	candidates := p.candidates(&r, &v, now)
 	if len(candidates) == 0 {
 		return Placement{}
@@ -97,12 +107,26 @@
 		Expected:    queue + millis(work),
 		Queue:       queue,
 	}
-	if p.options.Policy == PolicyDelay && !p.options.NoCoalesce && !r.Waited {
+	if p.options.Policy == PolicyDelay && !p.options.NoCoalesce {
 		out.Behind, out.Wait = p.computing(c, &r, now)
 	}
+	if out.Wait > 0 {
+		p.held[r.ID] = hold{c.Name, now.Add(out.Wait)}
+		c.state.held++
+	}
 	return out
 }
 
+// release ends the hold of a request, and holds that are over and were not followed by another Place.
+func (p *Placer) release(id uint64, now time.Time) {
+	for other, h := range p.held {
+		if other == id || now.Sub(h.until) > maxCoalesceWait {
+			delete(p.held, other)
+			p.states[h.endpoint].held--
+		}
+	}
+}
+
 // candidates returns the endpoints that pass the filters, by name.
 func (p *Placer) candidates(r *Request, v *View, now time.Time) []Candidate {
 	out := make([]Candidate, 0, len(v.Endpoints))
@@ -114,6 +138,9 @@
 			InFlight: others + float64(len(state.own)),
 			state:    state,
 		}
+		if e.DataCentre != v.DataCentre {
+			c.Distance = otherDataCentreMillis
+		}
 		if !p.keep(&c, r) {
 			continue
 		}
@@ -164,8 +191,9 @@
 	scorers := [...]Scorer{
 		queueScorer{},
 		computeScorer{},
+		loadScorer{},
 		transferScorer{p.options.Transfer},
-		distanceScorer{v.DataCentre},
+		distanceScorer{},
 		spreadScorer{hot},
 	}
 	for i := range candidates {
@@ -192,7 +220,7 @@
 			behind, wait = q.id, left
 		}
 	}
-	return behind, min(wait, maxCoalesceWait)
+	return behind, min(wait, max(maxCoalesceWait-r.Held, 0))
 }
 
 // common returns the length of the common prefix. Equal hashes at one position mean equal hashes before it, so a
@@ -214,10 +242,6 @@
 func (p *Placer) Sent(r Request, placed Placement, now time.Time) {
 	p.sweep(now)
 	state := p.state(placed.Endpoint, "")
-	micros := r.MicrosPerBlock
-	if micros <= 0 {
-		micros = defaultMicrosPerBlock
-	}
 	q := &pending{
 		id:       r.ID,
 		endpoint: placed.Endpoint,
@@ -228,7 +252,7 @@
 		queue:    placed.Queue.Seconds() * millisPerSecond,
 		work:     (placed.Expected - placed.Queue).Seconds() * millisPerSecond,
 		blocks:   placed.Missing,
-		micros:   micros,
+		base:     baseMillis(&r, placed.Missing),
 	}
 	p.pending[r.ID] = q
 	state.sent(q, now)
@@ -275,6 +299,7 @@
 		fresh := newEndpointState(incarnation)
 		fresh.own = s.own
 		fresh.history = s.history
+		fresh.held = s.held
 		p.states[name] = fresh
 		return fresh
 	}
@@ -294,7 +319,7 @@
 		}
 	}
 	for name, s := range p.states {
-		if len(p.states) > maxStates && len(s.own) == 0 {
+		if len(p.states) > maxStates && len(s.own) == 0 && s.held == 0 {
 			delete(p.states, name)
 		}
 	}
--- a/pkg/route/score.go
+++ b/pkg/route/score.go
@@ -21,6 +21,19 @@
 	return c.state.computeMillis(r, len(r.Hashes)-c.Import)
 }
 
+// loadScorer is the delay in milliseconds that the computation causes to others: requests that arrive meanwhile
+// wait for it, and the blocks that it stores evict others that must be computed again. Without it every queue
+// that is longer than a computation spreads all prefixes over all engines, the hit rate falls, and the queues
+// grow further. See docs/placement.md for the weight.
+type loadScorer struct{}
+
+// loadWeight is the delay of others per millisecond of computation.
+const loadWeight = 3.0
+
+func (loadScorer) Score(c *Candidate, r *Request) float64 {
+	return loadWeight * c.state.computeMillis(r, len(r.Hashes)-c.Import)
+}
+
 // transferScorer is the time in milliseconds to import blocks from the cache store.
 type transferScorer struct {
 	costs TransferCosts
@@ -32,18 +45,13 @@
 
 // distanceScorer is the added network time in milliseconds to another data centre: one round trip for the
 // request and one way for the first token come to 1.5 ms on the links measured by the platform.
-type distanceScorer struct {
-	dataCentre string
-}
+type distanceScorer struct{}
 
 // otherDataCentreMillis is the added time for an endpoint in another data centre.
 const otherDataCentreMillis = 1.5
 
-func (s distanceScorer) Score(c *Candidate, _ *Request) float64 {
-	if c.DataCentre == s.dataCentre {
-		return 0
-	}
-	return otherDataCentreMillis
+func (distanceScorer) Score(c *Candidate, _ *Request) float64 {
+	return c.Distance
 }
 
 // spreadScorer is a preference in milliseconds, not a delay: it credits the chosen copies of a hot prefix with
--- a/pkg/route/spread.go
+++ b/pkg/route/spread.go
@@ -10,19 +10,22 @@
 
 // Constants of the spreading of hot prefixes.
 const (
-	// hotRate is the rate of one VM, in requests per second, at which a prefix counts as hot; coldRate is the
-	// rate at which it ceases to.
-	hotRate  = 1.0
-	coldRate = 0.5
+	// hotRate is the rate over all VMs, in requests per second, at which a prefix counts as hot; coldRate is the
+	// rate at which it ceases to. A VM takes its own rate for that of each peer.
+	hotRate  = 3.0
+	coldRate = 1.5
 	// rateMemory is the time after which a request counts for 1/e in the rate.
 	rateMemory = 4 * time.Second
 	// A prefix is spread further when the best copy's queue exceeds this share of the time to compute the
 	// prefix, but not below the minimum.
-	growShare     = 0.2
+	growShare     = 0.1
 	minGrowMillis = 20.0
 	// It shrinks when the queue stays below this share of the growth threshold for shrinkAfter.
 	shrinkShare = 0.25
-	shrinkAfter = 5 * time.Second
+	// penaltyShare of the growth threshold is charged on endpoints beyond the copies. A full threshold made the
+	// tail longer, since it also kept requests from idle endpoints that still held the prefix.
+	penaltyShare = 0.3
+	shrinkAfter  = 5 * time.Second
 	// growPause is the time for a new copy to show in the queues, at least the lag of a load report.
 	growPause = time.Second
 	// delayMemory smooths the queue delay, so that one burst does not spread a prefix.
@@ -51,10 +54,11 @@
 	return p.demand * math.Exp(-now.Sub(p.seen).Seconds()/rateMemory.Seconds()) / rateMemory.Seconds()
 }
 
-func (p *prefix) touch(now time.Time) {
+func (p *prefix) touch(vms int, now time.Time) {
 	rate := p.rate(now)
 	p.demand = rate*rateMemory.Seconds() + 1
 	p.seen = now
+	rate *= float64(vms)
 	if rate >= hotRate {
 		p.hot = true
 	}
@@ -70,7 +74,7 @@
 }
 
 // touch counts a request and returns the position of the deepest hot block, or -1.
-func (t *prefixes) touch(hashes []uint64, now time.Time) int {
+func (t *prefixes) touch(hashes []uint64, vms int, now time.Time) int {
 	deepest := -1
 	for i, h := range hashes {
 		p := t.table[h]
@@ -79,7 +83,7 @@
 			p = &prefix{copies: 1, seen: now}
 			t.table[h] = p
 		}
-		p.touch(now)
+		p.touch(vms, now)
 		if p.hot {
 			deepest = i
 		}
@@ -117,14 +121,15 @@
 	copies int
 	// discount is the share of the computation that this request is charged.
 	discount float64
-	// penalty is the charge in milliseconds on holders beyond the copies.
+	// penalty is the charge in milliseconds on endpoints beyond the copies. It is zero while the copies are busy.
 	penalty float64
 }
 
 // plan decides how many copies a hot prefix has and returns the decision, or nil when nothing is hot. The copies
 // are the first in rendezvous order, so all VMs that count alike choose alike.
 func (t *prefixes) plan(r *Request, candidates []Candidate, peers int, random *rand.Rand, now time.Time) *spread {
-	at := t.touch(r.Hashes, now)
+	vms := max(peers, 0) + 1
+	at := t.touch(r.Hashes, vms, now)
 	if at < 0 || len(candidates) < 2 {
 		return nil
 	}
@@ -151,11 +156,13 @@
 		order:    order,
 		copies:   p.copies,
 		discount: 1,
-		penalty:  grow,
+	}
+	if p.delay < grow*shrinkShare {
+		s.penalty = grow * penaltyShare
 	}
 	// One VM in all starts a new copy at a time on average; the others learn of it from cache events.
-	if random.IntN(max(peers, 0)+1) == 0 {
-		reuses := p.rate(now) * float64(max(peers, 0)+1) * reuseTime.Seconds()
+	if random.IntN(vms) == 0 {
+		reuses := p.rate(now) * float64(vms) * reuseTime.Seconds()
 		s.discount = 1 / (1 + reuses)
 	}
 	return s
--- a/pkg/route/state.go
+++ b/pkg/route/state.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"math"
 	"time"
 )
 
@@ -9,8 +8,6 @@
 const (
 	defaultMicrosPerBlock = 25_000
 	defaultMaxRunning     = 16
-	// A prompt has a rest shorter than a block that is always computed; on average half a block.
-	tailBlocks = 0.5
 	// Service time assumed until one request is done.
 	initialServiceMillis = 2000
 	// Share of a request's time before its first token, until measured.
@@ -24,11 +21,6 @@
 	maxFactor = 4
 	// A sample of the speed is taken only when the queue is at most this share of the expected time.
 	quietShare = 0.2
-	// The bias covers delays outside the model, such as a slow accelerator. It fades, so that an endpoint that
-	// recovered is tried again.
-	biasShare    = 0.2
-	biasHalfLife = 2 * time.Second
-	maxBias      = 5000
 	// In-flight history kept for the correction of late reports.
 	historyAge    = 5 * time.Second
 	historyLength = 512
@@ -39,6 +31,8 @@
 	incarnation string
 	// own are this VM's requests there, in the order sent.
 	own []*pending
+	// held is the number of own requests that wait behind a computation there.
+	held int
 	// history holds the number of own requests after each change.
 	history []change
 	// busyUntil is the time at which the own requests without first token are expected to be computed.
@@ -51,9 +45,6 @@
 	prefillShare float64
 	// compute is the mean computation of a request, in milliseconds. Zero means not measured.
 	compute float64
-	// bias is the mean error of recent predictions, in milliseconds.
-	bias   float64
-	biasAt time.Time
 }
 
 // change is the number of own requests from a time on.
@@ -73,9 +64,10 @@
 	// queue and work are the predicted parts of expected, in milliseconds.
 	queue float64
 	work  float64
-	// blocks is the number of blocks computed, and micros the configured time of one.
+	// blocks is the number of blocks computed.
 	blocks int
-	micros int64
+	// base is the computation without the learned factor, in milliseconds.
+	base float64
 	// first is the time of the first token. Zero before it.
 	first time.Time
 }
@@ -91,11 +83,16 @@
 
 // computeMillis returns the time to compute the missing blocks and the rest of the prompt.
 func (s *endpointState) computeMillis(r *Request, missing int) float64 {
+	return s.factor * baseMillis(r, missing)
+}
+
+// baseMillis returns the configured time to compute the missing blocks and the rest of the prompt.
+func baseMillis(r *Request, missing int) float64 {
 	micros := r.MicrosPerBlock
 	if micros <= 0 {
 		micros = defaultMicrosPerBlock
 	}
-	return (float64(max(missing, 0)) + tailBlocks) * float64(micros) * s.factor / microsPerMilli
+	return (float64(max(missing, 0)) + r.RestBlocks) * float64(micros) / microsPerMilli
 }
 
 // meanCompute returns the mean computation of a request in milliseconds.
@@ -160,6 +157,7 @@
 func (s *endpointState) queueMillis(e *Endpoint, r *Request, others float64, now time.Time) float64 {
 	delay := max(s.busyUntil.Sub(now).Seconds()*millisPerSecond, 0)
 	delay += others * s.prefillShare * s.meanCompute(r)
+	delay += float64(s.held) * s.computeMillis(r, 0)
 	slots := e.MaxRunning
 	if slots <= 0 {
 		slots = defaultMaxRunning
@@ -167,14 +165,21 @@
 	if over := others + float64(len(s.own)-slots+1); over > 0 {
 		delay += over * s.service / float64(slots)
 	}
-	return delay + s.biasNow(now)
+	return delay + s.overdue(now)
 }
 
 const millisPerSecond = 1000.0
 
-func (s *endpointState) biasNow(now time.Time) float64 {
-	age := now.Sub(s.biasAt)
-	return s.bias * math.Exp2(-float64(age)/float64(biasHalfLife))
+// overdue returns the time in milliseconds by which the first token of an own request is late. An endpoint that
+// stands still owes first tokens, while the predicted queue runs down.
+func (s *endpointState) overdue(now time.Time) float64 {
+	late := time.Duration(0)
+	for _, p := range s.own {
+		if p.first.IsZero() {
+			late = max(late, now.Sub(p.sent)-p.expected)
+		}
+	}
+	return late.Seconds() * millisPerSecond
 }
 
 // sent adds an own request.
@@ -193,12 +198,9 @@
 	s.rebase(now)
 	observed := now.Sub(p.sent).Seconds() * millisPerSecond
 	expected := p.expected.Seconds() * millisPerSecond
-	s.bias = min(max(s.biasNow(now)+biasShare*(observed-expected), 0), maxBias)
-	s.biasAt = now
 	s.compute = learn(s.compute, p.work)
 	if p.blocks > 0 && p.queue <= quietShare*expected {
-		base := (float64(p.blocks) + tailBlocks) * float64(p.micros) / microsPerMilli
-		sample := min(max((observed-p.queue)/base, minFactor), maxFactor)
+		sample := min(max((observed-p.queue)/p.base, minFactor), maxFactor)
 		s.factor += learnShare * (sample - s.factor)
 	}
 }
