Issue engine orders under the lease and follow version switches

Cause: a new version in a release note changed routing at once, while no engine held it; requests were refused. Change: the order planner runs on every VM; the holder of lease orders sends loads and unloads with its fencing number after one more look at the lease. Requests follow a switch until their first token, streams stay on their version.

--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -140,6 +141,12 @@
 	return e.Err
 }
 
+// Rejected tells whether err is an answer by which the engine refused a request, or proves that it got none.
+func Rejected(err error) bool {
+	var call *CallError
+	return errors.As(err, &call) && call.Status != 0 || httpcall.NeverWritten(err)
+}
+
 // State returns the engine's report.
 func (c *Client) State(ctx context.Context, address string) (State, error) {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
--- a/pkg/router/attempt.go
+++ b/pkg/router/attempt.go
@@ -106,7 +106,7 @@
 
 func (c *chatRun) sent(placed route.Placement) {
 	now := time.Now()
-	request := c.placeRequest(true)
+	request := c.placeRequest()
 	c.r.placer.do(func(p *placement) {
 		p.placer.Sent(request, placed, now)
 		p.first[c.number] = make(chan struct{})
--- a/pkg/router/backend.go
+++ b/pkg/router/backend.go
@@ -43,6 +43,7 @@
 	r.every(queueTick, r.dispatch)
 	r.every(carryEvery, r.carryIntents)
 	r.every(snapshotCheck, r.appendSnapshot)
+	r.every(orderEvery, r.planOrders)
 }
 
 // snapshotDue tells whether the newest snapshot record is a quarter of the retention old, or was not seen for that
--- a/pkg/router/chat.go
+++ b/pkg/router/chat.go
@@ -38,6 +38,7 @@
 	model     config.Model
 	version   string
 	workspace config.Workspace
+	prompt    []byte
 	seed      uint64
 	hashes    []uint64
 	// fingerprint survives the caller's sending the request again.
@@ -59,6 +60,8 @@
 	usage     *engine.Usage
 	excluded  []string
 	attempts  int
+	// held is the time for which the request was held back behind others that compute its prefix.
+	held time.Duration
 }
 
 // Chat implements caller.Backend.
@@ -126,7 +129,6 @@
 		req:         req,
 		route:       chatRoute,
 		model:       model,
-		version:     r.readyVersion(model),
 		workspace:   workspace,
 		fingerprint: crashguard.Fingerprint(workspace.Name, chatRoute.Name, req.Body),
 		events:      make(chan caller.Event, eventBuffer),
@@ -134,12 +136,26 @@
 		started:     time.Now(),
 		resumable:   true,
 	}
-	run.seed = route.Seed(workspace.Name, model.Name, chatRoute.Adapter, run.version)
-	run.hashes = route.Chain(run.seed, route.Prompt(req.Messages), model.BlockBytes)
+	run.prompt = route.Prompt(req.Messages)
+	run.setVersion(r.readyVersion(model))
 	run.ctx, run.cancel = context.WithCancelCause(r.ctx)
 	return run
 }
 
+// setVersion chooses the weight version, on which the hashes depend.
+func (c *chatRun) setVersion(version string) {
+	c.version = version
+	c.seed = route.Seed(c.workspace.Name, c.model.Name, c.route.Adapter, version)
+	c.hashes = route.Chain(c.seed, c.prompt, c.model.BlockBytes)
+}
+
+// refreshVersion follows a version switch as long as the caller has no token yet. A begun stream stays on its version.
+func (c *chatRun) refreshVersion() {
+	if version := c.r.readyVersion(c.model); !c.hasBegun && version != c.version {
+		c.setVersion(version)
+	}
+}
+
 // deadline is the latest time of the first event.
 func (c *chatRun) deadline() time.Time {
 	wait := c.req.Wait
@@ -150,7 +166,7 @@
 }
 
 func (c *chatRun) promptTokens() int64 {
-	return int64(len(route.Prompt(c.req.Messages))+bytesPerToken-1) / bytesPerToken
+	return int64(len(c.prompt)+bytesPerToken-1) / bytesPerToken
 }
 
 func (c *chatRun) outputTokens() int64 {
@@ -231,19 +247,18 @@
 // runAttempts tries engines until the answer is whole, the request is given up or nothing is left to try.
 func (c *chatRun) runAttempts() *refusal.Error {
 	c.r.firstAttempt()
-	waited := false
 	for {
+		c.refreshVersion()
 		suspect, ref := c.suspected()
 		if ref != nil {
 			return c.failed(ref)
 		}
-		placed, ref := c.placeWithin(suspect, waited)
+		placed, ref := c.placeWithin(suspect)
 		if ref != nil {
 			return c.failed(ref)
 		}
 		if placed.Wait > 0 && !suspect {
 			c.waitBehind(placed)
-			waited = true
 			continue
 		}
 		ref, done := c.attempt(placed, suspect)
@@ -255,10 +270,10 @@
 
 // placeWithin chooses an engine. An accused request waits a bounded time for an engine without another accused
 // request, then shares one.
-func (c *chatRun) placeWithin(suspect, waited bool) (route.Placement, *refusal.Error) {
+func (c *chatRun) placeWithin(suspect bool) (route.Placement, *refusal.Error) {
 	until := time.Now().Add(suspectWait)
 	for suspect && time.Now().Before(until) {
-		placed, ref := c.place(true, waited)
+		placed, ref := c.place(true)
 		if ref == nil {
 			return placed, nil
 		}
@@ -268,14 +283,14 @@
 			return placed, endCause(c.ctx)
 		}
 	}
-	return c.place(false, waited)
+	return c.place(false)
 }
 
 // place chooses an engine. apart keeps the request from engines on which an accused request runs.
-func (c *chatRun) place(apart, waited bool) (route.Placement, *refusal.Error) {
+func (c *chatRun) place(apart bool) (route.Placement, *refusal.Error) {
 	now := time.Now()
 	view := c.r.view(c.model, c.route.Adapter, c.version, apart, now)
-	request := c.placeRequest(waited)
+	request := c.placeRequest()
 	placed := read(&c.r.placer, func(p *placement) route.Placement { return p.placer.Place(request, view, now) })
 	if !placed.Found() {
 		ref := refusal.New(statusUnavailable, refusal.CodeNoEndpoint, "no engine can serve model %s now", c.model.Name)
@@ -284,13 +299,14 @@
 	return placed, nil
 }
 
-func (c *chatRun) placeRequest(waited bool) route.Request {
+func (c *chatRun) placeRequest() route.Request {
 	return route.Request{
 		ID:             c.number,
 		Hashes:         c.hashes,
+		RestBlocks:     float64(len(c.prompt)%c.model.BlockBytes) / float64(c.model.BlockBytes),
 		MicrosPerBlock: c.model.PrefillMicrosPerBlock,
 		Exclude:        c.excluded,
-		Waited:         waited,
+		Held:           c.held,
 	}
 }
 
@@ -299,6 +315,8 @@
 	first := read(&c.r.placer, func(p *placement) chan struct{} {
 		return p.first[placed.Behind]
 	})
+	began := time.Now()
+	defer func() { c.held += max(time.Since(began), time.Millisecond) }()
 	if first == nil {
 		return
 	}
--- a/pkg/router/engines.go
+++ b/pkg/router/engines.go
@@ -43,12 +43,10 @@
 // engineTable holds the engines by endpoint name.
 type engineTable struct {
 	engines map[string]*engineInfo
-	// ready is the version to route to, by model.
-	ready map[string]string
 }
 
 func newEngineTable() *engineTable {
-	return &engineTable{engines: map[string]*engineInfo{}, ready: map[string]string{}}
+	return &engineTable{engines: map[string]*engineInfo{}}
 }
 
 // candidate describes an endpoint to the placer.
@@ -223,16 +221,6 @@
 	})
 }
 
-// readyVersion returns the weight version that requests of the model go to.
-func (r *Router) readyVersion(model config.Model) string {
-	return read(&r.fleet, func(t *engineTable) string {
-		if version, ok := t.ready[model.Name]; ok {
-			return version
-		}
-		return model.Version
-	})
-}
-
 // endpointLoads lists this VM's requests in flight for heartbeats.
 func (r *Router) endpointLoads() []*peer.EndpointLoad {
 	names := read(&r.fleet, func(t *engineTable) []string {
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -2,7 +2,7 @@
 //
 // Requests run in a bounded pool of workers over shared tables. Each table has one mutex, see guarded. A
 // goroutine that needs two tables locks them in this order: config, members, leases, limits, intents, admission,
-// placer, index, engines, crashes. No call over the network is made while a table is locked.
+// placer, index, engines, crashes, orders. No call over the network is made while a table is locked.
 package router
 
 import (
@@ -32,6 +32,7 @@
 	"github.com/corneldeal/corneldeal/pkg/limit"
 	"github.com/corneldeal/corneldeal/pkg/logservice"
 	"github.com/corneldeal/corneldeal/pkg/member"
+	"github.com/corneldeal/corneldeal/pkg/order"
 	"github.com/corneldeal/corneldeal/pkg/peer"
 	"github.com/corneldeal/corneldeal/pkg/service"
 	"github.com/corneldeal/corneldeal/pkg/settings"
@@ -75,6 +76,7 @@
 	index   guarded[*cacheindex.Index]
 	fleet   guarded[*engineTable]
 	crashes guarded[*crashguard.Guard]
+	orders  guarded[*order.Planner]
 	retries guarded[*admit.RetryBudget]
 
 	intentsAdded chan struct{}
@@ -90,6 +92,9 @@
 	controlRead instant
 	// logAnswer is the newest answer of the log to a read or an append.
 	logAnswer instant
+	// orderFence is the fencing number of the newest right to issue orders, orderSince when it was first held.
+	orderFence atomic.Int64
+	orderSince instant
 	// snapshotTick is the newest snapshot record, snapshotSeen when it was first seen.
 	snapshotTick atomic.Int64
 	snapshotSeen instant
@@ -133,6 +138,8 @@
 	r.index.table = cacheindex.New(cacheindex.Settings{}, r.started)
 	r.fleet.table = newEngineTable()
 	r.crashes.table = crashguard.New(crashguard.Settings{})
+	r.orderFence.Store(-1)
+	r.orders.table = order.NewPlanner(order.Settings{})
 	r.retries.table = &admit.RetryBudget{}
 	r.state.Store(r.config.table.State())
 	r.logs = logservice.New(s.LogAddress, r.http)
--- a/pkg/router/service.go
+++ b/pkg/router/service.go
@@ -20,6 +20,7 @@
 	statusBadRequest   = 400
 	statusUnauthorized = 401
 	statusNotFound     = 404
+	statusConflict     = 409
 	statusTimeout      = 504
 	statusTooMany      = 429
 	statusClientClosed = 499
