Test admission

Cause: the queue and the retry budget had no tests. Change: rapid properties for the delay of well-behaved workspaces while another sends five times its rate, and for the retry budget at each grant; tests for shares, bounds, early deadlines, standing endpoints and forgotten workspaces. Conclusion: a workspace at five times its rate delays only itself, within one request of each other workspace.

--- /dev/null
+++ b/pkg/admit/admit_test.go
@@ -0,0 +1,267 @@
+package admit
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/corneldeal/corneldeal/pkg/refusal"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+// A workspace that sends five times its rate must delay only itself. The endpoints serve exactly the sum of the
+// rates; every other workspace stays below its rate, and each of its requests waits at most for its own service
+// at its rate and for one request of each workspace.
+func TestOverloadDelaysOnlyItself(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"aggressor", "b", "c", "d", "e"}[:rapid.IntRange(2, 5).Draw(t, "workspaces")]
+		const rate = 1000 // tokens per second and workspace
+		const maxCost = 500
+		q := New(Settings{MaxPerWorkspace: 20})
+		rates := map[string]int64{}
+		next := map[string]int{}
+		for _, name := range names {
+			rates[name] = rate
+			next[name] = rapid.IntRange(0, 500).Draw(t, "start")
+		}
+		q.SetWeights(rates)
+		perToken := time.Second / time.Duration(rate*len(names))
+		bound := time.Duration(len(names)+1)*maxCost*perToken + maxCost*time.Second/rate
+		free := epoch
+		id := uint64(0)
+		for ms := range 10_000 {
+			now := at(ms)
+			for _, name := range names {
+				if ms < next[name] {
+					continue
+				}
+				id++
+				cost := rapid.IntRange(10, maxCost).Draw(t, "cost")
+				gap := cost * 1000 / (rate * 8 / 10)
+				if name == names[0] {
+					gap = cost * 1000 / (rate * 5)
+				}
+				next[name] = ms + max(gap, 1)
+				err := q.Push(Item{ID: id, Workspace: name, Cost: int64(cost)}, now)
+				if err != nil && name != names[0] {
+					t.Fatalf("%d ms: a request of %s was refused: %v", ms, name, err)
+				}
+			}
+			for !free.After(now) && q.Len() > 0 {
+				item, _ := q.Pop(now)
+				if waited := now.Sub(item.Pushed); waited > bound && item.Workspace != names[0] {
+					t.Fatalf("%d ms: a request of %s waited %v, bound %v", ms, item.Workspace, waited, bound)
+				}
+				if free.Before(now.Add(-time.Millisecond)) {
+					free = now
+				}
+				free = free.Add(time.Duration(item.Cost) * perToken)
+			}
+		}
+	})
+}
+
+// push queues n requests of cost 10 without a deadline.
+func push(t *testing.T, q *Queue, workspace string, n int, now time.Time) {
+	t.Helper()
+	for i := range n {
+		if err := q.Push(Item{ID: uint64(i), Workspace: workspace, Cost: 10}, now); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// popped counts the requests of each workspace among the next n.
+func popped(q *Queue, n int, now time.Time) string {
+	counts := map[string]int{}
+	for range n {
+		item, _ := q.Pop(now)
+		counts[item.Workspace]++
+	}
+	return fmt.Sprint(counts)
+}
+
+func TestShares(t *testing.T) {
+	cases := []struct {
+		failure string
+		want    string
+		prepare func(q *Queue)
+	}{
+		{"equal workspaces get unequal shares", "map[a:10 b:10]", func(*Queue) {}},
+		{"a workspace gets credit for its idle time", "map[a:10 b:10]", func(q *Queue) {
+			push(t, q, "b", 1, at(0))
+			push(t, q, "a", 100, at(0))
+			popped(q, 91, at(1))
+		}},
+		{"a workspace is punished for work that took nothing from others", "map[a:10 b:10]", func(q *Queue) {
+			push(t, q, "a", 100, at(0))
+			popped(q, 100, at(1))
+			q.Charge("a", 5000)
+		}},
+		{"work beyond the expected cost is not charged", "map[a:5 b:15]", func(q *Queue) {
+			push(t, q, "a", 1, at(0))
+			push(t, q, "b", 1, at(0))
+			q.Charge("a", 100)
+		}},
+		{"the weights are not used", "map[a:15 b:5]", func(q *Queue) {
+			q.SetWeights(map[string]int64{"a": 300, "b": 100})
+		}},
+	}
+	for _, c := range cases {
+		q := New(Settings{})
+		c.prepare(q)
+		push(t, q, "a", 50, at(2))
+		push(t, q, "b", 50, at(2))
+		if got := popped(q, 20, at(3)); got != c.want {
+			t.Errorf("%s: got %s, want %s", c.failure, got, c.want)
+		}
+	}
+}
+
+// code returns the code and the time to retry of a refusal.
+func code(err error) (refusal.Code, time.Duration) {
+	var e *refusal.Error
+	if !errors.As(err, &e) {
+		return "", 0
+	}
+	return e.Code, e.RetryAfter
+}
+
+// A full queue must refuse with a time to retry, and must not take the room of another workspace.
+func TestQueueIsBounded(t *testing.T) {
+	q := New(Settings{MaxPerWorkspace: 3, MaxItems: 5})
+	push(t, q, "a", 3, epoch)
+	if c, retry := code(q.Push(Item{Workspace: "a"}, epoch)); c != refusal.CodeQueueFull || retry <= 0 {
+		t.Fatalf("code %q, retry after %v", c, retry)
+	}
+	push(t, q, "b", 2, epoch)
+	if c, _ := code(q.Push(Item{Workspace: "c"}, epoch)); c != refusal.CodeQueueFull {
+		t.Fatalf("code %q above the bound of all queues", c)
+	}
+	if !q.Remove("a", 0, epoch) || q.Remove("a", 99, epoch) || q.Len() != 4 {
+		t.Fatal("a request whose caller left stays in the queue")
+	}
+}
+
+// serving returns a queue that was observed to serve 1000 tokens per second, and the time. Requests that found
+// it empty must not count, or the first backlog would seem short.
+func serving(t *testing.T) (*Queue, int) {
+	q := New(Settings{})
+	for ms := range 5000 {
+		push(t, q, "a", 1, at(ms))
+		q.Pop(at(ms))
+	}
+	push(t, q, "a", 200, at(5000))
+	ms := 5000
+	for range 150 {
+		ms += 10
+		q.Pop(at(ms))
+	}
+	return q, ms
+}
+
+// A request that cannot meet its deadline must be refused at once, with the time after which it would fit, and one
+// that can must be queued. Another workspace's backlog must not count in full.
+func TestDeadlineIsGivenUpEarly(t *testing.T) {
+	q, ms := serving(t)
+	now := at(ms)
+	if wait := q.Wait("a", now); wait < 450*time.Millisecond || wait > 550*time.Millisecond {
+		t.Fatalf("predicted wait %v behind 500 tokens at 1000 tokens a second", wait)
+	}
+	item := Item{Workspace: "a", Cost: 10, Deadline: now.Add(300 * time.Millisecond), Service: 100 * time.Millisecond}
+	if c, retry := code(q.Push(item, now)); c != refusal.CodeDeadline || retry < 200*time.Millisecond || retry > 400*time.Millisecond {
+		t.Fatalf("code %q, retry after %v, want about 300ms", c, retry)
+	}
+	item.Workspace = "b"
+	if err := q.Push(item, now); err != nil {
+		t.Fatalf("a workspace without backlog was refused: %v", err)
+	}
+	item.Workspace, item.Deadline = "a", now.Add(time.Second)
+	if err := q.Push(item, now); err != nil {
+		t.Fatalf("a request that can be served in time was refused: %v", err)
+	}
+}
+
+// Requests that waited for endpoints that stand still must get their answer before their deadline, earlier behind
+// a backlog, and requests without a deadline must stay.
+func TestExpireWhenServiceStops(t *testing.T) {
+	q, ms := serving(t)
+	item := Item{Deadline: at(ms + 3000), Service: 500 * time.Millisecond}
+	for i, name := range []string{"a", "b"} {
+		item.ID, item.Workspace = uint64(1000+i), name
+		if err := q.Push(item, at(ms)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, c := range []struct {
+		after int
+		want  string
+	}{{1000, "[]"}, {1900, "[1000]"}, {2499, "[]"}, {2501, "[1001]"}} {
+		ids := []uint64{}
+		for _, item := range q.Expire(at(ms + c.after)) {
+			ids = append(ids, item.ID)
+		}
+		if fmt.Sprint(ids) != c.want {
+			t.Errorf("after %d ms: gave up %v, want %s", c.after, ids, c.want)
+		}
+	}
+	if q.Len() != 50 {
+		t.Errorf("%d requests without a deadline left, want 50", q.Len())
+	}
+}
+
+// Workspaces that sent one request must not be kept for ever.
+func TestIdleWorkspacesAreForgotten(t *testing.T) {
+	q := New(Settings{})
+	for i := range 100 {
+		push(t, q, fmt.Sprint(i), 1, at(i))
+		q.Pop(at(i))
+	}
+	push(t, q, "last", 1, at(200))
+	q.Expire(at(200))
+	if len(q.lines) != 1 {
+		t.Fatalf("%d workspaces kept", len(q.lines))
+	}
+}
+
+// A failing endpoint must not multiply the load: a retry is allowed only while the retries of the last ten seconds
+// are at most three and a tenth of the first attempts. A quiet VM must be able to retry.
+func TestRetryBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b RetryBudget
+		var firsts, retries []int
+		ms := 0
+		within := func(times []int, window int) (n int) {
+			for _, at := range times {
+				if at > ms-window {
+					n++
+				}
+			}
+			return n
+		}
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			ms += rapid.IntRange(0, 400).Draw(t, "ms")
+			if rapid.IntRange(0, 3).Draw(t, "retry") > 0 {
+				b.First(at(ms))
+				firsts = append(firsts, ms)
+				continue
+			}
+			if !b.Take(at(ms)) {
+				if n := within(retries, 11_000); n < retryFloor {
+					t.Fatalf("%d ms: refused after %d retries", ms, n)
+				}
+				continue
+			}
+			retries = append(retries, ms)
+			if n, f := within(retries, 10_000), within(firsts, 10_000); n > retryFloor+f/10 {
+				t.Fatalf("%d ms: retry %d allowed for %d first attempts in ten seconds", ms, n, f)
+			}
+		}
+	})
+}
