Bound the cost of placement and close gaps found on reading

A load report older than the own history was corrected with wrong counts; a full table of prefixes could drop hot ones; a second attempt of a request leaked the first; a request could be crafted to share the fingerprint of another one.

--- a/pkg/cacheindex/table.go
+++ b/pkg/cacheindex/table.go
@@ -1,5 +1,7 @@
 package cacheindex
 
+import "math/bits"
+
 // slot is one entry of a table. A stamp of zero marks a free slot.
 type slot struct {
 	low, high uint32
@@ -11,8 +13,7 @@
 }
 
 // table is an open-addressing hash table with linear probing and backward-shift deletion. A slot takes 12 bytes
-// without padding; the built-in map takes 17 bytes for the same content. Block hashes are uniform, so their low
-// bits serve as the position.
+// without padding; the built-in map takes 17 bytes for the same content.
 type table struct {
 	slots []slot
 	used  int
@@ -27,8 +28,12 @@
 	shrinkEighth = 1
 )
 
+// multiplier spreads the hashes over the slots by its product's high bits. Without it hashes that agree in their
+// low bits form one long probe run.
+const multiplier = 0x9e3779b97f4a7c15
+
 func (t *table) home(hash uint64) int {
-	return int(hash & uint64(len(t.slots)-1))
+	return int((hash * multiplier) >> (64 - bits.TrailingZeros(uint(len(t.slots)))))
 }
 
 // find returns the position of the hash, or -1.
--- a/pkg/crashguard/guard.go
+++ b/pkg/crashguard/guard.go
@@ -12,23 +12,24 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
 	"encoding/binary"
 	"slices"
 	"time"
 
-	"github.com/zeebo/xxh3"
-
 	"github.com/corneldeal/corneldeal/pkg/refusal"
 )
 
-// Fingerprint identifies a request over all repeats by its caller.
+// Fingerprint identifies a request over all repeats by its caller. It is the beginning of a SHA-256 digest: with a
+// hash that is easy to invert, a caller could make a request that is refused together with another workspace's.
 func Fingerprint(workspace, route string, body []byte) uint64 {
-	var data []byte
+	digest := sha256.New()
 	for _, name := range [...]string{workspace, route} {
-		data = binary.AppendUvarint(data, uint64(len(name)))
-		data = append(data, name...)
+		digest.Write(binary.AppendUvarint(nil, uint64(len(name))))
+		digest.Write([]byte(name))
 	}
-	return xxh3.HashSeed(body, xxh3.Hash(data))
+	digest.Write(body)
+	return binary.BigEndian.Uint64(digest.Sum(nil))
 }
 
 // Weight is the state of one accusation. When two VMs disagree, Strong wins over Cleared, Cleared over Weak and
--- a/pkg/route/placement.go
+++ b/pkg/route/placement.go
@@ -128,4 +128,6 @@
 	// Queue is the predicted queue delay, in milliseconds.
 	Queue float64
 	state *endpointState
+	// rank is the position among the candidates by rendezvous weight of a hot prefix, from 0.
+	rank int
 }
--- a/pkg/route/placer.go
+++ b/pkg/route/placer.go
@@ -132,7 +132,7 @@
 	out := make([]Candidate, 0, len(v.Endpoints))
 	for _, e := range v.Endpoints {
 		state := p.state(e.Name, e.Incarnation)
-		others := state.others(&e, v.Peers)
+		others := state.others(&e, v.Peers, now)
 		c := Candidate{
 			Endpoint: e,
 			InFlight: others + float64(len(state.own)),
@@ -153,7 +153,10 @@
 		c.Queue = state.queueMillis(&e, r, others, now)
 		out = append(out, c)
 	}
-	slices.SortFunc(out, func(a, b Candidate) int { return cmp.Compare(a.Name, b.Name) })
+	byName := func(a, b Candidate) int { return cmp.Compare(a.Name, b.Name) }
+	if !slices.IsSortedFunc(out, byName) {
+		slices.SortFunc(out, byName)
+	}
 	return out
 }
 
@@ -238,9 +241,11 @@
 	return low
 }
 
-// Sent records that the request was sent as placed. Hashes are kept until Done.
+// Sent records that the request was sent as placed. Hashes are kept until Done. An earlier attempt of the request
+// counts as done.
 func (p *Placer) Sent(r Request, placed Placement, now time.Time) {
 	p.sweep(now)
+	p.Done(r.ID, false, now)
 	state := p.state(placed.Endpoint, "")
 	q := &pending{
 		id:       r.ID,
--- a/pkg/route/placer_test.go
+++ b/pkg/route/placer_test.go
@@ -217,37 +217,43 @@
 // burst, and shrink back when the load is gone.
 func TestHotPrefixSpreadsAndShrinks(t *testing.T) {
 	names := []string{"a", "b", "c", "d"}
-	var orders [][]string
+	var choices []string
 	for seed := range uint64(3) {
 		p := placer(t, Options{Seed: seed})
 		now := simStart
 		copies := func(seconds int, queue float64) int {
-			var s *spread
+			n := 1
 			for range seconds * 20 {
 				now = now.Add(50 * time.Millisecond)
 				r := request(0, 10)
 				var candidates []Candidate
-				for i, e := range endpoints(names...) {
-					c := Candidate{Endpoint: e, state: newEndpointState("1")}
-					if s != nil && slices.Index(s.order, names[i]) < s.copies {
-						c.Queue = queue / float64(s.copies)
+				for _, e := range endpoints(names...) {
+					candidates = append(candidates, Candidate{Endpoint: e, state: newEndpointState("1")})
+				}
+				rank(r.Hashes[9], candidates)
+				for i := range candidates {
+					if candidates[i].rank < n {
+						candidates[i].Queue = queue / float64(n)
 					}
-					candidates = append(candidates, c)
 				}
-				s = p.prefixes.plan(&r, candidates, 8, p.random, now)
+				if s := p.prefixes.plan(&r, candidates, 8, p.random, now); s != nil {
+					n = s.copies
+				}
+				choice := ""
+				for _, c := range candidates {
+					choice += fmt.Sprint(c.Name, c.rank)
+				}
+				choices = append(choices, choice)
 			}
-			orders = append(orders, s.order)
-			return s.copies
+			return n
 		}
 		got := fmt.Sprint(copies(4, 0), copies(6, 50), copies(12, 0))
 		if got != "1 3 1" {
 			t.Errorf("copies without, with and after load: %s, want 1 3 1", got)
 		}
 	}
-	for _, order := range orders {
-		if !slices.Equal(order, orders[0]) {
-			t.Errorf("VMs choose %v and %v", order, orders[0])
-		}
+	if choices = slices.Compact(choices); len(choices) != 1 {
+		t.Errorf("VMs choose different copies: %v", choices)
 	}
 }
 
--- a/pkg/route/sim_test.go
+++ b/pkg/route/sim_test.go
@@ -493,6 +493,33 @@
 	return l
 }
 
+// One placement at the target size: 120 engines, 400 hot prefixes, prompts of 32 blocks.
+func BenchmarkPlace(b *testing.B) {
+	p := placer(b, Options{})
+	index := cacheindex.New(cacheindex.Settings{}, simStart)
+	view := View{Peers: 19, Cache: index}
+	for i := range 120 {
+		e := Endpoint{Name: fmt.Sprintf("e%03d", i), Incarnation: "1", Serves: true}
+		view.Endpoints = append(view.Endpoints, e)
+		index.Observe(e.Name, "1", simStart, simStart)
+	}
+	now := simStart
+	id := uint64(0)
+	for b.Loop() {
+		id++
+		now = now.Add(10 * time.Millisecond)
+		r := request(id, 32)
+		for i := range r.Hashes {
+			r.Hashes[i] ^= id % 400
+		}
+		placed := p.Place(r, view, now)
+		p.Sent(r, placed, now)
+		index.Assume(placed.Endpoint, "1", r.Hashes, now)
+		p.FirstToken(id, now)
+		p.Done(id, true, now)
+	}
+}
+
 // Prints hit rate and time to first token of each policy and variant, as means over three seeds.
 func BenchmarkPolicies(b *testing.B) {
 	variants := []struct {
--- a/pkg/route/spread.go
+++ b/pkg/route/spread.go
@@ -91,33 +91,34 @@
 	return deepest
 }
 
-// makeRoom drops prefixes that are not hot when the table is full, the coldest half of a sample at once.
+// makeRoom drops prefixes when the table is full: those not seen for a while, and if these are few, others that
+// are not hot, and at last any. An eighth of the table becomes free, so that the cost is rare.
 func (t *prefixes) makeRoom(now time.Time) {
 	if len(t.table) < maxPrefixes {
 		return
 	}
-	for h, p := range t.table {
-		if now.Sub(p.seen) > rateMemory {
-			delete(t.table, h)
+	drops := [...]func(*prefix) bool{
+		func(p *prefix) bool { return now.Sub(p.seen) > rateMemory },
+		func(p *prefix) bool { return !p.hot },
+		func(*prefix) bool { return true },
+	}
+	for _, drop := range drops {
+		for h, p := range t.table {
+			if len(t.table) <= maxPrefixes-maxPrefixes/8 {
+				return
+			}
+			if drop(p) {
+				delete(t.table, h)
+			}
 		}
 	}
-	const sample = maxPrefixes / 8
-	dropped := 0
-	for h := range t.table {
-		if len(t.table) < maxPrefixes && dropped >= sample {
-			return
-		}
-		delete(t.table, h)
-		dropped++
-	}
 }
 
 // spread is the decision for one request with a hot prefix.
 type spread struct {
 	// depth is the number of blocks of the hot prefix.
 	depth int
-	// order holds the endpoint names by falling rendezvous weight; the first copies are preferred.
-	order  []string
+	// copies is the number of ranks that are preferred.
 	copies int
 	// discount is the share of the computation that this request is charged.
 	discount float64
@@ -138,22 +139,13 @@
 	if p == nil {
 		return nil
 	}
-	order := make([]string, 0, len(candidates))
-	queue := make(map[string]float64, len(candidates))
-	for i := range candidates {
-		order = append(order, candidates[i].Name)
-		queue[candidates[i].Name] = candidates[i].Queue
-	}
-	slices.SortFunc(order, func(a, b string) int {
-		return cmp.Compare(rendezvous(key, b), rendezvous(key, a))
-	})
+	rank(key, candidates)
 	cost := candidates[0].state.computeMillis(r, at+1)
 	grow := max(growShare*cost, minGrowMillis)
-	p.copies = min(p.copies, len(order))
-	p.adapt(order, queue, grow, now)
+	p.copies = min(p.copies, len(candidates))
+	p.adapt(candidates, grow, now)
 	s := &spread{
 		depth:    at + 1,
-		order:    order,
 		copies:   p.copies,
 		discount: 1,
 	}
@@ -168,14 +160,32 @@
 	return s
 }
 
+// rank orders the candidates by falling rendezvous weight.
+func rank(key uint64, candidates []Candidate) {
+	order := make([]weighted, len(candidates))
+	for i := range candidates {
+		order[i] = weighted{rendezvous(key, candidates[i].Name), i}
+	}
+	slices.SortFunc(order, func(a, b weighted) int { return cmp.Compare(b.weight, a.weight) })
+	for i, w := range order {
+		candidates[w.index].rank = i
+	}
+}
+
+type weighted struct {
+	weight uint64
+	index  int
+}
+
 // adapt changes the number of copies by at most one.
-func (p *prefix) adapt(order []string, queue map[string]float64, grow float64, now time.Time) {
+func (p *prefix) adapt(candidates []Candidate, grow float64, now time.Time) {
 	inside, outside := math.Inf(1), math.Inf(1)
-	for i, name := range order {
-		if i < p.copies {
-			inside = min(inside, queue[name])
+	for i := range candidates {
+		c := &candidates[i]
+		if c.rank < p.copies {
+			inside = min(inside, c.Queue)
 		} else {
-			outside = min(outside, queue[name])
+			outside = min(outside, c.Queue)
 		}
 	}
 	keep := math.Exp(-now.Sub(p.delayAt).Seconds() / delayMemory.Seconds())
@@ -197,8 +207,7 @@
 
 // score returns the preference for a candidate in milliseconds.
 func (s *spread) score(c *Candidate, r *Request) float64 {
-	rank := slices.Index(s.order, c.Name)
-	if rank >= s.copies {
+	if c.rank >= s.copies {
 		return s.penalty
 	}
 	shared := s.depth - max(c.Import, c.Matched)
--- a/pkg/route/state.go
+++ b/pkg/route/state.go
@@ -75,6 +75,7 @@
 func newEndpointState(incarnation string) *endpointState {
 	return &endpointState{
 		incarnation:  incarnation,
+		history:      []change{{}},
 		factor:       1,
 		service:      initialServiceMillis,
 		prefillShare: initialPrefillShare,
@@ -114,30 +115,27 @@
 	s.history = append(s.history[:0], s.history[drop:]...)
 }
 
-// ownAt returns the number of own requests at an earlier time, or now's when the history does not reach back.
+// ownAt returns the number of own requests at an earlier time, or the oldest known.
 func (s *endpointState) ownAt(at time.Time) int {
-	for i := len(s.history) - 1; i >= 0; i-- {
+	for i := len(s.history) - 1; i > 0; i-- {
 		if !s.history[i].at.After(at) {
 			return s.history[i].count
 		}
 	}
-	if len(s.history) > 0 {
-		return 0
-	}
-	return len(s.own)
+	return s.history[0].count
 }
 
 // others estimates the requests of other VMs on the endpoint now. It takes the fresher of two sources: the sum
 // that peers report, and the engine's report less the own requests of that moment. Peers send requests like this
 // VM does, so since their heartbeat each is expected to have added as many as this VM did. Without this, all VMs
-// choose the endpoint that last looked idle.
-func (s *endpointState) others(e *Endpoint, peers int) float64 {
+// choose the endpoint that last looked idle. Reports older than the history are not used.
+func (s *endpointState) others(e *Endpoint, peers int, now time.Time) float64 {
 	count, at := 0.0, time.Time{}
-	if !e.Load.MeasuredAt.IsZero() {
+	if now.Sub(e.Load.MeasuredAt) < historyAge {
 		at = e.Load.MeasuredAt
 		count = float64(max(e.Load.Running+e.Load.Waiting-s.ownAt(at), 0))
 	}
-	if !e.Peers.At.IsZero() {
+	if now.Sub(e.Peers.At) < historyAge {
 		reported := float64(e.Peers.InFlight)
 		switch {
 		case e.Peers.Complete && e.Peers.At.After(at):
