Send load changes between heartbeats and ask all peers before a rate refusal

Cause: placement saw the other VMs' requests up to 500 ms late, so several VMs chose the same engine; a request was refused although its tokens lay on peers whose hints were out of date.

--- a/pkg/member/load.go
+++ b/pkg/member/load.go
@@ -1,6 +1,11 @@
 package member
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/corneldeal/corneldeal/pkg/timeline"
+)
 
 // InFlight returns the number of requests that the live peers have in flight at an endpoint.
 func (t *Table) InFlight(endpoint string, now time.Time) int {
@@ -8,6 +13,43 @@
 	return t.inFlight[endpoint]
 }
 
+// ApplyLoads takes loads that a peer sent between two heartbeats. Endpoints that are not listed keep their number. An
+// update of another incarnation, or one sent before the newest heartbeat, is ignored and false is returned.
+func (t *Table) ApplyLoads(vm, incarnation string, sent timeline.Stamp, loads []EndpointLoad) bool {
+	p, ok := t.peers[vm]
+	if !ok || p.last == nil || p.last.Incarnation != incarnation || sent.Compare(p.last.Sent) <= 0 {
+		return false
+	}
+	wasCounted := p.counted
+	t.uncount(p)
+	// Members hand out the newest heartbeat, so a changed copy replaces it.
+	next := *p.last
+	next.Sent = sent
+	next.Loads = mergeLoads(p.last.Loads, loads)
+	p.last = &next
+	if wasCounted {
+		t.count(p)
+	}
+	return true
+}
+
+// mergeLoads returns old with the numbers of changed.
+func mergeLoads(old, changed []EndpointLoad) []EndpointLoad {
+	out := make([]EndpointLoad, 0, len(old)+len(changed))
+	for _, l := range old {
+		listed := slices.ContainsFunc(changed, func(c EndpointLoad) bool { return c.Endpoint == l.Endpoint })
+		if !listed {
+			out = append(out, l)
+		}
+	}
+	for _, c := range changed {
+		if c.InFlight > 0 {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // count adds the loads of a peer to the sums.
 func (t *Table) count(p *peer) {
 	for _, load := range p.last.Loads {
--- /dev/null
+++ b/pkg/peer/datagram_test.go
@@ -0,0 +1,36 @@
+package peer
+
+import "testing"
+
+// A datagram from a process without the peer token must not change the view of loads.
+func TestDatagramNeedsToken(t *testing.T) {
+	d := &Datagrams{token: []byte("0123456789abcdef")}
+	other := &Datagrams{token: []byte("another-token-16")}
+	update := &LoadUpdate{Envelope: &Envelope{Vm: "vm-1"}, Loads: []*EndpointLoad{{Endpoint: "e1", InFlight: 3}}}
+	datagram := d.Encode(update)
+	if got, err := d.decode(datagram); err != nil || got.Loads[0].InFlight != 3 {
+		t.Fatalf("authentic datagram: %v, %v", got, err)
+	}
+	if _, err := other.decode(datagram); err == nil {
+		t.Error("a datagram with another token was accepted")
+	}
+	datagram[len(datagram)-1]++
+	if _, err := d.decode(datagram); err == nil {
+		t.Error("a changed datagram was accepted")
+	}
+	if _, err := d.decode(datagram[:macBytes-1]); err == nil {
+		t.Error("a short datagram was accepted")
+	}
+}
+
+// An update that does not fit into one datagram must be left to heartbeats instead of being cut off.
+func TestLargeUpdateIsNotEncoded(t *testing.T) {
+	d := &Datagrams{token: []byte("0123456789abcdef")}
+	update := &LoadUpdate{}
+	for range 200 {
+		update.Loads = append(update.Loads, &EndpointLoad{Endpoint: "endpoint-with-a-name", InFlight: 1})
+	}
+	if datagram := d.Encode(update); datagram != nil {
+		t.Errorf("a datagram of %d bytes was encoded", len(datagram))
+	}
+}
--- a/pkg/router/attempt.go
+++ b/pkg/router/attempt.go
@@ -92,7 +92,7 @@
 		c.withdraw(held)
 		held = nil
 	})
-	c.done(err == nil)
+	c.done(endpoint.Name, err == nil)
 	if err == nil {
 		c.cleared(suspect, held)
 		return nil, true
@@ -111,10 +111,12 @@
 		p.placer.Sent(request, placed, now)
 		p.first[c.number] = make(chan struct{})
 	})
+	c.r.noteLoad(placed.Endpoint)
 	c.r.index.do(func(x *cacheindex.Index) { x.Assume(placed.Endpoint, placed.Incarnation, c.hashes, now) })
 }
 
-func (c *chatRun) done(ok bool) {
+func (c *chatRun) done(endpoint string, ok bool) {
+	defer c.r.noteLoad(endpoint)
 	c.r.placer.do(func(p *placement) {
 		p.placer.Done(c.number, ok, time.Now())
 		p.end(c.number)
--- a/pkg/router/backend.go
+++ b/pkg/router/backend.go
@@ -40,6 +40,7 @@
 	r.every(holdEvery, r.holdSlots)
 	r.every(vouchEvery, r.vouchRound)
 	r.every(isolationCheck, r.watchIsolation)
+	r.every(loadUpdateEvery, r.sendLoads)
 	r.every(queueTick, r.dispatch)
 	r.every(carryEvery, r.carryIntents)
 	r.every(snapshotCheck, r.appendSnapshot)
--- a/pkg/router/charge.go
+++ b/pkg/router/charge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -9,6 +10,7 @@
 	"github.com/corneldeal/corneldeal/pkg/admit"
 	"github.com/corneldeal/corneldeal/pkg/config"
 	"github.com/corneldeal/corneldeal/pkg/limit"
+	"github.com/corneldeal/corneldeal/pkg/member"
 	"github.com/corneldeal/corneldeal/pkg/peer"
 	"github.com/corneldeal/corneldeal/pkg/refusal"
 )
@@ -16,7 +18,7 @@
 const (
 	// longestTokenWait bounds the wait of a request for tokens.
 	longestTokenWait = time.Second
-	// tokenPoll is the time between two tries while a request waits for tokens.
+	// tokenPoll is the shortest time between two tries of a request that waits for tokens.
 	tokenPoll = 50 * time.Millisecond
 	// debitTimeout bounds one debit. A late answer loses its tokens.
 	debitTimeout = 300 * time.Millisecond
@@ -51,12 +53,11 @@
 		if ref != nil || wait == 0 {
 			return paid, ref
 		}
-		now := time.Now()
-		if now.Add(min(wait, tokenPoll)).After(until) || now.Add(wait).After(until) {
+		if time.Now().Add(wait).After(until) {
 			return nil, errRateLimited(workspace, wait)
 		}
 		select {
-		case <-time.After(min(wait, tokenPoll)):
+		case <-time.After(wait):
 		case <-ctx.Done():
 			return nil, endCause(ctx)
 		}
@@ -94,12 +95,44 @@
 		return nil, 0, refusal.New(statusUnavailable, refusal.CodeNoConfig, "the limit of workspace %s is not known yet", workspace.Name).After(time.Second)
 	}
 	missing -= r.collect(ctx, paid, donors)
+	if missing > 0 {
+		missing -= r.sweep(ctx, paid, donors, missing)
+	}
 	if missing <= 0 {
 		return paid, 0, nil
 	}
 	r.refund(paid, 0)
-	wait := read(&r.limits, func(l *limit.Limiter) time.Duration { return l.WaitFor(workspace.Name, tokens, time.Now()) })
-	return nil, max(wait, tokenPoll), nil
+	return nil, max(mintTime(workspace, missing), tokenPoll), nil
+}
+
+// mintTime is the time in which the workspace is given the tokens over all VMs.
+func mintTime(workspace config.Workspace, tokens int64) time.Duration {
+	seconds := float64(tokens) / float64(max(workspace.TokensPerSecond, 1))
+	return time.Duration(min(seconds, 3600) * float64(time.Second))
+}
+
+// sweep asks the peers that the hints did not name, one after the other, and returns the tokens collected. Hints are
+// up to a heartbeat old; near the end of a workspace's stock they understate what is there. Every VM asks in the
+// same order, so that of two requests the first gets all it needs instead of both getting half.
+func (r *Router) sweep(ctx context.Context, paid *payment, asked []limit.Donor, missing int64) int64 {
+	collected := int64(0)
+	now := time.Now()
+	for _, m := range read(&r.members, func(t *member.Table) []member.Member { return t.Live(now) }) {
+		if collected >= missing || ctx.Err() != nil {
+			break
+		}
+		named := slices.ContainsFunc(asked, func(d limit.Donor) bool { return d.VM == m.Name })
+		if named {
+			continue
+		}
+		part := r.debit(ctx, paid.workspace, limit.Donor{VM: m.Name, Tokens: missing - collected})
+		if part == nil {
+			continue
+		}
+		paid.remote = append(paid.remote, *part)
+		collected += part.tokens
+	}
+	return collected
 }
 
 // collect debits the donors at the same time and returns the tokens collected.
--- /dev/null
+++ b/pkg/router/loads.go
@@ -0,0 +1,76 @@
+package router
+
+import (
+	"time"
+
+	"github.com/corneldeal/corneldeal/pkg/member"
+	"github.com/corneldeal/corneldeal/pkg/peer"
+	"github.com/corneldeal/corneldeal/pkg/timeline"
+)
+
+// loadUpdateEvery bounds the rate of load updates. With reports that were half a second old, several VMs chose the
+// same engine at the same time.
+const loadUpdateEvery = 20 * time.Millisecond
+
+// loadChanges collects the endpoints whose in-flight count changed since the last update.
+type loadChanges struct {
+	endpoints map[string]bool
+}
+
+// noteLoad marks an endpoint for the next load update.
+func (r *Router) noteLoad(endpoint string) {
+	r.changes.do(func(c *loadChanges) { c.endpoints[endpoint] = true })
+}
+
+// sendLoads tells peers of the loads that changed.
+func (r *Router) sendLoads() {
+	var names []string
+	r.changes.do(func(c *loadChanges) {
+		for name := range c.endpoints {
+			names = append(names, name)
+		}
+		clear(c.endpoints)
+	})
+	if len(names) == 0 {
+		return
+	}
+	update := &peer.LoadUpdate{Envelope: r.envelope()}
+	r.placer.do(func(p *placement) {
+		for _, name := range names {
+			update.Loads = append(update.Loads, &peer.EndpointLoad{Endpoint: name, InFlight: int32(p.placer.InFlight(name))})
+		}
+	})
+	datagram := r.datagrams.Encode(update)
+	if datagram == nil {
+		return
+	}
+	for _, address := range r.peerAddresses() {
+		_ = r.datagrams.Send(address, datagram)
+		count(metricLoadUpdates, 1)
+		count(metricLoadBytes, int64(len(datagram)))
+	}
+}
+
+// receiveLoads applies the updates of peers.
+func (r *Router) receiveLoads() {
+	for {
+		update, err := r.datagrams.Receive()
+		if err != nil {
+			return
+		}
+		r.applyLoads(update)
+	}
+}
+
+func (r *Router) applyLoads(update *peer.LoadUpdate) {
+	e := update.Envelope
+	if e == nil {
+		return
+	}
+	loads := make([]member.EndpointLoad, 0, len(update.Loads))
+	for _, l := range update.Loads {
+		loads = append(loads, member.EndpointLoad{Endpoint: l.Endpoint, InFlight: int(l.InFlight)})
+	}
+	sent := timeline.Stamp{WallNs: e.HlcWallNs, Counter: e.HlcCounter}
+	r.members.do(func(t *member.Table) { t.ApplyLoads(e.Vm, e.Incarnation, sent, loads) })
+}
--- a/pkg/router/metrics.go
+++ b/pkg/router/metrics.go
@@ -25,6 +25,8 @@
 	metricReadErrors     = "log_read_errors"
 	metricHeartbeats     = "heartbeats"
 	metricHeartbeatFails = "heartbeat_failures"
+	metricLoadUpdates    = "load_updates"
+	metricLoadBytes      = "load_update_bytes"
 	metricCacheEvents    = "cache_events"
 	metricOrders         = "engine_orders"
 	metricCrashes        = "endpoint_crashes"
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -2,7 +2,7 @@
 //
 // Requests run in a bounded pool of workers over shared tables. Each table has one mutex, see guarded. A
 // goroutine that needs two tables locks them in this order: config, members, leases, limits, intents, admission,
-// placer, index, engines, crashes, orders. No call over the network is made while a table is locked.
+// placer, index, engines, crashes, orders, changes. No call over the network is made while a table is locked.
 package router
 
 import (
@@ -57,6 +57,8 @@
 	services *service.Client
 	peers    *peer.Clients
 	peerTLS  *tls.Config
+	// datagrams carries load updates between heartbeats.
+	datagrams *peer.Datagrams
 
 	pool   *ants.Pool
 	clock  *timeline.Clock
@@ -77,6 +79,7 @@
 	fleet   guarded[*engineTable]
 	crashes guarded[*crashguard.Guard]
 	orders  guarded[*order.Planner]
+	changes guarded[*loadChanges]
 	retries guarded[*admit.RetryBudget]
 
 	intentsAdded chan struct{}
@@ -138,6 +141,7 @@
 	r.index.table = cacheindex.New(cacheindex.Settings{}, r.started)
 	r.fleet.table = newEngineTable()
 	r.crashes.table = crashguard.New(crashguard.Settings{})
+	r.changes.table = &loadChanges{endpoints: map[string]bool{}}
 	r.orderFence.Store(-1)
 	r.orders.table = order.NewPlanner(order.Settings{})
 	r.retries.table = &admit.RetryBudget{}
@@ -170,6 +174,9 @@
 	if r.peerLn, err = net.Listen("tcp", r.settings.PeerAddress); err != nil {
 		return fmt.Errorf("peer listener: %w", err)
 	}
+	if r.datagrams, err = peer.ListenDatagrams(r.settings.PeerAddress, r.settings.PeerToken); err != nil {
+		return fmt.Errorf("peer datagrams: %w", err)
+	}
 	if r.callerLn, err = listenCallers(r.settings); err != nil {
 		return fmt.Errorf("caller listener: %w", err)
 	}
@@ -201,6 +208,7 @@
 // Start serves callers and peers until Shutdown. Failures that must stop the process arrive on Fatal.
 func (r *Router) Start() {
 	r.loop(r.servePeers)
+	r.loop(r.receiveLoads)
 	r.bootstrap()
 	r.startLoops()
 	r.loop(func() {
@@ -292,6 +300,9 @@
 	if r.peerServer != nil {
 		_ = r.peerServer.Close()
 	}
+	if r.datagrams != nil {
+		r.datagrams.Close()
+	}
 	r.loops.Wait()
 	if r.pool != nil {
 		r.pool.Release()
