--- a/pkg/route/sim_test.go
+++ b/pkg/route/sim_test.go
@@ -22,6 +22,8 @@
 	// perSecond is the arrival rate over all VMs.
 	perSecond float64
 	seconds   int
+	// warmUp is left out of the figures; all caches are empty at the start.
+	warmUp time.Duration
 	// cacheBlocks is the cache size of an engine.
 	cacheBlocks int
 	// levels are the sizes of the nested prompt levels in blocks: rules, catalogue, order.
@@ -128,11 +130,7 @@
 
 var simStart = time.Unix(1_800_000_000, 0)
 
-const (
-	simMaxRunning = 16
-	// simWarmUp is left out of the figures; all caches are empty at the start.
-	simWarmUp = 10 * time.Second
-)
+const simMaxRunning = 16
 
 func newSim(l load, options Options, seed uint64) *sim {
 	s := &sim{load: l, random: rand.New(rand.NewPCG(seed, 1)), orders: map[[2]int][]int{}}
@@ -344,7 +342,7 @@
 		for j.hit < len(j.r.Hashes) && e.cache[j.r.Hashes[j.hit]] != 0 {
 			j.hit++
 		}
-		if s.now > simWarmUp {
+		if s.now > s.warmUp {
 			s.blocks += len(j.r.Hashes)
 			s.computed += len(j.r.Hashes) - j.hit
 		}
@@ -365,7 +363,7 @@
 
 func (s *sim) prefilled(e *simEngine, j *simJob) {
 	s.insert(e, j.r.Hashes, j.hit)
-	if s.now > simWarmUp {
+	if s.now > s.warmUp {
 		took := float64(s.now-j.arrived) / float64(time.Millisecond)
 		s.first = append(s.first, took)
 		s.misses = append(s.misses, math.Abs(float64(s.now-j.sent-j.expected))/float64(time.Millisecond))
@@ -465,10 +463,11 @@
 
 // Loads of the comparison. Engines evict within seconds. "profile" is like the evening profile of the load tool,
 // "late" has events that are a second old, "busy" more requests than the engines could serve without a cache,
-// "hot" one catalogue that needs more than one engine, "slow" slow engines, "deep" long prompts.
+// "hot" one catalogue that needs more than one engine, "slow" slow engines, "deep" long prompts, "cold" their first
+// seconds with empty caches.
 func simLoad(name string) load {
 	l := load{
-		vms: 9, engines: 12, perSecond: 44, seconds: 60, cacheBlocks: 60, levels: [3]int{2, 3, 1},
+		vms: 9, engines: 12, perSecond: 44, seconds: 60, cacheBlocks: 60, levels: [3]int{2, 3, 1}, warmUp: 10 * time.Second,
 		decodeMillis: [2]int{150, 400}, eventLag: 100 * time.Millisecond, loadLag: 200 * time.Millisecond,
 	}
 	switch name {
@@ -486,6 +485,9 @@
 	case "deep_busy":
 		l = simLoad("deep")
 		l.perSecond = 45
+	case "cold":
+		l = simLoad("deep_busy")
+		l.seconds, l.warmUp = 10, 0
 	case "deep_hot":
 		l = simLoad("deep")
 		l.perSecond, l.hot = 30, 0.6
@@ -534,7 +536,7 @@
 		{"corneldeal/no_coalesce", Options{NoCoalesce: true}},
 		{"corneldeal/neither", Options{NoSpread: true, NoCoalesce: true}},
 	}
-	for _, name := range []string{"profile", "late", "busy", "hot", "slow", "deep", "deep_busy", "deep_hot"} {
+	for _, name := range []string{"profile", "late", "busy", "hot", "slow", "deep", "deep_busy", "deep_hot", "cold"} {
 		for _, v := range variants {
 			b.Run(name+"/"+v.name, func(b *testing.B) {
 				for b.Loop() {
