lab: show the tail of the time to first token by phase of a run

Change: the table lists the in-rate p95 for cold start, steady, overload, engine crash, shift and VM kill.

--- a/lab/load/load_test.go
+++ b/lab/load/load_test.go
@@ -166,13 +166,16 @@
 		outcome("a", 10*ms, Complete), outcome("b", 20*ms, Complete), outcome("c", 40*ms, Broken), outcome("d", 800*ms, Complete),
 	}
 	totals := engine.LedgerTotals{Computed: 1, Hit: 3, Wasted: 1, PromptTokens: 4000}
-	m := Summarize(p, outcomes, totals)
+	m := Summarize(p, outcomes, totals, time.Second)
 	if m.Requests != 4 || m.IncompleteAnswers != 1 || m.PrefixHitRate != 0.75 || m.WastedRecomputeRatio != 0.25 {
 		t.Fatalf("got %+v", m)
 	}
 	if math.Abs(m.WorstWorkspaceRatio-2) > 0.01 {
 		t.Fatalf("worst workspace ratio %v, want 40 ms over 20 ms", m.WorstWorkspaceRatio)
 	}
+	if m.PhaseP95Ms[0] < 39 || m.PhaseP95Ms[0] > 41 || m.PhaseP95Ms[1] != 0 {
+		t.Fatalf("all requests were sent at the start, but phases have %v", m.PhaseP95Ms)
+	}
 	r := Report{Profiles: map[string]map[string]Metrics{p.Name: {PolicyOracle: m}}}
 	file := filepath.Join(t.TempDir(), "report.json")
 	if err := r.Write(file); err != nil {
--- a/lab/load/measure.go
+++ b/lab/load/measure.go
@@ -126,7 +126,7 @@
 			failed = errors.Join(failed, fmt.Errorf("%s, %s: %w", p.Name, policy, err))
 			continue
 		}
-		rows[policy] = Summarize(p, r.outcomes, r.totals)
+		rows[policy] = Summarize(p, r.outcomes, r.totals, m.Length)
 		failed = errors.Join(failed, r.check(p))
 		ttft = append(ttft, TTFTCurve(policy, r.outcomes, m.Length))
 		hits = append(hits, HitCurve(policy, r.samples))
--- a/lab/load/profile.go
+++ b/lab/load/profile.go
@@ -64,6 +64,7 @@
 
 // Points of a run, as shares of its length.
 const (
+	coldUntil    = 0.15
 	overloadFrom = 0.25
 	overloadTo   = 0.50
 	crashAt      = 0.40
@@ -71,6 +72,24 @@
 	killAt       = 0.75
 )
 
+// phase is a part of a run that begins with one disturbance, as shares of the run's length.
+type phase struct {
+	name     string
+	from, to float64
+}
+
+// phases returns the parts of a run. All caches are empty at the start.
+func phases() []phase {
+	return []phase{
+		{"cold start", 0, coldUntil},
+		{"steady", coldUntil, overloadFrom},
+		{"overload", overloadFrom, crashAt},
+		{"engine crash", crashAt, shiftAt},
+		{"shift", shiftAt, killAt},
+		{"VM kill", killAt, 1},
+	}
+}
+
 // Profiles returns the measured profiles.
 func Profiles() []Profile {
 	return []Profile{naktsgaisma(), stitchdesk()}
--- a/lab/load/report.go
+++ b/lab/load/report.go
@@ -53,6 +53,9 @@
 	// InRate are the percentiles without the overloading workspace, whose requests wait for tokens. They are shown
 	// in the table only.
 	InRate Percentiles `json:"-"`
+	// PhaseP95Ms is the p95 of the time to first token in each phase, without the overloading workspace, shown in
+	// the table only.
+	PhaseP95Ms []float64 `json:"-"`
 	// WrongfulInRate is the number of wrongful refusals of the other workspaces, shown in the table only.
 	WrongfulInRate int `json:"-"`
 }
@@ -97,8 +100,8 @@
 	return float64(h.h.ValueAtQuantile(percentile)) / 1000
 }
 
-// Summarize computes the figures of one run.
-func Summarize(p Profile, outcomes []Outcome, totals engine.LedgerTotals) Metrics {
+// Summarize computes the figures of one run in which requests arrived for the given length.
+func Summarize(p Profile, outcomes []Outcome, totals engine.LedgerTotals, length time.Duration) Metrics {
 	first, inRate, gaps := newHistogram(), newHistogram(), newHistogram()
 	over := p.overloading()
 	m := Metrics{}
@@ -130,9 +133,24 @@
 	m.WastedRecomputeRatio = ratio(totals.Wasted*BlockBytes/bytesPerToken, totals.PromptTokens)
 	m.WorstWorkspaceRatio = worstWorkspace(p, outcomes)
 	m.addLimits(p, outcomes)
+	for _, ph := range phases() {
+		m.PhaseP95Ms = append(m.PhaseP95Ms, phaseP95(over, outcomes, at(length, ph.from), at(length, ph.to)))
+	}
 	return m
 }
 
+// phaseP95 returns the p95 of requests sent in the time, in milliseconds.
+func phaseP95(over map[string]bool, outcomes []Outcome, from, to time.Duration) float64 {
+	h := newHistogram()
+	for i := range outcomes {
+		o := &outcomes[i]
+		if o.Arrival.chat() && o.First > 0 && !over[o.Arrival.Workspace] && o.Sent >= from && o.Sent < to {
+			h.add(o.ttft())
+		}
+	}
+	return h.ms(95)
+}
+
 func ratio(part, whole int64) float64 {
 	if whole == 0 {
 		return 0
@@ -214,21 +232,46 @@
 func (r Report) Table(out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
 	for _, p := range Profiles() {
-		rows := r.Profiles[p.Name]
-		if len(rows) == 0 {
-			continue
-		}
-		_, _ = fmt.Fprintf(w, "\n%s\thit rate\tTTFT p50\tp95\tp99 ms\tin rate p50\tp95\tp99 ms\tgap p95 ms\twasted\tworst ws\t"+
-			"wrongful\tin rate\tover tokens\trequests\tincomplete\t\n", p.Name)
-		for _, policy := range Policies() {
-			if m, ok := rows[policy]; ok {
-				_, _ = fmt.Fprintf(w, "%s\t%.3f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.3f\t%.2f\t%.4f\t%d\t%d\t%d\t%d\t\n", policy,
-					m.PrefixHitRate, m.TTFTP50Ms, m.TTFTP95Ms, m.TTFTP99Ms, m.InRate.P50Ms, m.InRate.P95Ms, m.InRate.P99Ms,
-					m.InterTokenP95Ms, m.WastedRecomputeRatio, m.WorstWorkspaceRatio, m.WrongfulRefusalRate, m.WrongfulInRate,
-					m.OverAdmittedTokens, m.Requests, m.IncompleteAnswers)
-			}
+		if rows := r.Profiles[p.Name]; len(rows) > 0 {
+			figureTable(w, p.Name, rows)
+			phaseTable(w, p.Name, rows)
 		}
 	}
 	_, _ = fmt.Fprintf(w, "\noverhead\tdirect p99 ms\tvia router p99 ms\t\n\t%.2f\t%.2f\t\n", r.Overhead.DirectTTFTP99Ms, r.Overhead.ViaRouterTTFTP99Ms)
 	return w.Flush()
 }
+
+func figureTable(w io.Writer, profile string, rows map[string]Metrics) {
+	_, _ = fmt.Fprintf(w, "\n%s\thit rate\tTTFT p50\tp95\tp99 ms\tin rate p50\tp95\tp99 ms\tgap p95 ms\twasted\tworst ws\t"+
+		"wrongful\tin rate\tover tokens\trequests\tincomplete\t\n", profile)
+	for _, policy := range Policies() {
+		m, ok := rows[policy]
+		if !ok {
+			continue
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%.3f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.3f\t%.2f\t%.4f\t%d\t%d\t%d\t%d\t\n", policy,
+			m.PrefixHitRate, m.TTFTP50Ms, m.TTFTP95Ms, m.TTFTP99Ms, m.InRate.P50Ms, m.InRate.P95Ms, m.InRate.P99Ms,
+			m.InterTokenP95Ms, m.WastedRecomputeRatio, m.WorstWorkspaceRatio, m.WrongfulRefusalRate, m.WrongfulInRate,
+			m.OverAdmittedTokens, m.Requests, m.IncompleteAnswers)
+	}
+}
+
+// phaseTable shows which disturbance a policy's tail comes from.
+func phaseTable(w io.Writer, profile string, rows map[string]Metrics) {
+	_, _ = fmt.Fprintf(w, "\n%s, in rate p95 ms", profile)
+	for _, ph := range phases() {
+		_, _ = fmt.Fprintf(w, "\t%s", ph.name)
+	}
+	_, _ = fmt.Fprintln(w, "\t")
+	for _, policy := range Policies() {
+		m, ok := rows[policy]
+		if !ok {
+			continue
+		}
+		_, _ = fmt.Fprint(w, policy)
+		for _, ms := range m.PhaseP95Ms {
+			_, _ = fmt.Fprintf(w, "\t%.1f", ms)
+		}
+		_, _ = fmt.Fprintln(w, "\t")
+	}
+}
--- a/lab/load/send.go
+++ b/lab/load/send.go
@@ -44,7 +44,7 @@
 	}
 	encoder := json.NewEncoder(opt.Out)
 	encoder.SetIndent("", "  ")
-	return encoder.Encode(Summarize(p, outcomes, seenByCallers(outcomes)))
+	return encoder.Encode(Summarize(p, outcomes, seenByCallers(outcomes), opt.Length))
 }
 
 // seenByCallers returns the blocks found and computed according to the usage of complete answers.
