--- a/pkg/member/member_test.go
+++ b/pkg/member/member_test.go
@@ -65,6 +65,22 @@
 	if outage.MustClose(at(8399)) || !outage.MustClose(at(8400)) {
 		t.Error("streams must close 5 s after the outage was last seen")
 	}
+
+	half := NewTable("self")
+	half.ApplyList(listOf(0, "a", "b", "c"), at(0), at(0))
+	half.ApplyAnswer(beat("a", 3400, 5, -1), at(3400), at(3401))
+	wantContact(t, half, 3500, Isolated)
+}
+
+// Guards against refusals on every VM for a moment when an outage begins: each has heard of the others' contact
+// last, which has just lapsed.
+func TestContactLapsesTogether(t *testing.T) {
+	m := table()
+	for _, vm := range []string{"a", "b", "c", "d"} {
+		m.ApplyAnswer(beat(vm, 2900, 5, 2900*time.Millisecond), at(2900), at(2901))
+	}
+	wantContact(t, m, 2999, InContact)
+	wantContact(t, m, 3000, Outage)
 }
 
 // Guards against an evidence of contact that is relayed by a peer but older than it looks, or from a peer that
@@ -81,8 +97,15 @@
 		behind.ApplyAnswer(beat(vm, 3400, 5, -1), at(3400), at(3401))
 	}
 	wantContact(t, behind, 3500, Isolated)
+	for _, vm := range []string{"a", "b", "c", "d"} {
+		behind.ApplyAnswer(beat(vm, 5000, 6, 0), at(5000), at(5001))
+	}
+	if !behind.MustClose(at(5002)) {
+		t.Error("answers from VMs that are ahead keep streams open")
+	}
+	behind.ApplyAnswer(beat("a", 5000, 6, 1500*time.Millisecond), at(5000), at(5001))
 	behind.ObserveConfig(6)
-	wantContact(t, behind, 3500, InContact)
+	wantContact(t, behind, 5500, InContact)
 
 	received := table()
 	received.ApplyHeartbeat(beat("a", 100, 5, 0), at(4000))
@@ -108,6 +131,9 @@
 	for _, vm := range []string{"a", "b", "c", "d"} {
 		m.ApplyHeartbeat(beat(vm, 20000, 5, -1), at(20000))
 	}
+	if m.ApplyList(listOf(-1), at(20000), at(20000)) {
+		t.Error("an older list was applied")
+	}
 	if m.ApplyList(List{AsOf: at(20001)}, at(20001), at(20001)) {
 		t.Error("an empty list was applied")
 	}
@@ -158,6 +184,9 @@
 	if got, _ := m.AbsentSince("a"); got.Lasted() != 7*time.Second {
 		t.Errorf("absent for %v after a heartbeat, want 7 s", got.Lasted())
 	}
+	if read, live := m.SelfLive(); !live || !read.Equal(at(12000)) {
+		t.Errorf("self listed as live %v at %v", live, read)
+	}
 	if got, ok := m.AbsentSince("never-seen"); !ok || got.Lasted() != 12*time.Second {
 		t.Errorf("unknown VM absent for %v", got.Lasted())
 	}
