Keep abandoned intents from coming back through late copies and carried entries

Cause: a stronger property test found two faults. A copy of an intent that landed after its void stayed open for a VM that started when the log had dropped the void ("n11 was given up and still blocks its key"). An intent that lost to a finished one came back as a carried entry and stood before a newer one, so that a request was refused as not run while another of the same key ran. Change: a holder voids a copy that lands after its void; only the lowest intent of an entry is carried over; the run state looks at all intents of the key. The test also checks that no abandoned intent blocks its key, that an ended request is never handed out again and that a UUIDv7 key is never sent twice.

--- a/pkg/once/apply.go
+++ b/pkg/once/apply.go
@@ -61,10 +61,11 @@
 
 func (t *Table) applyIntent(id entryID, in intent, ms int64) {
 	t.confirmIntent(&in)
-	if h, ok := t.voids[in.nonce]; ok && h == in.holder() {
+	if t.forgotten(in.untilMs, ms) {
 		return
 	}
-	if t.forgotten(in.untilMs, ms) {
+	if h, ok := t.voids[in.nonce]; ok && h == in.holder() {
+		t.voidAgain(id, &in)
 		return
 	}
 	e := t.entries[id]
@@ -92,6 +93,22 @@
 	}
 }
 
+// voidAgain repeats the void of a local intent of which a copy landed after it. The log may drop the void before the
+// copy, and a VM that starts then would take the intent as open.
+func (t *Table) voidAgain(id entryID, in *intent) {
+	local := in.vm == t.s.VM && in.incarnation == t.s.Incarnation
+	if !local || t.own[in.nonce] != nil {
+		return
+	}
+	r := &request{id: id, nonce: in.nonce, digest: in.digest, atMs: in.atMs, windowMs: in.untilMs - in.atMs}
+	r.final = refuse(errOutcomeUnknown())
+	r.state = StatusAbandoned
+	r.readBack = true
+	r.record = t.record(r, KindVoid)
+	t.own[r.nonce] = r
+	t.unconfirmed[r.nonce] = r
+}
+
 func (t *Table) holder(r *request) Holder {
 	return Holder{VM: t.s.VM, Incarnation: t.s.Incarnation, Nonce: r.nonce}
 }
--- a/pkg/once/carry.go
+++ b/pkg/once/carry.go
@@ -13,6 +13,9 @@
 // Carry returns records that repeat entries which the log would drop before the window has passed. Call it a few
 // times a minute. Entries of UUIDv7 keys are not carried over: their keys are refused before their records expire.
 //
+// Only the lowest intent of an open entry is carried over. A later one that is old enough for that is never sent, and
+// it must not come back after the result of the lowest has removed it.
+//
 // Every VM may carry over every entry. The time at which a VM does so is spread by VM and intent over a quarter of
 // the retention, so that mostly the first VM appends and the others see its record.
 func (t *Table) Carry(now time.Time) []Record {
@@ -20,17 +23,15 @@
 	ms := millis(now)
 	var records []Record
 	for _, e := range t.entries {
-		for i := range e.intents {
-			in := &e.intents[i]
-			if !t.carryDue(e, in, ms) {
-				continue
-			}
-			records = append(records, carried(e, in, ms))
-			// The next try comes after the log had time to return the record.
-			in.carryAfterMs = ms + t.s.Retention.Milliseconds()/16
-			if len(records) == carryBatch {
-				return records
-			}
+		in := &e.intents[0]
+		if !t.carryDue(e, in, ms) {
+			continue
+		}
+		records = append(records, carried(e, in, ms))
+		// The next try comes after the log had time to return the record.
+		in.carryAfterMs = ms + t.s.Retention.Milliseconds()/16
+		if len(records) == carryBatch {
+			break
 		}
 	}
 	return records
--- a/pkg/once/property_test.go
+++ b/pkg/once/property_test.go
@@ -191,21 +191,18 @@
 	if e.Code == refusal.CodeKeyExpired || e.Code == refusal.CodeKeyReused {
 		return
 	}
+	window := simWindow
+	if a.req.Key == simDatedKey {
+		window = simRetention / 2
+	}
 	for _, other := range s.attempts {
 		known := other.sent && other.vm == a.vm && other.inc == a.inc
-		if known && other.req.Key == a.req.Key && other.req.Digest == a.req.Digest && s.now.Sub(other.at) <= window(other) {
+		if known && other.req.Key == a.req.Key && other.req.Digest == a.req.Digest && s.now.Sub(other.at) <= window {
 			s.t.Fatalf("%s refused as not run, %s of the same VM ran: %v", a.req.Nonce, other.req.Nonce, e)
 		}
 	}
 }
 
-func window(a *attempt) time.Duration {
-	if a.req.Key == simDatedKey {
-		return simRetention / 2
-	}
-	return simWindow
-}
-
 func (s *sim) send() {
 	a := s.live(true)
 	if a == nil || a.sent {
@@ -222,7 +219,11 @@
 		s.t.Fatalf("%s sent after it was refused as not run", a.req.Nonce)
 	}
 	for _, other := range s.attempts {
-		if other != a && other.sent && other.req.Key == a.req.Key && a.at.Sub(other.at) <= window(other) {
+		if other == a || !other.sent || other.req.Key != a.req.Key {
+			continue
+		}
+		// A UUIDv7 key is refused once it is older than the window, so it is never sent twice.
+		if a.req.Key == simDatedKey || a.at.Sub(other.at) <= simWindow {
 			s.t.Fatalf("%s and %s of key %s were both sent", other.req.Nonce, a.req.Nonce, a.req.Key)
 		}
 	}
@@ -249,6 +250,22 @@
 	s.checkRefusal(a, errGivenUp().With(state))
 }
 
+// again decides an attempt that has ended, as a router with a stale wake-up does.
+func (s *sim) again() {
+	for _, a := range s.attempts {
+		if !a.ended || a.inc != a.vm.inc {
+			continue
+		}
+		d := a.vm.table.Decide(a.req.Nonce, s.now)
+		if d.Action == Send {
+			s.t.Fatalf("%s is to be sent after it ended", a.req.Nonce)
+		}
+		if a.sent && d.Action == Refuse && d.Refusal.RunState == refusal.NotRun {
+			s.t.Fatalf("%s was sent and refused as not run: %v", a.req.Nonce, d.Refusal)
+		}
+	}
+}
+
 // transit lands, copies or drops a record in flight.
 func (s *sim) transit() {
 	if len(s.inFlight) == 0 {
@@ -290,7 +307,11 @@
 		}
 		for id, e := range vm.table.entries {
 			other := fresh.table.entries[id]
-			if !e.finished() || e.untilMs < millis(s.now) {
+			if e.untilMs < millis(s.now) {
+				continue
+			}
+			if !e.finished() {
+				s.checkOpen(&e.intents[0])
 				continue
 			}
 			if other == nil || !other.finished() || identity(other) != identity(e) {
@@ -300,6 +321,15 @@
 	}
 }
 
+// checkOpen fails where an intent blocks its key although its holder gave it up and lives.
+func (s *sim) checkOpen(in *intent) {
+	for _, a := range s.attempts {
+		if a.req.Nonce == in.nonce && a.inc == a.vm.inc && a.ended && !a.sent {
+			s.t.Fatalf("%s was given up and still blocks its key", in.nonce)
+		}
+	}
+}
+
 // identity is what a carried entry keeps of a finished one.
 func identity(e *entry) intent {
 	in := e.intents[0]
@@ -338,7 +368,7 @@
 		}
 		actions := []func(){
 			s.begin, s.begin, s.transit, s.transit, s.transit, s.decide, s.decide, s.decide, s.decide,
-			s.send, s.send, s.finish, s.abandon, s.repeat, s.tick, s.tick, s.pause,
+			s.send, s.send, s.finish, s.abandon, s.repeat, s.again, s.tick, s.tick, s.pause,
 			func() { s.start(s.vm()) },
 		}
 		for range rapid.IntRange(100, 300).Draw(t, "actions") {
--- a/pkg/once/table.go
+++ b/pkg/once/table.go
@@ -292,17 +292,20 @@
 // runState tells whether another intent of the same request ran.
 func (t *Table) runState(r *request) refusal.RunState {
 	e := t.entries[r.id]
-	if e == nil || len(e.intents) == 0 {
+	if e == nil {
 		return refusal.NotRun
 	}
-	lowest := &e.intents[0]
-	switch {
-	case lowest.nonce == r.nonce, lowest.digest != r.digest:
-		return refusal.NotRun
-	case e.finished() && !e.result.Unknown:
-		return refusal.Run
+	for i := range e.intents {
+		in := &e.intents[i]
+		switch {
+		case in.nonce == r.nonce || in.digest != r.digest:
+		case e.finished() && !e.result.Unknown:
+			return refusal.Run
+		default:
+			return refusal.Unknown
+		}
 	}
-	return refusal.Unknown
+	return refusal.NotRun
 }
 
 // Unconfirmed returns the records of local requests that were not read back in time, to be appended again. A
