--- a/pkg/order/order.go
+++ b/pkg/order/order.go
@@ -122,9 +122,10 @@
 	// UnloadAfter is the time for which a version that is no longer routed to stays loaded, so that streams that
 	// use it can be resumed. Default 60 s.
 	UnloadAfter time.Duration
-	// LoadReplaces tells that a load takes the older version out at once. Models without an endpoint to spare then
-	// stay at their version. Otherwise such models load on one endpoint at a time. Default false: the engine keeps
-	// a version until an unload order.
+	// LoadReplaces tells that a load takes the older version out at once. A model then stays at its version, and is
+	// listed by Blocked, while a load would leave fewer than MinReady endpoints; it needs twice MinReady endpoints.
+	// Default false: an engine keeps a version until an unload order, and such a model loads on one endpoint at a
+	// time.
 	LoadReplaces bool
 }
 
--- a/pkg/order/planner.go
+++ b/pkg/order/planner.go
@@ -31,6 +31,7 @@
 type flight struct {
 	order       Order
 	firstSent   time.Time
+	lastSent    time.Time
 	incarnation string
 	// repeatAt is the time at which the order is sent again. It is far away once the engine accepted.
 	repeatAt time.Time
@@ -133,7 +134,8 @@
 		switch {
 		case e == nil || p.done(fl, e):
 			delete(p.flights, name)
-		case now.Sub(fl.firstSent) >= p.s.LoadTimeout:
+		case now.Sub(fl.firstSent) >= p.s.LoadTimeout && now.Sub(fl.lastSent) >= p.s.OrderTimeout+p.s.LoadTime:
+			// The newest copy of the order may have started a load, so its place is kept until that has ended.
 			delete(p.flights, name)
 			p.paused[name] = now.Add(p.s.RetryAfter)
 		case e.reading != nil && e.reading.Incarnation != fl.incarnation:
@@ -163,9 +165,11 @@
 		fl := p.flights[name]
 		m := f.models[fl.order.Model]
 		wanted := m != nil && (fl.order.Kind == KindUnload) == (fl.order.Version != m.Version)
+		wanted = wanted && now.Sub(fl.firstSent) < p.s.LoadTimeout
 		if !wanted || now.Before(fl.repeatAt) || !p.mayOrder(f.engine(name), now) {
 			continue
 		}
+		fl.lastSent = now
 		fl.repeatAt = now.Add(p.s.OrderTimeout)
 		orders = append(orders, fl.order)
 	}
@@ -271,8 +275,9 @@
 	if left >= need {
 		return true
 	}
-	// With no endpoint to spare the version could never change; one engine at a time keeps its old version.
-	return !p.s.LoadReplaces && f.serving(name) <= need && !loading
+	// Without an endpoint to spare the version could never change. An engine that keeps its old version until an
+	// unload order may load all the same, one at a time in case it is slow meanwhile.
+	return !p.s.LoadReplaces && !loading
 }
 
 // unloads drops versions that are neither in force nor routed to, from engines that hold the version in force.
@@ -324,6 +329,7 @@
 	p.flights[o.Endpoint] = &flight{
 		order:       o,
 		firstSent:   now,
+		lastSent:    now,
 		incarnation: e.reading.Incarnation,
 		repeatAt:    now.Add(p.s.OrderTimeout),
 	}
--- a/pkg/order/versions.go
+++ b/pkg/order/versions.go
@@ -27,7 +27,8 @@
 	return &Versions{staleAfter: s.StaleAfter, routed: make(map[string]*routed)}
 }
 
-// ReadyVersion returns the version to route requests of a model to, or "" for an unknown model.
+// ReadyVersion returns the version to route requests of a model to, or "" for an unknown model. After a start it is
+// the one with most ready endpoints until one has enough; from then on it only moves to the version in force.
 func (v *Versions) ReadyVersion(model string) string {
 	if r := v.routed[model]; r != nil {
 		return r.version
@@ -75,20 +76,16 @@
 // first chooses the version of a model that was not routed before. It is the version in force unless only another
 // one has enough endpoints. Readings arrive one by one after a start, so the choice stays open until one has.
 func first(f *fleet, m *config.Model) *routed {
+	best, most := m.Version, f.ready(m.Name, m.Version)
 	need := f.minReady(m)
-	if f.ready(m.Name, m.Version) >= need {
-		return &routed{version: m.Version}
-	}
-	best, most := "", need-1
-	for _, version := range f.versions(m.Name) {
-		if n := f.ready(m.Name, version); n > most {
-			best, most = version, n
+	if most < need {
+		for _, version := range f.versions(m.Name) {
+			if n := f.ready(m.Name, version); n > most {
+				best, most = version, n
+			}
 		}
 	}
-	if best == "" {
-		return &routed{version: m.Version, open: true}
-	}
-	return &routed{version: best}
+	return &routed{version: best, open: most < need}
 }
 
 // versions lists the versions of a model that any engine holds, sorted.
