Test bounds, refusals and the wait rule of intents and orders, and measure replay

Cause: the property tests do not reach the memory bounds, large answers, foreign voids, the pacing of appends, the wait rule at its limits and the delay of unloads. Change: focused tests for these and benchmarks for replay and for one local request.

--- a/pkg/once/table_test.go
+++ b/pkg/once/table_test.go
@@ -1,6 +1,7 @@
 package once
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -76,3 +77,172 @@
 		t.Fatalf("refusal %v", d.Refusal)
 	}
 }
+
+// Guards against a VM that voids the intent of another one, and against a repeat that runs after the holder is gone.
+func TestOnlyTheHolderVoids(t *testing.T) {
+	log := &stream{name: StreamOf("w", "k")}
+	a, b := newTable("a"), newTable("b")
+	_, first := a.Begin(booking("n1"), start)
+	forged := first[0]
+	forged.Kind, forged.VM, forged.Incarnation = KindVoid, "b", "b-1"
+	_, second := b.Begin(booking("n2"), start)
+	log.append(first[0], forged, second[0])
+	log.read(t, a, start)
+	log.read(t, b, start)
+	wantAction(t, a.Decide("n1", start), Send)
+	d := b.Decide("n2", start)
+	wantAction(t, d, AskHolder)
+	b.HolderReply("n2", d.Holder, NewTable(Settings{VM: "a", Incarnation: "a-2"}).Status("n1", "a-1"))
+	d = b.Decide("n2", start)
+	wantAction(t, d, Refuse)
+	if d.Refusal.RunState != refusal.Unknown {
+		t.Fatalf("refusal %v", d.Refusal)
+	}
+	voids := b.Unconfirmed(start)
+	if len(voids) != 1 || voids[0].Kind != KindVoid || voids[0].Nonce != "n2" {
+		t.Fatalf("unconfirmed %+v", voids)
+	}
+}
+
+// Guards against an answer that does not fit into the log being repeated cut short or run again.
+func TestRepeatOfLargeAnswerIsRefusedAsRun(t *testing.T) {
+	log := &stream{name: StreamOf("w", "k")}
+	a := newTable("a")
+	_, records := a.Begin(booking("n1"), start)
+	log.append(records...)
+	log.read(t, a, start)
+	wantAction(t, a.Decide("n1", start), Send)
+	log.append(a.Finish("n1", Result{Status: 200, Body: make([]byte, MaxBodyBytes+1)}, start)...)
+	log.read(t, a, start)
+	d, _ := a.Begin(booking("n2"), start)
+	wantAction(t, d, Refuse)
+	if d.Refusal.Code != CodeAnswerNotKept || d.Refusal.RunState != refusal.Run || len(log.records[1]) > 1024 {
+		t.Fatalf("refusal %v, record of %d bytes", d.Refusal, len(log.records[1]))
+	}
+}
+
+// Guards against memory that grows with the number of keys: beyond the bounds answers are dropped and new keys are
+// refused as not run, and past the window and the margin nothing is left.
+func TestMemoryIsBounded(t *testing.T) {
+	table := NewTable(Settings{VM: "a", Incarnation: "a-1", MaxEntries: 10, MaxResultBytes: 3000})
+	offsets := make(map[string]int64)
+	for i := range 10 {
+		nonce := fmt.Sprint(i)
+		_, records := table.Begin(Request{Workspace: "w", Key: nonce, Digest: "d", Nonce: nonce}, start)
+		name := records[0].Stream
+		table.Apply(name, offsets[name], records[0].Encode(), start)
+		wantAction(t, table.Decide(nonce, start), Send)
+		result := table.Finish(nonce, Result{Status: 200, Body: make([]byte, 1000)}, start)
+		table.Apply(name, offsets[name]+1, result[0].Encode(), start)
+		offsets[name] += 2
+	}
+	if table.answerBytes > 3000 {
+		t.Fatalf("%d bytes of answers", table.answerBytes)
+	}
+	d, _ := table.Begin(Request{Workspace: "w", Key: "new", Digest: "d", Nonce: "new"}, start)
+	wantAction(t, d, Refuse)
+	if d.Refusal.Code != refusal.CodeOverloaded || d.Refusal.RunState != refusal.NotRun {
+		t.Fatalf("refusal %v", d.Refusal)
+	}
+	table.forget(start.Add(33 * time.Minute))
+	if n := len(table.entries) + len(table.own) + len(table.voids) + len(table.deadlines) + len(table.answers); n != 0 {
+		t.Fatalf("%d items left", n)
+	}
+}
+
+// Guards against a UUIDv7 key that is accepted after its entry was forgotten.
+func TestOldDatedKeyIsRefused(t *testing.T) {
+	a := newTable("a")
+	req := Request{Workspace: "w", Key: simDatedKey, Digest: "d", Nonce: "n1"}
+	d, _ := a.Begin(req, start.Add(30*time.Minute))
+	wantAction(t, d, Wait)
+	req.Nonce = "n2"
+	d, _ = a.Begin(req, start.Add(30*time.Minute+time.Millisecond))
+	wantAction(t, d, Refuse)
+	if d.Refusal.Code != refusal.CodeKeyExpired || d.Refusal.RunState != refusal.NotRun {
+		t.Fatalf("refusal %v", d.Refusal)
+	}
+}
+
+// Guards against more appends than the log service takes, records that are lost or delayed without need, and a queue
+// that grows while the log is down.
+func TestGroupPacesAppends(t *testing.T) {
+	g := NewGroup(GroupSettings{MaxQueued: 4000})
+	now, appends, records := start, 0, 0
+	for i := range 5000 {
+		now = now.Add(time.Millisecond)
+		r := Record{Kind: KindIntent, Stream: StreamName(i % Streams), Nonce: fmt.Sprint(i)}
+		g.Add(&r, now)
+		if !g.Add(&r, now) {
+			t.Fatalf("record %d does not fit", i)
+		}
+		for b, ok := g.Due(now); ok; b, ok = g.Due(now) {
+			appends++
+			records += len(b.Data)
+			g.Done(b.Stream)
+		}
+	}
+	// 5 s at 30 appends a second and a burst of 8.
+	if appends > 158 || records+g.Queued() != 5000 || g.Queued() > 1000 {
+		t.Fatalf("%d appends of %d records, %d wait", appends, records, g.Queued())
+	}
+	if next, ok := g.Next(now); !ok || next.Sub(now) > 40*time.Millisecond {
+		t.Fatalf("next batch at %v", next.Sub(now))
+	}
+	for i := range 4000 {
+		g.Add(&Record{Kind: KindVoid, Stream: StreamName(0), Nonce: fmt.Sprint(i)}, now)
+	}
+	if g.Queued() != 4000 {
+		t.Fatalf("%d records wait", g.Queued())
+	}
+}
+
+// BenchmarkIntentApply measures the replay of intent and result of one request with an answer of 500 bytes.
+func BenchmarkIntentApply(b *testing.B) {
+	table := newTable("reader")
+	body := make([]byte, 500)
+	offsets := make(map[string]int64)
+	type pair struct {
+		stream         string
+		intent, result []byte
+	}
+	pairs := make([]pair, b.N)
+	for i := range pairs {
+		key := fmt.Sprintf("key-%d", i)
+		r := Record{Kind: KindIntent, Workspace: "w", Key: key, Digest: "d", VM: "a", Incarnation: "a-1", Nonce: key}
+		r.AtMs, r.WindowMs = millis(start), time.Minute.Milliseconds()
+		pairs[i].stream, pairs[i].intent = StreamOf("w", key), r.Encode()
+		r.Kind, r.Result = KindResult, &Result{Status: 200, Body: body}
+		pairs[i].result = r.Encode()
+	}
+	b.ResetTimer()
+	b.ReportAllocs()
+	for i := range pairs {
+		// A thousand requests a second fill the table to its steady state of one window.
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		p := &pairs[i]
+		table.Apply(p.stream, offsets[p.stream], p.intent, now)
+		table.Apply(p.stream, offsets[p.stream]+1, p.result, now)
+		offsets[p.stream] += 2
+	}
+}
+
+// BenchmarkDecide measures one local request from Begin to Finish, with its records read back.
+func BenchmarkDecide(b *testing.B) {
+	table := newTable("a")
+	offsets := make(map[string]int64)
+	b.ReportAllocs()
+	for i := range b.N {
+		now := start.Add(time.Duration(i) * 20 * time.Millisecond)
+		nonce := fmt.Sprint(i)
+		_, records := table.Begin(Request{Workspace: "w", Key: nonce, Digest: "d", Nonce: nonce}, now)
+		name := records[0].Stream
+		table.Apply(name, offsets[name], records[0].Encode(), now)
+		if table.Decide(nonce, now).Action != Send {
+			b.Fatal("not sent")
+		}
+		result := table.Finish(nonce, Result{Status: 200}, now)
+		table.Apply(name, offsets[name]+1, result[0].Encode(), now)
+		offsets[name] += 2
+	}
+}
