Keep leases safe when the log has lost the state of a resource

Cause: a longer run of the state machine (8,000 runs of 100 actions) found two VMs on one slot: a VM that started from a shortened log began again at epoch 1 while a VM that had been cut off still counted the earlier epochs. Change: such a claim takes an epoch above all earlier ones, waits until all listed VMs have answered for the takeover wait, and gives way to a renew record of anyone who knows the state. Claim and renew records say how far their author had read, so late ones are recognised. E4 ends after half of the retention without the log. A VM that the VM list does not show claims nothing.

--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -78,6 +78,8 @@
 	evidenceAt   time.Time
 	evidenceNext int64
 	ownReadAt    time.Time
+	// logReadAt is the time that the newest evidence from the log itself (E1, E2) speaks for.
+	logReadAt time.Time
 	// caughtUpAt is when the VM first read the log to its end since it last lost records.
 	caughtUpAt time.Time
 	// listedAt is the start of the newest read of the VM list that showed this VM; zero if the newest read did
@@ -88,9 +90,10 @@
 	// It is zero where the newest plan breaks the series.
 	answeredSince time.Time
 	plannedAt     time.Time
-	// slots is the number of limit slots as of the newest Plan.
-	slots int
-	notes map[string]*note
+	// slots and retention are as of the newest Plan.
+	slots     int
+	retention time.Duration
+	notes     map[string]*note
 }
 
 // note is what the process remembers about one resource besides the log.
@@ -178,7 +181,8 @@
 		done := false
 		switch kind {
 		case KindClaim:
-			done = s.Epoch >= e.epoch
+			// A claim of a VM that did not know the state is void once the state is certain.
+			done = s.Epoch >= e.epoch || !s.Assumed && e.epoch > s.Epoch+1
 		case KindRelease:
 			done = !m.mustStateStop(s, e.epoch)
 		case KindRenew:
@@ -212,6 +216,7 @@
 			return false
 		}
 		m.ownReadAt = later(m.ownReadAt, ev.At)
+		m.logReadAt = later(m.logReadAt, ev.At)
 		if m.caughtUpAt.IsZero() {
 			m.caughtUpAt = now
 		}
@@ -221,6 +226,7 @@
 		if ev.Next > m.table.Next() {
 			return false
 		}
+		m.logReadAt = later(m.logReadAt, ev.At)
 		return m.extend(ev.At, ev.Next)
 	case ListRead:
 		return m.observeList(ev)
@@ -263,7 +269,8 @@
 	if m.listedAt.IsZero() || ev.At.Sub(m.listedAt) >= VouchLimit || !m.unbroken(ev.At) {
 		return false
 	}
-	if !m.allSlotsHeld() {
+	// The records that show this VM as holder are still kept until then, for VMs that start meanwhile.
+	if ev.At.Sub(m.logReadAt) >= m.retention/2 || !m.allSlotsHeld() {
 		return false
 	}
 	for _, h := range m.Electorate() {
--- a/pkg/lease/plan.go
+++ b/pkg/lease/plan.go
@@ -21,14 +21,15 @@
 // Plan returns the records that the VM should append now. They take effect when they are read back. Nothing is
 // planned unless the VM read the log to its end less than Forfeit ago.
 func (m *Manager) Plan(now time.Time, v View) []Record {
+	if v.Retention <= 0 {
+		v.Retention = DefaultRetention
+	}
 	m.slots = v.Slots
+	m.retention = v.Retention
 	m.hear(now, v)
 	if m.ownReadAt.IsZero() || now.Sub(m.ownReadAt) >= Forfeit {
 		return nil
 	}
-	if v.Retention <= 0 {
-		v.Retention = DefaultRetention
-	}
 	p := &planner{Manager: m, view: v, now: now, held: map[string]int{}}
 	p.share()
 	p.stops()
@@ -65,7 +66,7 @@
 // send plans a record unless the same one is on its way.
 func (p *planner) send(r Record) {
 	n := p.note(r.Resource)
-	if e, ok := n.sent[r.Kind]; ok && e.epoch == r.Epoch {
+	if e, ok := n.sent[r.Kind]; ok && (e.epoch == r.Epoch || r.Partial) {
 		age := p.now.Sub(e.at)
 		// A read that started after the append must have missed the record.
 		if age < RepeatAfter+p.jittered(repeatJitter) || !p.ownReadAt.After(e.at) {
@@ -171,9 +172,6 @@
 			p.renew(s, len(s.Displaced) == 0)
 		case !own && !s.Assumed && p.stale(s, p.view.Retention/carryFraction, carryDelay+p.jittered(carryDelay)):
 			p.renew(s, false)
-		case !own && s.Assumed && p.age(s) >= p.view.Retention*3/4+p.jittered(repeatJitter):
-			// Every VM that knew otherwise would have repeated the state by now.
-			p.renew(s, false)
 		}
 	}
 }
@@ -263,23 +261,28 @@
 }
 
 func (p *planner) claims() {
+	if p.absent.fresh(p.now) && !p.absent.shows(p.self) {
+		// Others would take over at once what a VM claims that is not on the list.
+		return
+	}
 	mine := p.held[p.self.VM] + p.pendingSlots()
 	for _, resource := range p.candidates() {
 		index, isSlot := SlotIndex(resource)
-		pending := p.claimSent(resource)
-		wanted := isSlot && index < p.view.Slots && mine < p.wanted()
-		if !isSlot {
-			wanted = p.view.Orders
+		room := p.view.Orders
+		if isSlot {
+			room = mine < p.wanted() || mine == p.wanted() && p.claimSent(resource)
 		}
 		switch {
-		case pending, p.claimableAsOwn(resource):
-			p.claim(resource)
-		case wanted && p.claimable(resource), isSlot && p.takeover(resource, index):
-			p.claim(resource)
+		case p.claimableAsOwn(resource):
+		case room && p.claimable(resource):
+		case (isSlot || room) && p.takeover(resource, index):
+		default:
+			continue
+		}
+		if isSlot && !p.claimSent(resource) {
 			mine++
-		case !isSlot && wanted && p.takeover(resource, 0):
-			p.claim(resource)
 		}
+		p.claim(resource)
 	}
 }
 
@@ -306,9 +309,10 @@
 	return out
 }
 
+// claimSent reports whether a claim is on its way and not overdue by far.
 func (p *planner) claimSent(resource string) bool {
-	_, ok := p.note(resource).sent[KindClaim]
-	return ok
+	e, ok := p.note(resource).sent[KindClaim]
+	return ok && p.now.Sub(e.at) < 2*(RepeatAfter+repeatJitter)
 }
 
 func (p *planner) pendingSlots() int {
@@ -323,13 +327,18 @@
 
 func (p *planner) claim(resource string) {
 	s, known := p.table.State(resource)
-	p.send(Record{
+	r := Record{
 		Kind:     KindClaim,
 		Resource: resource,
 		Epoch:    s.Epoch + 1,
 		Holder:   p.self,
+		Read:     p.table.Next(),
 		Partial:  !known && p.table.base != 0 || s.Assumed,
-	})
+	}
+	if r.Partial {
+		r.Epoch = r.Read + 1
+	}
+	p.send(r)
 }
 
 // claimableAsOwn reports whether an earlier process of this VM holds the resource.
@@ -345,7 +354,11 @@
 		// A holder whose records have expired repeats its state as soon as it reads the log.
 		return p.table.base == 0 || p.now.Sub(p.caughtUpAt) >= TakeoverWait && p.unheld(resource)
 	}
-	return s.Released && !s.Assumed && p.now.Sub(p.note(resource).changedAt) >= p.jittered(freeJitter)
+	if s.Assumed {
+		gone := p.absent.fresh(p.now) && p.absent.span(s.Holder) >= Unlisted
+		return (s.Released || gone) && p.unheld(resource)
+	}
+	return s.Released && p.now.Sub(p.note(resource).changedAt) >= p.jittered(freeJitter)
 }
 
 // takeover reports whether this VM should claim a resource whose holder is not on the VM list.
--- a/pkg/lease/record.go
+++ b/pkg/lease/record.go
@@ -79,11 +79,11 @@
 	Resource string `json:"resource"`
 	Epoch    int64  `json:"epoch"`
 	Holder
-	// Partial states in a claim that the claimant could not tell the state of the resource from the kept records.
-	Partial bool `json:"partial,omitempty"`
-	// Read is the next offset that the author of a renew record had not read. A reader that starts behind it cannot
-	// know whether the state has changed in between.
+	// Read is the next offset that the author had not read, in claim and renew records.
 	Read int64 `json:"read,omitempty"`
+	// Partial states in a claim that the author cannot tell the state of the resource from the kept records. Its
+	// epoch is Read plus one, which is larger than any epoch so far.
+	Partial bool `json:"partial,omitempty"`
 	// Fence is the offset of the claim, in a renew record.
 	Fence int64 `json:"fence,omitempty"`
 	// Released states in a renew record that nobody holds the resource.
--- a/pkg/lease/table.go
+++ b/pkg/lease/table.go
@@ -35,6 +35,8 @@
 	Displaced []Displaced
 	// Assumed means that records before the oldest kept one may contradict the state. A renew record settles it.
 	Assumed bool
+	// Partial means that the state is assumed after a claim whose author did not know the state either.
+	Partial bool
 	// Stated is the offset of the newest record from which the state can be told.
 	Stated int64
 	// Contested means that a void claim came from a VM that does not know the state. It calls for a renew record.
@@ -127,11 +129,14 @@
 			return Ignored
 		}
 		next.Assumed = t.base != 0 || r.Partial
+		next.Partial = r.Partial
 	case s.Assumed:
-		if r.Epoch <= s.Epoch {
+		// Of several claims whose authors do not know the state, the first wins.
+		if r.Epoch <= s.Epoch || r.Partial && r.Read <= s.Stated {
 			return Ignored
 		}
 		next.Assumed = true
+		next.Partial = r.Partial
 	case r.Epoch != s.Epoch+1:
 		s.Contested = s.Contested || r.Partial
 		return Ignored
@@ -191,14 +196,12 @@
 
 func (t *Table) renew(offset int64, r Record) Outcome {
 	s, known := t.states[r.Resource]
-	if !known || r.Epoch > s.Epoch || (s.Assumed && r.Epoch == s.Epoch) {
-		// Whoever repeated the state may not have read a release that stands before the renew record.
-		released := known && s.Released && s.Epoch == r.Epoch && s.Holder.sameProcess(r.Holder)
+	if !known || t.corrects(s, r) {
 		t.states[r.Resource] = &State{
 			Resource:  r.Resource,
 			Epoch:     r.Epoch,
 			Holder:    r.Holder,
-			Released:  r.Released || released,
+			Released:  r.Released,
 			Fence:     r.Fence,
 			Displaced: slices.Clone(r.Displaced),
 			Assumed:   r.Read < t.base,
@@ -217,3 +220,13 @@
 	s.Contested = false
 	return Accepted
 }
+
+// corrects reports whether the author of a renew record knew more than the table: it had read the newest record from
+// which the table tells the state, and the table is not certain or behind. A late renew record fails the first test.
+func (t *Table) corrects(s *State, r Record) bool {
+	if s.Partial {
+		// The claim is void for everyone who knows the state, whether or not the author had read it.
+		return r.Read >= t.base
+	}
+	return r.Read > s.Stated && (s.Assumed || r.Epoch > s.Epoch)
+}
