Tell peers the prompt work that is left on each endpoint

Cause: a count of requests does not tell a request that decodes from one that computes a long prompt, so the predicted queue of an engine was wrong when peers computed there. Change: load updates and heartbeats carry the remaining prefill time; placement adds it instead of a share of the count.

--- a/pkg/member/load.go
+++ b/pkg/member/load.go
@@ -13,6 +13,23 @@
 	return t.inFlight[endpoint]
 }
 
+// Prefills returns, by endpoint, the expected time until the prompts that the live peers have sent are computed.
+func (t *Table) Prefills(now time.Time) map[string]time.Duration {
+	t.expire(now)
+	sums := map[string]time.Duration{}
+	for _, p := range t.peers {
+		if !p.counted {
+			continue
+		}
+		for _, l := range p.last.Loads {
+			if left := l.Prefill - now.Sub(l.At); left > 0 {
+				sums[l.Endpoint] += left
+			}
+		}
+	}
+	return sums
+}
+
 // ApplyLoads takes loads that a peer sent between two heartbeats. Endpoints that are not listed keep their number. An
 // update of another incarnation, or one sent before the newest heartbeat, is ignored and false is returned.
 func (t *Table) ApplyLoads(vm, incarnation string, sent timeline.Stamp, loads []EndpointLoad) bool {
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -73,6 +73,10 @@
 type EndpointLoad struct {
 	Endpoint string
 	InFlight int
+	// Prefill is the expected time until the prompts of these requests are computed, counted from At.
+	Prefill time.Duration
+	// At is the time at which this VM received the number.
+	At time.Time
 }
 
 // Heartbeat is what a VM tells about itself.
--- a/pkg/route/placement.go
+++ b/pkg/route/placement.go
@@ -40,6 +40,10 @@
 type PeerLoad struct {
 	// InFlight is the sum over peers.
 	InFlight int
+	// Timed tells that Prefill is known.
+	Timed bool
+	// Prefill is the expected time until the prompts that peers have sent there are computed.
+	Prefill time.Duration
 	// Complete tells that every live peer is counted.
 	Complete bool
 	// At is the time of the oldest heartbeat counted. Zero means that there is none.
--- a/pkg/route/placer.go
+++ b/pkg/route/placer.go
@@ -291,6 +291,14 @@
 	return 0
 }
 
+// Prefill returns the expected time until the prompts of this VM's requests on an endpoint are computed, for peers.
+func (p *Placer) Prefill(endpoint string, now time.Time) time.Duration {
+	if s := p.states[endpoint]; s != nil {
+		return max(s.busyUntil.Sub(now), 0)
+	}
+	return 0
+}
+
 // state returns what is known of an endpoint. A new incarnation starts with the requests still open on the old
 // one, which end soon with an error.
 func (p *Placer) state(name, incarnation string) *endpointState {
--- a/pkg/route/state.go
+++ b/pkg/route/state.go
@@ -154,7 +154,11 @@
 // queueMillis predicts the time before the engine starts on a new request.
 func (s *endpointState) queueMillis(e *Endpoint, r *Request, others float64, now time.Time) float64 {
 	delay := max(s.busyUntil.Sub(now).Seconds()*millisPerSecond, 0)
-	delay += others * s.prefillShare * s.meanCompute(r)
+	if e.Peers.Timed {
+		delay += e.Peers.Prefill.Seconds() * millisPerSecond
+	} else {
+		delay += others * s.prefillShare * s.meanCompute(r)
+	}
 	delay += float64(s.held) * s.computeMillis(r, 0)
 	slots := e.MaxRunning
 	if slots <= 0 {
--- a/pkg/router/attempt.go
+++ b/pkg/router/attempt.go
@@ -171,6 +171,7 @@
 		switch n {
 		case 1:
 			c.firstToken()
+			c.r.noteLoad(endpoint.Name)
 		case settledTokens:
 			settled()
 		}
--- a/pkg/router/engines.go
+++ b/pkg/router/engines.go
@@ -50,13 +50,13 @@
 }
 
 // candidate describes an endpoint to the placer.
-func (t *engineTable) candidate(e config.Endpoint, model, adapter, version string, peers int, now time.Time) route.Endpoint {
+func (t *engineTable) candidate(e config.Endpoint, model, adapter, version string, peers route.PeerLoad, now time.Time) route.Endpoint {
 	c := route.Endpoint{
 		Name:       e.Name,
 		DataCentre: e.DataCentre,
 		MaxRunning: e.MaxRunning,
 		Leaving:    e.Leaving,
-		Peers:      route.PeerLoad{InFlight: peers, Complete: true, At: now},
+		Peers:      peers,
 	}
 	info, ok := t.engines[e.Name]
 	if !ok {
@@ -230,11 +230,12 @@
 		}
 		return names
 	})
+	now := time.Now()
 	var loads []*peer.EndpointLoad
 	r.placer.do(func(p *placement) {
 		for _, name := range names {
-			if n := p.placer.InFlight(name); n > 0 {
-				loads = append(loads, &peer.EndpointLoad{Endpoint: name, InFlight: int32(n)})
+			if p.placer.InFlight(name) > 0 {
+				loads = append(loads, p.load(name, now))
 			}
 		}
 	})
--- a/pkg/router/loads.go
+++ b/pkg/router/loads.go
@@ -34,10 +34,11 @@
 	if len(names) == 0 {
 		return
 	}
+	now := time.Now()
 	update := &peer.LoadUpdate{Envelope: r.envelope()}
 	r.placer.do(func(p *placement) {
 		for _, name := range names {
-			update.Loads = append(update.Loads, &peer.EndpointLoad{Endpoint: name, InFlight: int32(p.placer.InFlight(name))})
+			update.Loads = append(update.Loads, p.load(name, now))
 		}
 	})
 	datagram := r.datagrams.Encode(update)
@@ -67,10 +68,29 @@
 	if e == nil {
 		return
 	}
-	loads := make([]member.EndpointLoad, 0, len(update.Loads))
-	for _, l := range update.Loads {
-		loads = append(loads, member.EndpointLoad{Endpoint: l.Endpoint, InFlight: int(l.InFlight)})
-	}
+	loads := memberLoads(update.Loads, time.Now())
 	sent := timeline.Stamp{WallNs: e.HlcWallNs, Counter: e.HlcCounter}
 	r.members.do(func(t *member.Table) { t.ApplyLoads(e.Vm, e.Incarnation, sent, loads) })
 }
+
+// load describes this VM's requests on an endpoint to peers.
+func (p *placement) load(endpoint string, now time.Time) *peer.EndpointLoad {
+	return &peer.EndpointLoad{
+		Endpoint:  endpoint,
+		InFlight:  int32(p.placer.InFlight(endpoint)),
+		PrefillMs: int32(p.placer.Prefill(endpoint, now).Milliseconds()),
+	}
+}
+
+func memberLoads(loads []*peer.EndpointLoad, now time.Time) []member.EndpointLoad {
+	out := make([]member.EndpointLoad, 0, len(loads))
+	for _, l := range loads {
+		out = append(out, member.EndpointLoad{
+			Endpoint: l.Endpoint,
+			InFlight: int(l.InFlight),
+			Prefill:  time.Duration(l.PrefillMs) * time.Millisecond,
+			At:       now,
+		})
+	}
+	return out
+}
--- a/pkg/router/membership.go
+++ b/pkg/router/membership.go
@@ -248,9 +248,7 @@
 			Age:    time.Duration(o.ReadAgeMs) * time.Millisecond,
 		})
 	}
-	for _, l := range h.Loads {
-		out.Loads = append(out.Loads, member.EndpointLoad{Endpoint: l.Endpoint, InFlight: int(l.InFlight)})
-	}
+	out.Loads = memberLoads(h.Loads, time.Now())
 	return out
 }
 
--- a/pkg/router/placement.go
+++ b/pkg/router/placement.go
@@ -59,16 +59,23 @@
 		Endpoints:  make([]route.Endpoint, 0, len(endpoints)),
 		Cache:      lockedIndex{r},
 	}
-	inFlight := make([]int, len(endpoints))
+	peers := make([]route.PeerLoad, len(endpoints))
 	r.members.do(func(t *member.Table) {
 		v.Peers = len(t.Live(now))
+		prefills := t.Prefills(now)
 		for i, e := range endpoints {
-			inFlight[i] = t.InFlight(e.Name, now)
+			peers[i] = route.PeerLoad{
+				InFlight: t.InFlight(e.Name, now),
+				Timed:    true,
+				Prefill:  prefills[e.Name],
+				Complete: true,
+				At:       now,
+			}
 		}
 	})
 	r.fleet.do(func(t *engineTable) {
 		for i, e := range endpoints {
-			v.Endpoints = append(v.Endpoints, t.candidate(e, model.Name, adapter, version, inFlight[i], now))
+			v.Endpoints = append(v.Endpoints, t.candidate(e, model.Name, adapter, version, peers[i], now))
 		}
 	})
 	if suspect {
