Weigh the delay of others only on engines that evict

Cause: computation counts three times as delay of others. After a cold start no engine evicts, yet every VM then sent all first requests of a workspace to the one engine that had begun its house rules; the tail lay in that phase. Ruled out: late loads of peers (updates within 20 ms and remaining prefill were in place). Change: the weight is 0.25 for an engine that reported no removal in the last 10 s. A starting VM exchanges one heartbeat with its peers before it serves, so that it knows requests that crash endpoints.

--- a/pkg/cacheindex/index.go
+++ b/pkg/cacheindex/index.go
@@ -53,6 +53,8 @@
 	lifeWeight = 32
 	// Incarnations that are remembered as dead per endpoint. Replies that lag by more restarts are not expected.
 	maxDead = 16
+	// evictMemory is the time for which an endpoint counts as evicting after a removal.
+	evictMemory = 10 * time.Second
 	// Entries compared for one eviction.
 	evictSample = 8
 	// An endpoint that was dropped is forgotten after this time; no reply is in transit for longer.
@@ -93,6 +95,8 @@
 	unsure uint32
 	// life is the learned residence time of a block since its last use.
 	life time.Duration
+	// removedAt is the time of the newest removal reported.
+	removedAt time.Time
 }
 
 // New returns an empty index. now is the time from which entries are dated.
@@ -171,6 +175,7 @@
 			x.stored(e, h, now)
 		}
 	case Removed:
+		e.removedAt = now
 		for _, h := range event.Hashes {
 			x.removed(e, h, now)
 		}
@@ -210,6 +215,12 @@
 	return len(hashes)
 }
 
+// Evicts tells whether the endpoint has reported a removal within the last evictMemory.
+func (x *Index) Evicts(name string, now time.Time) bool {
+	e := x.endpoints[name]
+	return e != nil && !e.removedAt.IsZero() && now.Sub(e.removedAt) < evictMemory
+}
+
 // After returns the sequence number after which events of the endpoint's current incarnation are wanted.
 func (x *Index) After(name string) uint64 {
 	e := x.endpoints[name]
--- a/pkg/route/placement.go
+++ b/pkg/route/placement.go
@@ -62,6 +62,8 @@
 	MaxRunning int
 	// Serves tells that the endpoint is up and holds the request's model, adapter and version.
 	Serves bool
+	// Evicts tells that the endpoint has evicted blocks lately, so that new blocks push others out.
+	Evicts bool
 	// Leaving tells that the endpoint gets no new work.
 	Leaving bool
 	// Reserved tells that another request runs alone there.
--- a/pkg/route/score.go
+++ b/pkg/route/score.go
@@ -30,8 +30,16 @@
 // loadWeight is the delay of others per millisecond of computation.
 const loadWeight = 3.0
 
+// idleLoadWeight is the same for an endpoint that evicts nothing: its computation costs others no block. With
+// loadWeight also there, all first requests of a workspace queued on one engine after a cold start.
+const idleLoadWeight = 0.25
+
 func (loadScorer) Score(c *Candidate, r *Request) float64 {
-	return loadWeight * c.state.computeMillis(r, len(r.Hashes)-c.Import)
+	weight := loadWeight
+	if !c.Evicts {
+		weight = idleLoadWeight
+	}
+	return weight * c.state.computeMillis(r, len(r.Hashes)-c.Import)
 }
 
 // transferScorer is the time in milliseconds to import blocks from the cache store.
--- a/pkg/router/backend.go
+++ b/pkg/router/backend.go
@@ -26,6 +26,21 @@
 	return memberHeartbeat(resp.State, address)
 }
 
+// greetPeers exchanges one heartbeat with every known VM and waits for the answers.
+func (r *Router) greetPeers() {
+	addresses := r.peerAddresses()
+	done := make(chan struct{}, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			r.askHeartbeat(address)
+			done <- struct{}{}
+		}()
+	}
+	for range addresses {
+		<-done
+	}
+}
+
 // startLoops starts everything that runs beside requests.
 func (r *Router) startLoops() {
 	r.loop(r.followConfig)
--- a/pkg/router/configloop.go
+++ b/pkg/router/configloop.go
@@ -117,6 +117,8 @@
 		return
 	}
 	r.applyVMList(list)
+	// Requests that crash endpoints must be known before the first request is served.
+	r.greetPeers()
 	r.restoreFromPeers(ctx)
 	r.publishState()
 }
--- a/pkg/router/placement.go
+++ b/pkg/router/placement.go
@@ -78,6 +78,11 @@
 			v.Endpoints = append(v.Endpoints, t.candidate(e, model.Name, adapter, version, peers[i], now))
 		}
 	})
+	r.index.do(func(x *cacheindex.Index) {
+		for i := range v.Endpoints {
+			v.Endpoints[i].Evicts = x.Evicts(v.Endpoints[i].Name, now)
+		}
+	})
 	if suspect {
 		r.reserve(v.Endpoints, now)
 	}
