Refuse a request after two crashes, also when others ran beside it

Cause: accused requests no longer have an endpoint for themselves, so 'two crashes, one of them alone' would allow a third lost endpoint. Conclusion: the bound of two holds without an endpoint for each accused request.

--- a/pkg/crashguard/guard.go
+++ b/pkg/crashguard/guard.go
@@ -1,8 +1,9 @@
 // Package crashguard refuses requests that crash every endpoint that runs them.
 //
 // A request is known by the fingerprint of its workspace, route and body. An endpoint crash accuses the requests
-// in flight there. An accused request runs only alone on its endpoint and only once at a time over all VMs; after
-// two crashes, at least one of them alone, it is refused everywhere.
+// in flight there. An accused request runs only on an endpoint without another accused one, and only once at a time
+// over all VMs; after two crashes it is refused everywhere. Since two accused requests do not share an endpoint, a
+// second crash accuses only one of those that the first had accused.
 //
 // Accusations are sets of (fingerprint, event) with a weight. VMs merge them in any order and any number of times
 // with the same result. Before an accused request runs, its VM registers a claim with Begin, sends it to every
@@ -39,7 +40,7 @@
 const (
 	// Cleared means that the request ran clean afterwards, or that the claim was withdrawn.
 	Cleared Weight = -1
-	// Claim means that the request is running alone, or about to.
+	// Claim means that the request is running apart from others, or about to.
 	Claim Weight = 0
 	// Weak is the weight of a crash with other requests in flight.
 	Weak Weight = 500
@@ -60,7 +61,7 @@
 	return 0
 }
 
-// Accusation ties a fingerprint to a crash or to a run alone.
+// Accusation ties a fingerprint to a crash or to a run apart.
 type Accusation struct {
 	// Fingerprint is the request.
 	Fingerprint uint64
@@ -76,8 +77,8 @@
 const (
 	// Run means that nothing is known against the request.
 	Run Action = iota
-	// RunAlone means that the request may run only alone, after Begin and MayRun.
-	RunAlone
+	// RunApart means that the request may run only apart from other accused requests, after Begin and MayRun.
+	RunApart
 	// Busy means that the request is accused and runs elsewhere at this time.
 	Busy
 	// Refuse means that the request crashes endpoints.
@@ -180,12 +181,12 @@
 	case counts.claims > 0:
 		return Verdict{Action: Busy, RetryAfter: busyRetry}
 	case counts.crashes > 0:
-		return Verdict{Action: RunAlone}
+		return Verdict{Action: RunApart}
 	}
 	return Verdict{Action: Run}
 }
 
-// Begin registers a claim to run an accused request alone on the event's endpoint. The result goes to every live
+// Begin registers a claim to run an accused request on the event's endpoint. The result goes to every live
 // peer before MayRun is asked.
 func (g *Guard) Begin(fingerprint uint64, event Event, now time.Time) Accusation {
 	return g.put(fingerprint, event, Claim, now)
--- a/pkg/crashguard/guard_test.go
+++ b/pkg/crashguard/guard_test.go
@@ -54,7 +54,7 @@
 		e := f.event(vm)
 		f.lost++
 		f.report(vm, g.Accuse(e, []uint64{poison, innocent}[:map[bool]int{true: 1, false: 2}[alone]], alone, f.now)...)
-	case RunAlone:
+	case RunApart:
 		e := f.event(vm)
 		f.report(vm, g.Begin(poison, e, f.now))
 		if !g.MayRun(poison, e, f.now) {
@@ -66,7 +66,7 @@
 			// The VM dies with the endpoint; its successor learns from a peer before it serves.
 			f.vms[vm] = New(Settings{})
 			f.vms[vm].Merge(f.vms[(vm+1)%len(f.vms)].Known(f.now), f.now)
-			return RunAlone
+			return RunApart
 		}
 		f.report(vm, g.Accuse(e, []uint64{poison}, true, f.now)...)
 	}
@@ -107,7 +107,7 @@
 
 // Two VMs that get copies of an accused request at the same time must not both run it, in whatever order their
 // claims and the answers arrive.
-func TestOneRunAloneAtATime(t *testing.T) {
+func TestOneRunApartAtATime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(2, 4).Draw(t, "vms")
 		f := &fleet{t: t, now: epoch}
@@ -126,7 +126,7 @@
 			switch k := rapid.IntRange(0, 2).Draw(t, "action"); {
 			case k == 0:
 				vm := rapid.IntRange(0, n-1).Draw(t, "vm")
-				if claims[vm] != nil || f.vms[vm].Check(poison, f.now).Action != RunAlone {
+				if claims[vm] != nil || f.vms[vm].Check(poison, f.now).Action != RunApart {
 					continue
 				}
 				events[vm] = f.event(vm)
@@ -194,8 +194,8 @@
 		after   time.Duration
 	}{
 		{"an unknown request is held up", Run, func(*Guard) {}, 0},
-		{"an accused request runs with others", RunAlone, func(g *Guard) { g.Accuse(crashOn("a", 1), one, false, epoch) }, 0},
-		{"two weak accusations refuse a request that never crashed alone", RunAlone, func(g *Guard) {
+		{"an accused request runs with others", RunApart, func(g *Guard) { g.Accuse(crashOn("a", 1), one, false, epoch) }, 0},
+		{"a request that crashed two endpoints with others beside it may crash a third", Refuse, func(g *Guard) {
 			g.Accuse(crashOn("a", 1), one, false, epoch)
 			g.Accuse(crashOn("b", 2), one, false, epoch)
 		}, 0},
@@ -203,7 +203,7 @@
 			g.Accuse(crashOn("a", 1), one, false, epoch)
 			g.Accuse(crashOn("b", 2), one, true, epoch)
 		}, 0},
-		{"one crash that two VMs saw counts twice", RunAlone, func(g *Guard) {
+		{"one crash that two VMs saw counts twice", RunApart, func(g *Guard) {
 			g.Accuse(crashOn("a", 1), one, true, epoch)
 			g.Accuse(Event{At: epoch, VM: "w", Endpoint: "a", Incarnation: "1"}, one, false, epoch)
 		}, 0},
@@ -212,7 +212,7 @@
 			g.Begin(poison, crashOn("b", 2), epoch)
 			g.Clear(poison, crashOn("b", 2), epoch)
 		}, 0},
-		{"a clean run clears a strong accusation", RunAlone, func(g *Guard) {
+		{"a clean run clears a strong accusation", RunApart, func(g *Guard) {
 			g.Accuse(crashOn("a", 1), one, true, epoch)
 			g.Clear(poison, Event{}, epoch)
 		}, 0},
--- a/pkg/router/attempt.go
+++ b/pkg/router/attempt.go
@@ -38,7 +38,7 @@
 func (c *chatRun) suspected() (bool, *refusal.Error) {
 	now := time.Now()
 	verdict := read(&c.r.crashes, func(g *crashguard.Guard) crashguard.Verdict { return g.Check(c.fingerprint, now) })
-	return verdict.Action == crashguard.RunAlone, verdict.Refusal()
+	return verdict.Action == crashguard.RunApart, verdict.Refusal()
 }
 
 // claim reserves the engine for an accused request. Peers learn of it before the request runs.
