Measure peer messages and round trips

Cause: docs/CAPACITY.md needs the size and the processor time of envelopes, heartbeats and debits as slopes. Change: benchmarks of encoding, decoding and loopback round trips with the real peer server and client.

--- /dev/null
+++ b/pkg/peer/bench_test.go
@@ -0,0 +1,193 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// The benchmarks give the slopes of docs/CAPACITY.md. None of them is a test of time.
+
+func benchEnvelope() *Envelope {
+	return &Envelope{
+		Vm:           "vm-0123",
+		Incarnation:  "0197f3a2-5c1e-4b7a-9d42-6f0c8e2b1a55",
+		ConfigOffset: 5_110_000,
+		HlcWallNs:    1_800_000_000_000_000_000,
+		HlcCounter:   3,
+	}
+}
+
+// benchHeartbeat is a heartbeat with the loads of endpoints, the hints of workspaces and the accusations of crashes.
+func benchHeartbeat(endpoints, workspaces, accusations int) *HeartbeatRequest {
+	h := &HeartbeatRequest{
+		Envelope:       benchEnvelope(),
+		Offsets:        []*StreamOffset{{Stream: "config", Next: 5_110_000, ReadAgeMs: 120}, {Stream: "control", Next: 90_000, ReadAgeMs: 90}},
+		Contact:        true,
+		LogReadable:    true,
+		VmListReadable: true,
+		DataCentre:     "dc-07",
+		ConfigDigest:   fmt.Sprintf("%064x", 1),
+		Slots:          []string{"slot/3"},
+	}
+	for i := range endpoints {
+		h.Loads = append(h.Loads, &EndpointLoad{Endpoint: fmt.Sprintf("engine-%04d", i), InFlight: 3})
+	}
+	for i := range workspaces {
+		h.Spare = append(h.Spare, &SpareTokens{Workspace: fmt.Sprintf("workspace-%03d", i), Tokens: 123_456})
+	}
+	for i := range accusations {
+		h.Accusations = append(h.Accusations, &Accusation{
+			Fingerprint: uint64(i) << 40, Event: fmt.Sprintf("vm-0123/0197f3a2-5c1e-4b7a-9d42-6f0c8e2b1a55/%d", i), WeightMilli: 500,
+		})
+	}
+	return h
+}
+
+var heartbeatSizes = []struct{ endpoints, workspaces, accusations int }{
+	{0, 0, 0}, {120, 0, 0}, {2400, 0, 0}, {0, 360, 0}, {0, 0, 100}, {120, 360, 0}, {2400, 360, 0},
+}
+
+func eachHeartbeat(b *testing.B, run func(b *testing.B, h *HeartbeatRequest)) {
+	for _, s := range heartbeatSizes {
+		b.Run(fmt.Sprintf("endpoints=%d/workspaces=%d/accusations=%d", s.endpoints, s.workspaces, s.accusations), func(b *testing.B) {
+			run(b, benchHeartbeat(s.endpoints, s.workspaces, s.accusations))
+		})
+	}
+}
+
+// BenchmarkHeartbeatEncode measures encoding and reports the size of the message.
+func BenchmarkHeartbeatEncode(b *testing.B) {
+	eachHeartbeat(b, func(b *testing.B, h *HeartbeatRequest) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, err := proto.Marshal(h); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(proto.Size(h)), "message-bytes")
+	})
+}
+
+// BenchmarkHeartbeatDecode measures decoding.
+func BenchmarkHeartbeatDecode(b *testing.B) {
+	eachHeartbeat(b, func(b *testing.B, h *HeartbeatRequest) {
+		data, err := proto.Marshal(h)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportAllocs()
+		for b.Loop() {
+			if err := proto.Unmarshal(data, &HeartbeatRequest{}); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+// BenchmarkEnvelope measures encoding and decoding of the envelope alone.
+func BenchmarkEnvelope(b *testing.B) {
+	e := benchEnvelope()
+	b.ReportAllocs()
+	for b.Loop() {
+		data, err := proto.Marshal(e)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if err := proto.Unmarshal(data, &Envelope{}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(proto.Size(e)), "message-bytes")
+}
+
+// benchPeer answers without tables, so that the benchmarks measure the transport alone.
+type benchPeer struct {
+	Peer
+	heartbeat *HeartbeatResponse
+}
+
+func (p benchPeer) Heartbeat(context.Context, *HeartbeatRequest) (*HeartbeatResponse, error) {
+	return p.heartbeat, nil
+}
+
+func (p benchPeer) Debit(_ context.Context, req *DebitRequest) (*DebitResponse, error) {
+	parts := []*Part{{Slot: 3, Epoch: 12, Tokens: req.Tokens}}
+	return &DebitResponse{Envelope: benchEnvelope(), Granted: req.Tokens, Parts: parts}, nil
+}
+
+// startPeer serves p on loopback. The returned function reports the bytes that the server's connections carried.
+func startPeer(b *testing.B, p Peer) (Peer, context.Context, func() int64) {
+	b.Helper()
+	const token = "benchmark-peer-token"
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	counted := &countingListener{Listener: ln}
+	server := NewServer(p, token, nil)
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(counted) }()
+	clients := NewClients(token, nil)
+	b.Cleanup(func() {
+		clients.Close()
+		_ = server.Close()
+		if err := <-done; err != http.ErrServerClosed {
+			b.Error(err)
+		}
+	})
+	return clients.At(ln.Addr().String()), clients.Context(context.Background()), counted.total
+}
+
+// cpuNs is the processor time of this process, client and server together.
+func cpuNs(b *testing.B) int64 {
+	b.Helper()
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return u.Utime.Nano() + u.Stime.Nano()
+}
+
+// measureCalls runs call and reports processor time and bytes on the wire per call, both ends and ways together.
+func measureCalls(b *testing.B, bytes func() int64, call func() error) {
+	b.Helper()
+	if err := call(); err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	cpu, carried := cpuNs(b), bytes()
+	for b.Loop() {
+		if err := call(); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(cpuNs(b)-cpu)/float64(b.N), "cpu-ns/op")
+	b.ReportMetric(float64(bytes()-carried)/float64(b.N), "wire-bytes/op")
+}
+
+// BenchmarkDebitRoundTrip measures one debit over loopback with the real server and client.
+func BenchmarkDebitRoundTrip(b *testing.B) {
+	client, ctx, bytes := startPeer(b, benchPeer{})
+	req := &DebitRequest{Envelope: benchEnvelope(), Id: "0197f3a2-5c1e-4b7a-9d42-6f0c8e2b1a55", Workspace: "workspace-123", Tokens: 700}
+	measureCalls(b, bytes, func() error {
+		_, err := client.Debit(ctx, req)
+		return err
+	})
+}
+
+// BenchmarkHeartbeatRoundTrip measures one exchange of heartbeats over loopback with the real server and client.
+func BenchmarkHeartbeatRoundTrip(b *testing.B) {
+	eachHeartbeat(b, func(b *testing.B, h *HeartbeatRequest) {
+		client, ctx, bytes := startPeer(b, benchPeer{heartbeat: &HeartbeatResponse{State: h}})
+		measureCalls(b, bytes, func() error {
+			_, err := client.Heartbeat(ctx, h)
+			return err
+		})
+	})
+}
