--- /dev/null
+++ b/pkg/once/bench_test.go
@@ -0,0 +1,92 @@
+package once
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// The benchmarks give the slopes of docs/CAPACITY.md. None of them is a test of time.
+
+// benchRecord is a record as it stands at an offset of its stream.
+type benchRecord struct {
+	stream string
+	offset int64
+	data   []byte
+}
+
+// benchRecords returns the intents and results of n bookings with an answer of 300 bytes, in all streams.
+func benchRecords(n int) []benchRecord {
+	var records []benchRecord
+	next := map[string]int64{}
+	land := func(r *Record) int64 {
+		stream := StreamOf(r.Workspace, r.Key)
+		offset := next[stream]
+		next[stream]++
+		records = append(records, benchRecord{stream: stream, offset: offset, data: r.Encode()})
+		return offset
+	}
+	body := make([]byte, 300)
+	for i := range n {
+		r := Record{
+			Kind: KindIntent, Workspace: "workspace-123", Key: fmt.Sprintf("booking-%032d", i), Digest: fmt.Sprintf("%064x", i),
+			VM: "vm-0123", Incarnation: "0197f3a2-5c1e-4b7a-9d42-6f0c8e2b1a55", Nonce: fmt.Sprintf("%036d", i),
+			AtMs: start.UnixMilli(), WindowMs: (30 * time.Minute).Milliseconds(),
+		}
+		r.Offset = land(&r)
+		r.Kind = KindResult
+		r.LoggedMs = start.UnixMilli()
+		r.Result = &Result{Status: 201, Headers: []Header{{Name: "Content-Type", Value: "application/json"}}, Body: body}
+		land(&r)
+	}
+	return records
+}
+
+func benchApply(b *testing.B, table *Table, records []benchRecord) {
+	b.Helper()
+	for _, r := range records {
+		if a := table.Apply(r.stream, r.offset, r.data, start); a.Err != nil {
+			b.Fatal(a.Err)
+		}
+	}
+}
+
+// BenchmarkEntryMemory reports the heap of finished entries; the slope is per entry.
+func BenchmarkEntryMemory(b *testing.B) {
+	for _, entries := range []int{1000, 11000} {
+		records := benchRecords(entries)
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			for b.Loop() {
+				before := heapBytes()
+				table := newTable("vm-0001")
+				benchApply(b, table, records)
+				b.ReportMetric(float64(heapBytes()-before), "bytes")
+				b.ReportMetric(float64(len(records[0].data)), "intent-bytes")
+				b.ReportMetric(float64(len(records[1].data)), "result-bytes")
+				if table.Len() != entries {
+					b.Fatal(table.Len())
+				}
+				runtime.KeepAlive(table)
+			}
+		})
+	}
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// BenchmarkApply measures the two records of one request, as every VM that follows the stream applies them.
+func BenchmarkApply(b *testing.B) {
+	records := benchRecords(5000)
+	b.ReportAllocs()
+	for b.Loop() {
+		benchApply(b, newTable("vm-0001"), records)
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*len(records)/2), "ns/request")
+}
--- /dev/null
+++ b/pkg/route/bench_test.go
@@ -0,0 +1,42 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+)
+
+// The benchmarks give the slopes of docs/CAPACITY.md. None of them is a test of time.
+
+// BenchmarkChain measures the hashing of a prompt; the slope is per block of 4,000 bytes.
+func BenchmarkChain(b *testing.B) {
+	for _, blocks := range []int{4, 44} {
+		b.Run(fmt.Sprintf("blocks=%d", blocks), func(b *testing.B) {
+			prompt := make([]byte, blocks*4000)
+			b.ReportAllocs()
+			for b.Loop() {
+				Chain(1, prompt, 4000)
+			}
+		})
+	}
+}
+
+// BenchmarkPlace measures one request from placement to its end among a number of engines.
+func BenchmarkPlace(b *testing.B) {
+	for _, engines := range []int{18, 120, 343, 2400} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			p := placer(b, Options{})
+			view := View{DataCentre: "x", Peers: 19, Cache: held{}}
+			for i := range engines {
+				view.Endpoints = append(view.Endpoints, endpoints(fmt.Sprintf("engine-%04d", i))...)
+			}
+			b.ReportAllocs()
+			for i := uint64(1); b.Loop(); i++ {
+				r := request(i, 10)
+				placed := p.Place(r, view, simStart)
+				p.Sent(r, placed, simStart)
+				p.FirstToken(i, simStart)
+				p.Done(i, true, simStart)
+			}
+		})
+	}
+}
