--- a/pkg/config/bench_test.go
+++ b/pkg/config/bench_test.go
@@ -2,13 +2,19 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 )
 
 // targetNote holds the configuration of the target: 360 workspaces with a key each, 7 models and 2,400 endpoints.
 func targetNote() ReleaseNote {
+	return sizedNote(360, 2400)
+}
+
+// sizedNote holds a number of workspaces with a key each, 7 models and a number of endpoints.
+func sizedNote(workspaces, endpoints int) ReleaseNote {
 	note := ReleaseNote{ID: "target", Base: -1}
-	for i := range 360 {
+	for i := range workspaces {
 		name := fmt.Sprintf("workspace-%d", i)
 		note.Added.Workspaces = append(note.Added.Workspaces, Workspace{Name: name, TokensPerSecond: 1000, BurstTokens: 9000})
 		note.Added.Keys = append(note.Added.Keys, Key{Digest: fmt.Sprintf("%064x", i), Workspace: name})
@@ -18,7 +24,7 @@
 		note.Added.Models = append(note.Added.Models, Model{Name: name, Version: "v1"})
 		note.Added.Routes = append(note.Added.Routes, Route{Name: name, Kind: RouteChat, Model: name})
 	}
-	for i := range 2400 {
+	for i := range endpoints {
 		note.Added.Endpoints = append(note.Added.Endpoints, Endpoint{
 			Name: fmt.Sprintf("engine-%d", i), Kind: EndpointEngine, DataCentre: fmt.Sprintf("dc-%d", i%20),
 			Address: fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250), Models: []string{fmt.Sprintf("model-%d", i%7)},
@@ -70,10 +76,11 @@
 		}
 	})
 	b.Run("write", func(b *testing.B) {
-		b.ReportMetric(float64(len(data)), "record-bytes")
 		for b.Loop() {
 			r.Snapshot()
 		}
+		// Loop resets the metrics when it starts.
+		b.ReportMetric(float64(len(data)), "record-bytes")
 	})
 	b.Run("restore", func(b *testing.B) {
 		for b.Loop() {
@@ -84,6 +91,34 @@
 	})
 }
 
+// BenchmarkStateMemory reports heap and snapshot size; the slopes are per workspace with its key and per endpoint.
+func BenchmarkStateMemory(b *testing.B) {
+	for _, c := range []struct{ workspaces, endpoints int }{{36, 240}, {360, 240}, {36, 2400}, {360, 2400}} {
+		b.Run(fmt.Sprintf("workspaces=%d/endpoints=%d", c.workspaces, c.endpoints), func(b *testing.B) {
+			for b.Loop() {
+				note := sizedNote(c.workspaces, c.endpoints)
+				before := heap()
+				r := NewReplay()
+				if v := mustApply(b, r, note); !v.Accepted {
+					b.Fatal(v.Reason)
+				}
+				b.ReportMetric(float64(heap()-before), "bytes")
+				b.ReportMetric(float64(len(r.Snapshot())), "record-bytes")
+				runtime.KeepAlive(r)
+				runtime.KeepAlive(note)
+			}
+		})
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
 // BenchmarkLookup measures the lookups of one request.
 func BenchmarkLookup(b *testing.B) {
 	s := targetReplay(b).State()
