--- a/lab/failure/limit_test.go
+++ b/lab/failure/limit_test.go
@@ -4,9 +4,11 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/corneldeal/corneldeal/lab/deploy"
 	"github.com/corneldeal/corneldeal/lab/logservice"
 	"github.com/corneldeal/corneldeal/lab/vmlist"
 	"github.com/corneldeal/corneldeal/pkg/config"
@@ -26,6 +28,10 @@
 // excess returns the largest number of tokens by which any window exceeds burst + rate × time. A call counts for a
 // window only when it was sent and answered within it, so that the result is never too high.
 func excess(calls []admitted) float64 {
+	return excessOver(calls, limitRate, limitBurst)
+}
+
+func excessOver(calls []admitted, rate, burst float64) float64 {
 	slices.SortFunc(calls, func(a, b admitted) int { return a.answered.Compare(b.answered) })
 	worst := 0.0
 	for _, first := range calls {
@@ -36,7 +42,7 @@
 			}
 			tokens += tokensACall
 			window := c.answered.Sub(first.sent).Seconds()
-			worst = max(worst, tokens-limitBurst-limitRate*window)
+			worst = max(worst, tokens-burst-rate*window)
 		}
 	}
 	return worst
@@ -233,13 +239,68 @@
 func TestOneVMSpendsTheTokensOfAll(t *testing.T) {
 	d := limited(t, false)
 	time.Sleep(4 * time.Second)
-	admittedCalls := 0
-	for range limitBurst / tokensACall {
+	// All calls are sent at once: one after the other, the VM's own share of the rate would be enough for them.
+	var admittedCalls atomic.Int64
+	many(limitBurst/tokensACall, func(int) {
 		if d.call(d.VMs[0], http.MethodGet, "/bookings/limit", "", "").status == http.StatusOK {
-			admittedCalls++
+			admittedCalls.Add(1)
 		}
-	}
-	if admittedCalls < limitBurst/tokensACall*9/10 {
+	})
+	if admittedCalls := admittedCalls.Load(); admittedCalls < limitBurst/tokensACall*9/10 {
 		t.Errorf("%d calls of a full burst of %d were admitted through one VM", admittedCalls, limitBurst/tokensACall)
 	}
 }
+
+// A VM that is paused while its slots move must not spend its old stock when it resumes. The new holders have filled
+// their buckets by then, so that any token of the old stock is above the burst.
+func TestPausedVMDoesNotSpendMovedSlots(t *testing.T) {
+	const (
+		rate   = 1000
+		burst  = 6000
+		queued = 20
+	)
+	d := start(t, shape{vms: 3, services: 2})
+	d.publish(config.ReleaseNote{ID: "limit", Changed: config.Items{
+		Workspaces: []config.Workspace{{Name: "small", TokensPerSecond: rate, BurstTokens: burst}},
+		Routes:     []config.Route{withCharge(d.firstNote().Added.Routes[1])},
+	}})
+	v := d.VMs[0]
+	d.await("the VM holds slots", func() bool { return len(d.status(v).Slots) > 0 })
+	fill := burst * time.Second / rate
+	time.Sleep(fill)
+	d.check(v.Pause())
+	d.vms.Set(d.List()[1:])
+	d.await("the other VMs hold all slots", func() bool {
+		return len(d.status(d.VMs[1]).Slots)+len(d.status(d.VMs[2]).Slots) >= 16
+	})
+	time.Sleep(fill)
+	var mu sync.Mutex
+	var calls []admitted
+	call := func(v *deploy.VM) {
+		sent := time.Now()
+		if d.call(v, http.MethodGet, "/bookings/limit", "", "").status == http.StatusOK {
+			mu.Lock()
+			calls = append(calls, admitted{sent, time.Now()})
+			mu.Unlock()
+		}
+	}
+	var spent sync.WaitGroup
+	for range queued {
+		spent.Go(func() { call(v) })
+	}
+	// The calls wait in the listener's queue until the VM runs again.
+	time.Sleep(200 * time.Millisecond)
+	d.check(v.Resume())
+	for i := range burst / tokensACall * 3 / 2 {
+		spent.Go(func() { call(d.VMs[1+i%2]) })
+	}
+	spent.Wait()
+	if len(calls) < burst/tokensACall*9/10 {
+		t.Errorf("only %d calls were admitted, so the buckets were not full", len(calls))
+	}
+	over := excessOver(calls, rate, burst)
+	t.Logf("%d calls admitted, largest excess %.0f tokens", len(calls), over)
+	if over > 0 {
+		t.Errorf("%.0f tokens above rate and burst", over)
+	}
+}
--- a/lab/failure/once_test.go
+++ b/lab/failure/once_test.go
@@ -199,16 +199,28 @@
 	}
 }
 
-// A key used for another request must be refused, not answered with the first request's answer.
+// A key used for another request must be refused, not answered with the first request's answer. This holds while the
+// first request runs and after its result was recorded.
 func TestKeyOfAnotherRequestIsRefused(t *testing.T) {
 	d := start(t, shape{vms: 2, services: 1})
-	key := newKey()
-	if r := d.book(d.VMs[0], key); r.status != http.StatusOK {
-		t.Fatalf("booking failed: %v", r)
+	misuse := func(when, key string) {
+		t.Helper()
+		r := d.call(d.VMs[1], http.MethodPost, "/bookings/new", key, `{"machine":4}`)
+		if r.code != "idempotency_key_reused" || !r.notRun() {
+			t.Errorf("%s: want a refusal: %v", when, r)
+		}
+		d.wantRuns(key, 1)
 	}
-	r := d.call(d.VMs[1], http.MethodPost, "/bookings/new", key, `{"machine":4}`)
-	if r.code != "idempotency_key_reused" || !r.notRun() {
-		t.Errorf("want a refusal: %v", r)
+	running := newKey()
+	d.services[0].SetFaults(service.Faults{ReplyDelayMs: 4000})
+	done := make(chan result, 1)
+	go func() { done <- d.book(d.VMs[0], running) }()
+	d.await("the service ran the booking", func() bool { return d.runs(running) == 1 })
+	misuse("while the booking runs", running)
+	d.services[0].SetFaults(service.Faults{})
+	if r := <-done; r.status != http.StatusOK {
+		t.Fatalf("booking failed: %v", r)
 	}
-	d.wantRuns(key, 1)
+	d.await("the other VM holds the result", func() bool { return d.book(d.VMs[1], running).status == http.StatusOK })
+	misuse("after the booking", running)
 }
