--- a/lab/failure/isolation_test.go
+++ b/lab/failure/isolation_test.go
@@ -13,8 +13,13 @@
 	"github.com/corneldeal/corneldeal/pkg/config"
 )
 
-// pausedPastContact is longer than the contact window of 3 s plus one long poll of the log.
-const pausedPastContact = 4500 * time.Millisecond
+const (
+	// pastLongPoll is longer than one long poll of the log, so that a paused VM has no answer waiting that holds the next
+	// record.
+	pastLongPoll = 1500 * time.Millisecond
+	// pastContact is longer than the contact window.
+	pastContact = 3500 * time.Millisecond
+)
 
 // Equal prompts of two workspaces must never share cached blocks; requests of one workspace must.
 func TestEqualPromptsOfWorkspacesShareNoBlocks(t *testing.T) {
@@ -93,13 +98,14 @@
 		}
 		next := d.status(d.VMs[1]).ConfigNext
 		d.check(v.Pause())
+		time.Sleep(pastLongPoll)
 		note := withdrawKey("while-paused", keyLarge)
 		note.Base = next - 1
 		d.log.Append("config", json.RawMessage(config.NewNoteRecord(note)))
 		d.await("the other VMs have applied the note", func() bool {
 			return d.status(d.VMs[1]).ConfigNext > next && d.status(d.VMs[2]).ConfigNext > next
 		})
-		time.Sleep(pausedPastContact)
+		time.Sleep(pastContact)
 		for i := range waiting {
 			go func() {
 				resp, err := d.do(v, http.MethodGet, fmt.Sprintf("/bookings/paused-%d", i), keyLarge, "", "")
--- a/lab/failure/once_test.go
+++ b/lab/failure/once_test.go
@@ -43,8 +43,9 @@
 	d.log.SetFaults(logservice.Faults{LoseReply: true, Streams: "intent"})
 	key := newKey()
 	first := d.book(d.VMs[0], key)
-	if first.status != http.StatusOK && !first.notRun() {
-		t.Fatalf("neither run nor refused as not run: %v", first)
+	// The intent is read back, so the lost reply does not matter to the caller.
+	if first.status != http.StatusOK {
+		t.Errorf("the booking was not answered: %v", first)
 	}
 	d.log.SetFaults(logservice.Faults{})
 	d.await("the booking is answered", func() bool { return d.book(d.VMs[1], key).status == http.StatusOK })
