--- a/pkg/route/placement.go
+++ b/pkg/route/placement.go
@@ -40,6 +40,10 @@
 type PeerLoad struct {
 	// InFlight is the sum over peers.
 	InFlight int
+	// Timed tells that Prefill is known.
+	Timed bool
+	// Prefill is the expected time until the prompts that peers have sent there are computed.
+	Prefill time.Duration
 	// Complete tells that every live peer is counted.
 	Complete bool
 	// At is the time of the oldest heartbeat counted. Zero means that there is none.
@@ -58,6 +62,8 @@
 	MaxRunning int
 	// Serves tells that the endpoint is up and holds the request's model, adapter and version.
 	Serves bool
+	// Evicts tells that the endpoint has evicted blocks lately, so that new blocks push others out.
+	Evicts bool
 	// Leaving tells that the endpoint gets no new work.
 	Leaving bool
 	// Reserved tells that another request runs alone there.
