Mend mutual TLS between VMs and stop idle timers

Cause: the server added HTTP/2 to the TLS configuration that it shares with the clients, so every call between VMs with peer_tls failed with a malformed response. Load updates and the queue run after a signal instead of every 20 ms. Single-point benchmarks that the slopes replace are gone.

--- a/pkg/limit/limiter_test.go
+++ b/pkg/limit/limiter_test.go
@@ -1,7 +1,6 @@
 package limit
 
 import (
-	"strconv"
 	"testing"
 	"time"
 
@@ -159,32 +158,3 @@
 		t.Fatalf("asks %v for tokens already asked for", d)
 	}
 }
-
-// benchLimiter holds two of 16 slots and 360 workspaces, as one VM of eight does.
-func benchLimiter() *Limiter {
-	var list []Workspace
-	for i := range 360 {
-		list = append(list, Workspace{Name: strconv.Itoa(i), TokensPerSecond: MaxTokens, BurstTokens: MaxTokens})
-	}
-	l := New()
-	l.Configure(16, list, start)
-	until := start.Add(1000 * time.Hour)
-	l.SetHeld([]Slot{{Index: 3, Epoch: 1, Until: until}, {Index: 9, Epoch: 1, Until: until}}, start)
-	return l
-}
-
-func BenchmarkTake(b *testing.B) {
-	l := benchLimiter()
-	b.ReportAllocs()
-	for i := 0; b.Loop(); i++ {
-		l.Take("17", 500, at(time.Duration(i)*time.Microsecond))
-	}
-}
-
-func BenchmarkDebit(b *testing.B) {
-	l := benchLimiter()
-	b.ReportAllocs()
-	for i := 0; b.Loop(); i++ {
-		l.Debit(strconv.Itoa(i), "17", 500, at(time.Duration(i)*time.Millisecond))
-	}
-}
--- a/pkg/peer/bench_test.go
+++ b/pkg/peer/bench_test.go
@@ -130,7 +130,7 @@
 
 // startPeer serves p on loopback. The returned function reports the bytes that the server's connections carried.
 // A nil conf means plain TCP.
-func startPeer(b *testing.B, p Peer, conf *tls.Config) (Peer, context.Context, func() int64) {
+func startPeer(b testing.TB, p Peer, conf *tls.Config) (Peer, context.Context, func() int64) {
 	b.Helper()
 	const token = "benchmark-peer-token"
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -138,10 +138,7 @@
 		b.Fatal(err)
 	}
 	counted := &countingListener{Listener: ln}
-	// The server adds HTTP/2 to the protocols of its configuration when it starts. A client that shares the configuration
-	// offers HTTP/2 too and cannot read the answer, so each end has its own.
-	clientConf := conf.Clone()
-	server := NewServer(p, token, conf.Clone())
+	server := NewServer(p, token, conf)
 	done := make(chan error, 1)
 	go func() {
 		if conf != nil {
@@ -150,7 +147,7 @@
 		}
 		done <- server.Serve(counted)
 	}()
-	clients := NewClients(token, clientConf)
+	clients := NewClients(token, conf)
 	b.Cleanup(func() {
 		clients.Close()
 		_ = server.Close()
@@ -189,7 +186,7 @@
 }
 
 // benchTLS returns mutual TLS as TLSConfig does, with a certificate of its own for 127.0.0.1.
-func benchTLS(b *testing.B) *tls.Config {
+func benchTLS(b testing.TB) *tls.Config {
 	b.Helper()
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
--- a/pkg/peer/transport.go
+++ b/pkg/peer/transport.go
@@ -37,7 +37,8 @@
 	return &http.Server{
 		Handler:           requireToken(token, handler),
 		ReadHeaderTimeout: headerTimeout,
-		TLSConfig:         conf,
+		// net/http adds its protocols to the configuration of a server, which a client must not offer.
+		TLSConfig: conf.Clone(),
 	}
 }
 
@@ -71,7 +72,7 @@
 	transport := &http.Transport{
 		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		IdleConnTimeout: idleConnTimeout,
-		TLSClientConfig: conf,
+		TLSClientConfig: conf.Clone(),
 	}
 	return &Clients{
 		token:     token,
--- a/pkg/route/sim_test.go
+++ b/pkg/route/sim_test.go
@@ -496,7 +496,7 @@
 }
 
 // One placement at the target size: 120 engines, 400 hot prefixes, prompts of 32 blocks.
-func BenchmarkPlace(b *testing.B) {
+func BenchmarkPlaceAmong120(b *testing.B) {
 	p := placer(b, Options{})
 	index := cacheindex.New(cacheindex.Settings{}, simStart)
 	view := View{Peers: 19, Cache: index}
--- a/pkg/router/admission.go
+++ b/pkg/router/admission.go
@@ -127,6 +127,9 @@
 	for _, model := range models {
 		r.dispatchModel(model)
 	}
+	if len(models) > 0 {
+		wake(r.queueFilled)
+	}
 }
 
 func (r *Router) dispatchModel(model string) {
--- a/pkg/router/intents.go
+++ b/pkg/router/intents.go
@@ -139,10 +139,7 @@
 }
 
 func (r *Router) wakeAppender() {
-	select {
-	case r.intentsAdded <- struct{}{}:
-	default:
-	}
+	wake(r.intentsAdded)
 }
 
 // carryIntents appends entries again before they expire.
--- a/pkg/router/loads.go
+++ b/pkg/router/loads.go
@@ -20,6 +20,7 @@
 // noteLoad marks an endpoint for the next load update.
 func (r *Router) noteLoad(endpoint string) {
 	r.changes.do(func(c *loadChanges) { c.endpoints[endpoint] = true })
+	wake(r.loadsChanged)
 }
 
 // sendLoads tells peers of the loads that changed.
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -83,6 +83,8 @@
 	retries guarded[*admit.RetryBudget]
 
 	intentsAdded chan struct{}
+	loadsChanged chan struct{}
+	queueFilled  chan struct{}
 	requestIDs   atomic.Uint64
 	crashSeq     atomic.Uint64
 
@@ -131,6 +133,8 @@
 		fatal:       make(chan error, 1),
 
 		intentsAdded: make(chan struct{}, 1),
+		loadsChanged: make(chan struct{}, 1),
+		queueFilled:  make(chan struct{}, 1),
 	}
 	r.config.table = config.NewReplay()
 	r.members.table = member.NewTable(s.VM)
@@ -257,6 +261,30 @@
 	})
 }
 
+// wake signals a loop that waits on the channel. A signal that is already there stands for both.
+func wake(signal chan<- struct{}) {
+	select {
+	case signal <- struct{}{}:
+	default:
+	}
+}
+
+// onSignal runs f after each signal, once the pause is over, until the router stops. Timers that ran all the time took
+// most of the processor time of an idle process.
+func (r *Router) onSignal(signal <-chan struct{}, pause time.Duration, f func()) {
+	r.loop(func() {
+		for {
+			select {
+			case <-signal:
+			case <-r.ctx.Done():
+				return
+			}
+			r.pause(pause)
+			f()
+		}
+	})
+}
+
 // fail reports a broken invariant or a listener that ended.
 func (r *Router) fail(err error) {
 	if r.ctx.Err() != nil {
