Let one request of a workspace at a time collect tokens from peers

Cause: near the end of a workspace's stock several requests each held a part of the last tokens, none had enough, and a request was refused although the tokens were there when it arrived (level 23,397 of 119,489 in the exact bucket). Ruled out: stock that runs down unevenly, so that full slots mint nothing. Change: a turn per workspace and VM; a request does not overtake one that waits on the same VM. All refusals are of the workspace that sends six times its usual rate; requests on other VMs can still overtake.

--- a/pkg/router/charge.go
+++ b/pkg/router/charge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -41,29 +42,77 @@
 	tokens  int64
 }
 
+// turns lets one request of a workspace at a time collect tokens from peers. Several at once each hold a part of the
+// last tokens, none has enough, and a request is refused although the workspace has tokens left.
+type turns struct {
+	byWorkspace map[string]chan struct{}
+}
+
+func (t *turns) of(workspace string) chan struct{} {
+	turn, ok := t.byWorkspace[workspace]
+	if !ok {
+		turn = make(chan struct{}, 1)
+		t.byWorkspace[workspace] = turn
+	}
+	return turn
+}
+
 // charge takes tokens from the own slots, then from peers, and waits a bounded time where the tokens will be
 // there soon. Nothing is kept after a refusal.
 func (r *Router) charge(ctx context.Context, workspace config.Workspace, tokens int64) (*payment, *refusal.Error) {
-	until := time.Now().Add(longestTokenWait)
-	if deadline, ok := ctx.Deadline(); ok && deadline.Before(until) {
-		until = deadline
+	turn := read(&r.turns, func(t *turns) chan struct{} { return t.of(workspace.Name) })
+	// A request does not overtake one that already waits for tokens on this VM.
+	if len(turn) == 0 {
+		if paid := r.chargeOwn(workspace, tokens); paid != nil {
+			return paid, nil
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, longestTokenWait)
+	defer cancel()
+	select {
+	case turn <- struct{}{}:
+		defer func() { <-turn }()
+	case <-ctx.Done():
+		return nil, tokenRefusal(ctx, workspace, mintTime(workspace, tokens))
 	}
 	for {
 		paid, wait, ref := r.tryCharge(ctx, workspace, tokens)
 		if ref != nil || wait == 0 {
 			return paid, ref
 		}
-		if time.Now().Add(wait).After(until) {
+		if deadline, ok := ctx.Deadline(); ok && time.Now().Add(wait).After(deadline) {
 			return nil, errRateLimited(workspace, wait)
 		}
 		select {
 		case <-time.After(wait):
 		case <-ctx.Done():
-			return nil, endCause(ctx)
+			return nil, tokenRefusal(ctx, workspace, wait)
 		}
 	}
 }
 
+// chargeOwn takes all tokens from the own slots, or none and returns nil.
+func (r *Router) chargeOwn(workspace config.Workspace, tokens int64) *payment {
+	var paid *payment
+	r.limits.do(func(l *limit.Limiter) {
+		grant, missing := l.Take(workspace.Name, tokens, time.Now)
+		if missing == 0 && grant.Outcome == limit.Granted {
+			paid = &payment{workspace: workspace.Name, tokens: tokens, own: grant.Parts}
+			return
+		}
+		l.Return("", workspace.Name, grant.Parts, time.Now())
+	})
+	return paid
+}
+
+// tokenRefusal is the refusal of a request whose wait for tokens has ended.
+func tokenRefusal(ctx context.Context, workspace config.Workspace, wait time.Duration) *refusal.Error {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return errRateLimited(workspace, wait)
+	}
+	return endCause(ctx)
+}
+
 func errRateLimited(workspace config.Workspace, wait time.Duration) *refusal.Error {
 	ref := refusal.New(statusTooMany, refusal.CodeRateLimited, "workspace %s has used up its token rate", workspace.Name)
 	return ref.After(min(wait, time.Minute))
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -2,7 +2,7 @@
 //
 // Requests run in a bounded pool of workers over shared tables. Each table has one mutex, see guarded. A
 // goroutine that needs two tables locks them in this order: config, members, leases, limits, intents, admission,
-// placer, index, engines, crashes, orders, changes. No call over the network is made while a table is locked.
+// placer, index, engines, crashes, orders, changes, turns. No call over the network is made while a table is locked.
 package router
 
 import (
@@ -80,6 +80,7 @@
 	crashes guarded[*crashguard.Guard]
 	orders  guarded[*order.Planner]
 	changes guarded[*loadChanges]
+	turns   guarded[*turns]
 	retries guarded[*admit.RetryBudget]
 
 	intentsAdded chan struct{}
@@ -145,6 +146,7 @@
 	r.index.table = cacheindex.New(cacheindex.Settings{}, r.started)
 	r.fleet.table = newEngineTable()
 	r.crashes.table = crashguard.New(crashguard.Settings{})
+	r.turns.table = &turns{byWorkspace: map[string]chan struct{}{}}
 	r.changes.table = &loadChanges{endpoints: map[string]bool{}}
 	r.orderFence.Store(-1)
 	r.orders.table = order.NewPlanner(order.Settings{})
