Stop a holder whose slot is contested by a claim of another VM

Cause: the log was down past its retention, so its records of a slot expired. The holder was off the VM list, no peer reached it and its renew record stayed in transit. A new VM claimed the slot and acted after its wait, while the holder went on by its own reads of the log, in which that claim is void. Two VMs minted for one slot. A run of TestWorldKeepsLimit with 4000 checks showed it; the models leave out expiry.

Change: a holder does not act on a slot that is contested until it has read its renew record back.

--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -354,6 +354,11 @@
 	if !ok || s.Released || s.Assumed || len(s.Displaced) > 0 || !s.Holder.sameProcess(m.self) {
 		return false
 	}
+	// A VM that does not know the state has claimed the resource. It acts unless it reads this VM's renew record, so
+	// this VM stops until it has read that record back.
+	if s.Contested {
+		return false
+	}
 	if s.Fence >= m.evidenceNext {
 		return false
 	}
