Stop acting while a claim of a VM without knowledge stands

Cause: the extended state machine found two VMs on one resource in 1 of 1,184 runs: a holder that was off the VM list, unreachable for peers and unable to append, but able to read, ignored the claim of a VM that had lost the records, and went on when that VM acted after its wait. Change: a holder does not act from reading such a claim until a renew record whose author had read the claim is read.

--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -351,7 +351,7 @@
 // owns reports whether the log gives the resource to this process and to no earlier holder.
 func (m *Manager) owns(resource string) bool {
 	s, ok := m.table.State(resource)
-	if !ok || s.Released || s.Assumed || len(s.Displaced) > 0 || !s.Holder.sameProcess(m.self) {
+	if !ok || s.Released || s.Assumed || s.Contested || len(s.Displaced) > 0 || !s.Holder.sameProcess(m.self) {
 		return false
 	}
 	if s.Fence >= m.evidenceNext {
--- a/pkg/lease/table.go
+++ b/pkg/lease/table.go
@@ -40,7 +40,10 @@
 	// Stated is the offset of the newest record from which the state can be told.
 	Stated int64
 	// Contested means that a void claim came from a VM that does not know the state. It calls for a renew record.
+	// The holder does not act meanwhile, since the claimant acts if no renew record comes in time.
 	Contested bool
+	// contestedAt is the offset of the newest such claim.
+	contestedAt int64
 }
 
 // Table is the state of all resources by log order.
@@ -138,7 +141,10 @@
 		next.Assumed = true
 		next.Partial = r.Partial
 	case r.Epoch != s.Epoch+1:
-		s.Contested = s.Contested || r.Partial
+		if r.Partial {
+			s.Contested = true
+			s.contestedAt = offset
+		}
 		return Ignored
 	}
 	if known {
@@ -217,7 +223,8 @@
 		s.Displaced = nil
 	}
 	s.Stated = offset
-	s.Contested = false
+	// A renew record whose author had not read the claim may be void for the claimant.
+	s.Contested = s.Contested && r.Read <= s.contestedAt
 	return Accepted
 }
 
