Keep two accused requests apart also when they choose at the same moment; survive a pause

Cause: TestCrashingRequestLosesAtMostTwoEngines failed in 2 of 28 runs. Right after a crash all accused requests choose an engine at once on different VMs, before they know each other's claims, so a guilty and an innocent one shared an engine and both were refused. Found by reading: after a pause of its VM a stream took every engine for silent and broke off. Ruled out: holding the claim to the end of the run alone (12 runs, still failing). Change: a claim that meets another request's claim gives way and chooses again after a random pause, up to 3 s; claims are held to the end of the run; an engine is silent only when a request to it has failed, and the watch restarts after a pause of its own process.

--- a/lab/failure/stream_test.go
+++ b/lab/failure/stream_test.go
@@ -243,3 +243,17 @@
 		return r.code == "no_endpoint" && r.notRun() && r.retry != "" && time.Since(began) < 15*time.Second
 	})
 }
+
+// A VM that was paused for a while must not take its engines for dead and break its streams when it goes on.
+func TestStreamSurvivesPauseOfItsVM(t *testing.T) {
+	d := start(t, shape{vms: 2, engines: 2})
+	v := d.VMs[0]
+	r := d.chatEach(v, keySmall, "pause", 200, func(n int) {
+		if n == 10 {
+			d.check(v.Pause())
+			time.Sleep(3 * time.Second)
+			d.check(v.Resume())
+		}
+	})
+	d.wantWhole(r, "pause", 200)
+}
--- a/pkg/crashguard/guard.go
+++ b/pkg/crashguard/guard.go
@@ -279,6 +279,22 @@
 	return out
 }
 
+// Contested reports whether another request has a claim on the endpoint. Two requests that are accused of one crash and
+// choose their endpoints at the same moment see each other's claims here, after the answers of the peers were merged.
+func (g *Guard) Contested(fingerprint uint64, endpoint string, now time.Time) bool {
+	for other, s := range g.suspects {
+		if other == fingerprint {
+			continue
+		}
+		for _, r := range s.events {
+			if r.weight == Claim && r.event.Endpoint == endpoint && !g.overdue(r, now) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Reserved returns the endpoints on which claims stand. They get no other request.
 func (g *Guard) Reserved(now time.Time) []string {
 	var out []string
--- a/pkg/crashguard/guard_test.go
+++ b/pkg/crashguard/guard_test.go
@@ -308,3 +308,21 @@
 		t.Fatalf("%d fingerprints for 4 requests", len(seen))
 	}
 }
+
+// Two requests accused of one crash must not share an endpoint because they chose it at the same moment.
+func TestClaimsOfTwoRequestsContest(t *testing.T) {
+	g := New(Settings{})
+	g.Begin(poison, crashOn("a", 1), epoch)
+	if g.Contested(poison, "a", epoch) {
+		t.Error("a claim contests itself")
+	}
+	other := crashOn("a", 2)
+	g.Merge([]Accusation{{poison + 1, other.String(), Claim}}, epoch)
+	if !g.Contested(poison, "a", epoch) || g.Contested(poison, "b", epoch) {
+		t.Error("a claim of another request on the endpoint is not seen")
+	}
+	g.Merge([]Accusation{{poison + 1, other.String(), Cleared}}, epoch)
+	if g.Contested(poison, "a", epoch) {
+		t.Error("a withdrawn claim still contests")
+	}
+}
--- a/pkg/router/attempt.go
+++ b/pkg/router/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"time"
 
 	"github.com/google/uuid"
@@ -22,9 +23,8 @@
 	maxChatAttempts = 6
 	// watchEvery is the time between two looks at whether the engine of an attempt still answers.
 	watchEvery = 250 * time.Millisecond
-	// settledTokens is the number of tokens after which an accused request no longer keeps other accused requests
-	// from its engine. A request that crashes engines mostly does so before its first token.
-	settledTokens = 8
+	// pausedAfter is the time between two looks above which this process, not the engine, was paused.
+	pausedAfter = time.Second
 	// tokenGap is the time without a token after which a begun stream counts as cut. The target is 53 ms.
 	tokenGap = 5 * time.Second
 )
@@ -41,17 +41,29 @@
 	return verdict.Action == crashguard.RunApart, verdict.Refusal()
 }
 
-// claim reserves the engine for an accused request. Peers learn of it before the request runs.
+// claim reserves the engine for an accused request. Peers learn of it before the request runs. It returns nothing where
+// another accused request claims the engine too, and the caller is to choose again.
 func (c *chatRun) claim(placed route.Placement) (*claim, *refusal.Error) {
 	held := &claim{event: c.r.crashEvent(placed.Endpoint, placed.Incarnation)}
 	accusation := read(&c.r.crashes, func(g *crashguard.Guard) crashguard.Accusation {
 		return g.Begin(c.fingerprint, held.event, time.Now())
 	})
 	c.r.reportAccusations([]crashguard.Accusation{accusation})
-	if read(&c.r.crashes, func(g *crashguard.Guard) bool { return g.MayRun(c.fingerprint, held.event, time.Now()) }) {
+	var alone, contested bool
+	c.r.crashes.do(func(g *crashguard.Guard) {
+		now := time.Now()
+		alone = g.MayRun(c.fingerprint, held.event, now)
+		contested = g.Contested(c.fingerprint, placed.Endpoint, now)
+	})
+	if alone && (!contested || time.Now().After(c.apartUntil)) {
 		return held, nil
 	}
 	c.withdraw(held)
+	if alone {
+		// Both give way and choose again after different pauses.
+		c.r.pause(suspectPoll + rand.N(suspectPoll))
+		return nil, nil
+	}
 	if _, ref := c.suspected(); ref != nil {
 		return nil, ref
 	}
@@ -81,6 +93,9 @@
 		if held, ref = c.claim(placed); ref != nil {
 			return c.failed(ref), true
 		}
+		if held == nil {
+			return nil, false
+		}
 	}
 	c.attempts++
 	count(metricAttempts, 1)
@@ -88,10 +103,7 @@
 	count(metricMatchedBlocks, int64(placed.Matched))
 	c.r.record(partChat, "attempt", c.id, placed.Endpoint)
 	c.sent(placed)
-	incarnation, err := c.stream(endpoint, func() {
-		c.withdraw(held)
-		held = nil
-	})
+	incarnation, err := c.stream(endpoint)
 	c.done(endpoint.Name, err == nil)
 	if err == nil {
 		c.cleared(suspect, held)
@@ -138,9 +150,8 @@
 	c.r.reportAccusations(list)
 }
 
-// stream passes the engine's events on to the caller. It calls settled once the attempt has produced a few tokens.
-// It returns the incarnation that answered.
-func (c *chatRun) stream(endpoint config.Endpoint, settled func()) (string, error) {
+// stream passes the engine's events on to the caller. It returns the incarnation that answered.
+func (c *chatRun) stream(endpoint config.Endpoint) (string, error) {
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
 	progress := c.watch(ctx, cancel, endpoint.Name)
@@ -160,7 +171,7 @@
 	if c.delivered > 0 {
 		count(metricResumed, 1)
 	}
-	for n := 1; ; n++ {
+	for first := true; ; first = false {
 		chunk, err := opened.Next()
 		if errors.Is(err, io.EOF) {
 			return opened.Incarnation, nil
@@ -168,12 +179,9 @@
 		if err != nil {
 			return opened.Incarnation, err
 		}
-		switch n {
-		case 1:
+		if first {
 			c.firstToken()
 			c.r.noteLoad(endpoint.Name)
-		case settledTokens:
-			settled()
 		}
 		// The time that a slow reader takes is not the engine's.
 		progress.clear()
@@ -195,14 +203,20 @@
 	go func() {
 		ticker := time.NewTicker(watchEvery)
 		defer ticker.Stop()
+		looked := time.Now()
 		for {
 			select {
 			case <-ticker.C:
 			case <-ctx.Done():
 				return
 			}
-			gap, begun := progress.age(time.Now())
-			if begun && gap > tokenGap || c.r.engineSilent(endpoint) {
+			now := time.Now()
+			paused := now.Sub(looked) > pausedAfter
+			looked = now
+			switch {
+			case paused:
+				progress.restart(now)
+			case c.r.stalled(endpoint, progress, now):
 				cancel(errStalled)
 				return
 			}
@@ -211,6 +225,12 @@
 	return progress
 }
 
+// stalled tells whether an engine answers no state requests, or sent no token for too long after the last one.
+func (r *Router) stalled(endpoint string, progress *instant, now time.Time) bool {
+	gap, begun := progress.age(now)
+	return begun && gap > tokenGap || r.engineSilent(endpoint)
+}
+
 func (c *chatRun) firstToken() {
 	c.r.placer.do(func(p *placement) {
 		p.placer.FirstToken(c.number, time.Now())
--- a/pkg/router/chat.go
+++ b/pkg/router/chat.go
@@ -60,6 +60,8 @@
 	usage     *engine.Usage
 	excluded  []string
 	attempts  int
+	// apartUntil is the time up to which the request, once accused, waits for an engine without another accused one.
+	apartUntil time.Time
 	// held is the time for which the request was held back behind others that compute its prefix.
 	held time.Duration
 }
@@ -271,8 +273,10 @@
 // placeWithin chooses an engine. An accused request waits a bounded time for an engine without another accused
 // request, then shares one.
 func (c *chatRun) placeWithin(suspect bool) (route.Placement, *refusal.Error) {
-	until := time.Now().Add(suspectWait)
-	for suspect && time.Now().Before(until) {
+	if suspect && c.apartUntil.IsZero() {
+		c.apartUntil = time.Now().Add(suspectWait)
+	}
+	for suspect && time.Now().Before(c.apartUntil) {
 		placed, ref := c.place(true)
 		if ref == nil {
 			return placed, nil
--- a/pkg/router/engines.go
+++ b/pkg/router/engines.go
@@ -35,6 +35,8 @@
 	answered time.Time
 	// down tells that the engine refused a connection or crashed since it last answered.
 	down bool
+	// failed is the start of the newest request that the engine did not answer.
+	failed time.Time
 	// started is when this VM began to follow the engine.
 	started time.Time
 	stop    context.CancelFunc
@@ -50,7 +52,7 @@
 }
 
 // candidate describes an endpoint to the placer.
-func (t *engineTable) candidate(e config.Endpoint, model, adapter, version string, peers route.PeerLoad, now time.Time) route.Endpoint {
+func (t *engineTable) candidate(e config.Endpoint, model, adapter, version string, peers route.PeerLoad) route.Endpoint {
 	c := route.Endpoint{
 		Name:       e.Name,
 		DataCentre: e.DataCentre,
@@ -63,7 +65,7 @@
 		return c
 	}
 	c.Incarnation = info.state.Incarnation
-	c.Serves = info.serves(model, adapter, version, now)
+	c.Serves = info.serves(model, adapter, version)
 	if info.known && !info.plain {
 		c.Load = route.Load{
 			Running:    info.state.Running,
@@ -75,8 +77,8 @@
 }
 
 // serves tells whether the engine is up and holds the weights.
-func (i *engineInfo) serves(model, adapter, version string, now time.Time) bool {
-	if i.down || !i.known || now.Sub(i.answered) > silentAfter {
+func (i *engineInfo) serves(model, adapter, version string) bool {
+	if i.down || !i.known {
 		return false
 	}
 	if i.plain {
@@ -144,8 +146,9 @@
 	plain := isStatus(err, engineWithoutState)
 	if err != nil && !plain {
 		r.fleet.do(func(t *engineTable) {
-			if info, ok := t.engines[e.Name]; ok {
+			if info, ok := t.engines[e.Name]; ok && !asked.Before(info.answered) {
 				info.down = true
+				info.failed = asked
 			}
 		})
 		return engine.State{}, false
@@ -217,7 +220,8 @@
 	now := time.Now()
 	return read(&r.fleet, func(t *engineTable) bool {
 		info, ok := t.engines[endpoint]
-		return !ok || info.known && now.Sub(info.answered) > silentAfter
+		// Without a failed request it is this process that was paused.
+		return !ok || info.failed.After(info.answered) && now.Sub(info.answered) > silentAfter
 	})
 }
 
--- a/pkg/router/guard.go
+++ b/pkg/router/guard.go
@@ -40,6 +40,13 @@
 	i.at.Store(nil)
 }
 
+// restart moves an instant that is set to a later time. One that was never set or was cleared stays so.
+func (i *instant) restart(t time.Time) {
+	if old := i.at.Load(); old != nil {
+		i.at.CompareAndSwap(old, &t)
+	}
+}
+
 // age returns the time since the instant, or false where it was never set.
 func (i *instant) age(now time.Time) (time.Duration, bool) {
 	t := i.at.Load()
--- a/pkg/router/placement.go
+++ b/pkg/router/placement.go
@@ -75,7 +75,7 @@
 	})
 	r.fleet.do(func(t *engineTable) {
 		for i, e := range endpoints {
-			v.Endpoints = append(v.Endpoints, t.candidate(e, model.Name, adapter, version, peers[i], now))
+			v.Endpoints = append(v.Endpoints, t.candidate(e, model.Name, adapter, version, peers[i]))
 		}
 	})
 	r.index.do(func(x *cacheindex.Index) {
