--- a/pkg/caller/request.go
+++ b/pkg/caller/request.go
@@ -179,13 +179,32 @@
 	return path, nil
 }
 
+// unescaped returns the JSON text with escapes of characters resolved, so that an escaped key is found. Text without such
+// escapes, and text that is not JSON, is returned as it is.
+func unescaped(text []byte) []byte {
+	if !bytes.Contains(text, []byte(`\u`)) && !bytes.Contains(text, []byte(`\/`)) {
+		return text
+	}
+	var value any
+	if json.Unmarshal(text, &value) != nil {
+		return text
+	}
+	var out bytes.Buffer
+	encoder := json.NewEncoder(&out)
+	encoder.SetEscapeHTML(false)
+	if encoder.Encode(value) != nil {
+		return text
+	}
+	return out.Bytes()
+}
+
 // checkKeyHidden refuses a request whose text repeats the caller's key, since that text reaches an endpoint.
 func checkKeyHidden(key string, texts ...[]byte) *refusal.Error {
 	if key == "" {
 		return nil
 	}
 	for _, text := range texts {
-		if bytes.Contains(text, []byte(key)) {
+		if bytes.Contains(text, []byte(key)) || bytes.Contains(unescaped(text), []byte(key)) {
 			return badRequest("the key must stand only in the Authorization header")
 		}
 	}
--- a/pkg/config/items.go
+++ b/pkg/config/items.go
@@ -69,9 +69,9 @@
 	Name string `json:"name" yaml:"name"`
 	// Kind tells what the route leads to.
 	Kind RouteKind `json:"kind" yaml:"kind"`
-	// Model is the model name of a chat route. Callers name it in the request.
+	// Model is the model of a chat route. Callers name it in the request, unless the route has an adapter.
 	Model string `json:"model,omitempty" yaml:"model,omitempty"`
-	// Adapter is the adapter of a chat route, or empty.
+	// Adapter is the adapter of a chat route, or empty. Callers name it instead of the model.
 	Adapter string `json:"adapter,omitempty" yaml:"adapter,omitempty"`
 	// Prefix is the path prefix of a service route, such as /services/bookings.
 	Prefix string `json:"prefix,omitempty" yaml:"prefix,omitempty"`
@@ -89,6 +89,15 @@
 	DeadlineMs int64 `json:"deadline_ms,omitempty" yaml:"deadline_ms,omitempty"`
 }
 
+// CallerModel is the model name that callers of a chat route send: the adapter's name, or the model's where the route
+// has no adapter.
+func (r *Route) CallerModel() string {
+	if r.Adapter != "" {
+		return r.Adapter
+	}
+	return r.Model
+}
+
 // EndpointKind tells what runs on an endpoint.
 type EndpointKind string
 
--- a/pkg/config/references.go
+++ b/pkg/config/references.go
@@ -47,7 +47,7 @@
 			e.unique(ref, "prefix", r.Prefix, prefixes)
 			continue
 		}
-		e.unique(ref, "model", r.Model, chat)
+		e.unique(ref, "model name", r.CallerModel(), chat)
 		e.refers(ref, Ref{KindModel, r.Model}, s.models.has(r.Model))
 		e.adapterReference(s, ref, r)
 	}
--- a/pkg/config/state.go
+++ b/pkg/config/state.go
@@ -80,7 +80,7 @@
 	index := routingIndex{byModel: map[string]Route{}, byPrefix: map[string]Route{}}
 	for _, r := range routes.sorted() {
 		if r.Kind == RouteChat {
-			index.byModel[r.Model] = r
+			index.byModel[r.CallerModel()] = r
 			continue
 		}
 		index.byPrefix[r.Prefix] = r
@@ -131,7 +131,7 @@
 // Endpoint returns the endpoint with that name, with defaults filled in.
 func (s *State) Endpoint(name string) (Endpoint, bool) { return s.endpoints.lookup(name) }
 
-// ChatRoute returns the chat route of a model name, with defaults filled in.
+// ChatRoute returns the chat route of the model name that a caller sends, with defaults filled in.
 func (s *State) ChatRoute(model string) (Route, bool) {
 	r, ok := s.routing().byModel[model]
 	return r, ok
--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -16,6 +16,8 @@
 	Draining bool
 	// Heard is the time of the newest heartbeat, or zero.
 	Heard time.Time
+	// Answered is the start of the newest heartbeat call that the VM answered, or zero.
+	Answered time.Time
 	// Last is the newest heartbeat, or nil. It must not be modified.
 	Last *Heartbeat
 }
@@ -273,6 +275,7 @@
 		Listed:   p.listed,
 		Draining: p.vm.State == StateLeaving || (p.last != nil && p.last.Draining),
 		Heard:    p.heard,
+		Answered: p.answer,
 		Last:     p.last,
 	}
 }
--- a/pkg/router/backend.go
+++ b/pkg/router/backend.go
@@ -100,7 +100,7 @@
 		if route.Kind != config.RouteChat || refused != nil && !route.Open {
 			continue
 		}
-		names = append(names, route.Model)
+		names = append(names, route.CallerModel())
 	}
 	if refused != nil && len(names) == 0 {
 		return nil, refused
--- a/pkg/router/leases.go
+++ b/pkg/router/leases.go
@@ -151,10 +151,19 @@
 	if !view.Draining {
 		view.Live = append(view.Live, r.settings.VM)
 	}
-	for _, m := range read(&r.members, func(t *member.Table) []member.Member { return t.Live(now) }) {
-		if m.Listed && !m.Draining {
+	view.AllAnswer = r.vmListReadable.Load()
+	for _, m := range read(&r.members, func(t *member.Table) []member.Member { return t.Members(now) }) {
+		if !m.Listed {
+			continue
+		}
+		if !m.Draining {
 			view.Live = append(view.Live, m.Name)
 		}
+		if m.Last == nil || now.Sub(m.Answered) >= lease.Forfeit {
+			view.AllAnswer = false
+			continue
+		}
+		view.PeerHolds = append(view.PeerHolds, m.Last.Slots...)
 	}
 	return view
 }
