Never call a request not run after an attempt that may have run

Cause: found on reading: when an attempt was cut before its first token and no engine was left, the refusal came from placement and said not run. The same held for lookups whose endpoints had all failed. Change: a run remembers that an attempt may have reached an endpoint; every later refusal of it says unknown. Figures: TestRefusalAfterAttemptIsNotCalledNotRun fails on the code before (both refusals said not_run) and passes after.

--- a/lab/failure/stream_test.go
+++ b/lab/failure/stream_test.go
@@ -257,3 +257,17 @@
 	})
 	d.wantWhole(r, "pause", 200)
 }
+
+// A refusal must not say "not run" when an earlier attempt of the same request reached an endpoint.
+func TestRefusalAfterAttemptIsNotCalledNotRun(t *testing.T) {
+	const poison = "poison-41aa"
+	d := start(t, shape{vms: 1, engines: 1, services: 1})
+	d.engines[0].SetFaults(engine.Faults{Poison: poison, DownMs: 60_000})
+	if r := d.chat(d.VMs[0], keySmall, poison, 5); r.status == http.StatusOK || r.notRun() {
+		t.Errorf("chat that crashed the only engine: %v", r)
+	}
+	d.services[0].SetFaults(service.Faults{CrashAfter: true})
+	if r := d.call(d.VMs[0], http.MethodGet, "/bookings/1", "", ""); r.status == http.StatusOK || r.notRun() {
+		t.Errorf("lookup that ran without an answer: %v", r)
+	}
+}
--- a/pkg/router/attempt.go
+++ b/pkg/router/attempt.go
@@ -267,9 +267,10 @@
 	if !errors.As(err, &failed) {
 		failed = &engine.StreamError{Failure: engine.FailureCut, Err: err}
 	}
+	c.touched = c.touched || mayHaveRun(failed.Failure)
 	if c.ctx.Err() != nil {
 		c.withdrawAfter(held, failed)
-		return endCause(c.ctx).With(c.runState(failed)), true
+		return endCause(c.ctx).With(c.runState()), true
 	}
 	c.excluded = append(c.excluded, endpoint.Name)
 	switch failed.Failure {
@@ -325,20 +326,26 @@
 		count(metricRetries, 1)
 		return nil, false
 	}
-	ref := refusal.New(statusBadGateway, refusal.CodeEndpointFailed, "the engine failed").With(c.runState(failed)).After(time.Second)
+	ref := refusal.New(statusBadGateway, refusal.CodeEndpointFailed, "the engine failed").With(c.runState()).After(time.Second)
 	return c.failed(ref), true
 }
 
 // runState tells what the caller may assume about the request.
-func (c *chatRun) runState(failed *engine.StreamError) refusal.RunState {
-	if c.hasBegun {
+func (c *chatRun) runState() refusal.RunState {
+	switch {
+	case c.hasBegun:
 		return refusal.Run
+	case c.touched:
+		return refusal.Unknown
 	}
-	switch failed.Failure {
+	return refusal.NotRun
+}
+
+// mayHaveRun tells whether an engine may have begun a failed attempt.
+func mayHaveRun(failure engine.Failure) bool {
+	switch failure {
 	case engine.FailureNotSent, engine.FailureRejected, engine.FailureVersion, engine.FailureBadRequest:
-		if c.attempts <= 1 {
-			return refusal.NotRun
-		}
+		return false
 	}
-	return refusal.Unknown
+	return true
 }
--- a/pkg/router/chat.go
+++ b/pkg/router/chat.go
@@ -60,6 +60,8 @@
 	usage     *engine.Usage
 	excluded  []string
 	attempts  int
+	// touched tells that an attempt may have reached an engine, so that no later refusal says "not run".
+	touched bool
 	// apartUntil is the time up to which the request, once accused, waits for an engine without another accused one.
 	apartUntil time.Time
 	// held is the time for which the request was held back behind others that compute its prefix.
@@ -334,6 +336,9 @@
 // failed turns a refusal into one that is true for what the caller already has.
 func (c *chatRun) failed(ref *refusal.Error) *refusal.Error {
 	if !c.hasBegun {
+		if c.touched {
+			return ref.With(refusal.Unknown)
+		}
 		return ref
 	}
 	return refusal.New(statusBadGateway, refusal.CodeStreamCut, "the answer broke off: %s", ref.Message).With(refusal.Run)
--- a/pkg/router/service.go
+++ b/pkg/router/service.go
@@ -150,21 +150,26 @@
 // callRepeatable tries an idempotent call on several endpoints within the retry budget.
 func (r *Router) callRepeatable(c *serviceCall) (service.Response, *refusal.Error) {
 	r.firstAttempt()
+	state := refusal.NotRun
 	for attempt := 1; ; attempt++ {
 		endpoint, ref := r.pickService(c)
 		if ref != nil {
-			return service.Response{}, ref
+			return service.Response{}, ref.With(state)
 		}
 		resp, err := r.attemptService(c.ctx, c, endpoint)
 		if err == nil {
 			return resp, nil
 		}
 		c.excluded[endpoint.Name] = true
+		// An earlier attempt may have run although the last one did not.
+		if serviceRunState(err) != refusal.NotRun {
+			state = refusal.Unknown
+		}
 		if c.ctx.Err() != nil {
-			return service.Response{}, endCause(c.ctx).With(serviceRunState(err))
+			return service.Response{}, endCause(c.ctx).With(state)
 		}
 		if attempt >= maxServiceAttempts || !r.takeRetry() {
-			return service.Response{}, errServiceFailed(err)
+			return service.Response{}, errServiceFailed().With(state)
 		}
 		count(metricRetries, 1)
 	}
@@ -191,7 +196,7 @@
 			return service.Response{}, endCause(ctx).With(state)
 		}
 		if state != refusal.NotRun {
-			return service.Response{}, errServiceFailed(err)
+			return service.Response{}, errServiceFailed().With(state)
 		}
 		c.excluded[endpoint.Name] = true
 	}
@@ -248,7 +253,6 @@
 	return refusal.Unknown
 }
 
-func errServiceFailed(err error) *refusal.Error {
-	state := serviceRunState(err)
-	return refusal.New(statusBadGateway, refusal.CodeEndpointFailed, "the service did not answer").With(state).After(time.Second)
+func errServiceFailed() *refusal.Error {
+	return refusal.New(statusBadGateway, refusal.CodeEndpointFailed, "the service did not answer").After(time.Second)
 }
