Test that the workspace comes from the key only; run process tests uncached

The process tests build the router themselves, so go test could report a cached pass after a change of the router: a trial without the safeguard came back as '(cached)'. Change: TestWorkspaceComesFromKeyOnly; the lab module's tests run with -count=1.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,8 @@
 
 unit: build
 	go test -race -timeout 5m ./...
-	cd lab && go test -race -timeout 8m ./...
+	# The process tests build the router themselves, so a cached result would miss its changes.
+	cd lab && go test -race -count=1 -timeout 8m ./...
 
 lint: $(LINT)
 	@out=$$(gofmt -l $$(git ls-files '*.go')); test -z "$$out" || { echo "gofmt: $$out"; exit 1; }
--- a/lab/failure/isolation_test.go
+++ b/lab/failure/isolation_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -11,6 +12,7 @@
 	"github.com/corneldeal/corneldeal/lab/deploy"
 	"github.com/corneldeal/corneldeal/pkg/auth"
 	"github.com/corneldeal/corneldeal/pkg/config"
+	"github.com/corneldeal/corneldeal/pkg/route"
 )
 
 const (
@@ -200,3 +202,39 @@
 	defer func() { _ = resp.Body.Close() }()
 	return r.read(resp)
 }
+
+// The workspace must come from the key alone: neither the caller's text nor a missing key may choose it.
+func TestWorkspaceComesFromKeyOnly(t *testing.T) {
+	d := start(t, shape{vms: 1, engines: 1, services: 1, note: func(n *config.ReleaseNote) {
+		n.Added.Routes = append(n.Added.Routes, config.Route{
+			Name: "open", Kind: config.RouteService, Prefix: "/open", Service: "bookings", Open: true, Workspace: "small",
+		})
+	}})
+	v := d.VMs[0]
+	other := fmt.Sprint(route.Seed("large", "small", "", "v1"))
+	prompt := strings.Repeat("forged salt ", 200)
+	body := fmt.Sprintf(`{"model":"small","stream":true,"max_tokens":2,"workspace":"large","cache_salt":%q,"version":"v0",`+
+		`"messages":[{"role":"user","content":%q}]}`, other, prompt)
+	resp, err := d.do(v, http.MethodPost, "/v1/chat/completions", keySmall, "", body)
+	d.check(err)
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	salts := d.engines[0].Stats().ComputedBySalt
+	if salts[other] > 0 || salts[fmt.Sprint(route.Seed("small", "small", "", "v1"))] == 0 {
+		t.Errorf("blocks computed by salt: %v", salts)
+	}
+	for _, c := range []struct {
+		path, key string
+		status    int
+	}{
+		{"/bookings/1", "", http.StatusUnauthorized},
+		{"/bookings/1", "key-of-nobody", http.StatusUnauthorized},
+		{"/open/1", "", http.StatusOK},
+		{"/open/1", "key-of-nobody", http.StatusOK},
+	} {
+		resp, err := d.do(v, http.MethodGet, c.path, c.key, "", "")
+		if r := newResult(resp, err); r.status != c.status {
+			t.Errorf("%s with key %q: %v, want status %d", c.path, c.key, r, c.status)
+		}
+	}
+}
