--- a/pkg/once/decision.go
+++ b/pkg/once/decision.go
@@ -87,9 +87,6 @@
 	Nonce string
 }
 
-// CodeAnswerNotKept tells that a repeat finds a finished request whose answer was not kept.
-const CodeAnswerNotKept refusal.Code = "answer_not_kept"
-
 // HTTP statuses of the refusals.
 const (
 	statusBadRequest    = 400
@@ -150,6 +147,6 @@
 }
 
 func errAnswerNotKept(status int) *refusal.Error {
-	return refusal.New(statusConflict, CodeAnswerNotKept,
+	return refusal.New(statusConflict, refusal.CodeAnswerNotKept,
 		"the request ran and was answered with status %d; the answer is no longer held", status).With(refusal.Run)
 }
--- a/pkg/once/table_test.go
+++ b/pkg/once/table_test.go
@@ -116,7 +116,7 @@
 	log.read(t, a, start)
 	d, _ := a.Begin(booking("n2"), start)
 	wantAction(t, d, Refuse)
-	if d.Refusal.Code != CodeAnswerNotKept || d.Refusal.RunState != refusal.Run || len(log.records[1]) > 1024 {
+	if d.Refusal.Code != refusal.CodeAnswerNotKept || d.Refusal.RunState != refusal.Run || len(log.records[1]) > 1024 {
 		t.Fatalf("refusal %v, record of %d bytes", d.Refusal, len(log.records[1]))
 	}
 }
--- a/pkg/peer/bench_test.go
+++ b/pkg/peer/bench_test.go
@@ -242,3 +242,25 @@
 		})
 	})
 }
+
+// BenchmarkDatagram measures encoding and decoding of a load update with a number of changed endpoints.
+func BenchmarkDatagram(b *testing.B) {
+	for _, endpoints := range []int{1, 10} {
+		b.Run(fmt.Sprintf("endpoints=%d", endpoints), func(b *testing.B) {
+			d := &Datagrams{token: []byte("benchmark-peer-token")}
+			update := &LoadUpdate{Envelope: benchEnvelope()}
+			for i := range endpoints {
+				update.Loads = append(update.Loads, &EndpointLoad{Endpoint: fmt.Sprintf("engine-%d", i), InFlight: 3, PrefillMs: 150})
+			}
+			size := 0
+			for b.Loop() {
+				datagram := d.Encode(update)
+				size = len(datagram)
+				if _, err := d.decode(datagram); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
--- a/pkg/refusal/refusal.go
+++ b/pkg/refusal/refusal.go
@@ -38,7 +38,6 @@
 	CodeNoEndpoint       Code = "no_endpoint"
 	CodeNoConfig         Code = "no_configuration"
 	CodeCutOff           Code = "cut_off"
-	CodeDraining         Code = "draining"
 	CodeLogDown          Code = "log_unavailable"
 	CodeInProgress       Code = "in_progress"
 	CodeKeyReused        Code = "idempotency_key_reused"
@@ -49,6 +48,8 @@
 	CodeStreamCut        Code = "stream_cut"
 	CodeEndpointRejected Code = "endpoint_rejected"
 	CodeOverloaded       Code = "overloaded"
+	// CodeAnswerNotKept tells that a repeat finds a finished request whose answer was not kept.
+	CodeAnswerNotKept Code = "answer_not_kept"
 )
 
 // Error is the refusal of one request.
