Put states in force one at a time, name isolation as the reason, watch the router for data races

Cause: found on reading: the follower of the log and the catch-up from a peer both put states in force, so an older one could replace a newer for a moment. An isolated VM ended its streams with 'the key was withdrawn', which was not true. In one trial a test ended before the publish that it had started and its failure came after the test.

--- a/lab/failure/config_test.go
+++ b/lab/failure/config_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/corneldeal/corneldeal/lab/deploy"
@@ -39,7 +40,7 @@
 		d.publish(withdrawKey("withdraw", keySmall))
 	})
 	for _, r := range results {
-		if r.end != "error" {
+		if r.end != "error" || !strings.Contains(r.body, `"key_withdrawn"`) {
 			t.Errorf("stream of a withdrawn key: %v", r)
 		}
 	}
@@ -176,7 +177,7 @@
 			l.peer.Cut(true)
 		}
 	})
-	if results[0].end != "error" {
+	if results[0].end != "error" || !strings.Contains(results[0].body, `"cut_off"`) {
 		t.Errorf("the stream of an isolated VM: %v", results[0])
 	}
 	if refused := d.chat(v, keySmall, "isolated", 2); refused.code != "cut_off" || !refused.notRun() {
--- a/lab/failure/harness_test.go
+++ b/lab/failure/harness_test.go
@@ -34,8 +34,10 @@
 	waitLimit = 60 * time.Second
 	pollEvery = 20 * time.Millisecond
 	blockSize = 400
-	keySmall  = "key-of-workspace-small"
-	keyLarge  = "key-of-workspace-large"
+	// outputShown is the part of a process's output that a failure shows, in bytes.
+	outputShown = 3000
+	keySmall    = "key-of-workspace-small"
+	keyLarge    = "key-of-workspace-large"
 )
 
 var routerProgram string
@@ -56,7 +58,8 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	routerProgram = filepath.Join(dir, "corneldeal")
-	build := exec.Command("go", "build", "-o", routerProgram, "github.com/corneldeal/corneldeal/cmd/corneldeal")
+	// The race detector watches the router too.
+	build := exec.Command("go", "build", "-race", "-o", routerProgram, "github.com/corneldeal/corneldeal/cmd/corneldeal")
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "build the router: %v\n%s", err, out)
 		return 1
@@ -183,16 +186,20 @@
 	d.t.Cleanup(s.Close)
 }
 
-// endAll ends the processes that still run and shows their output after a failure.
+// endAll ends the processes that still run, looks for data races in their output, and shows it after a failure.
 func (d *deployment) endAll() {
 	for _, v := range d.VMs {
 		_ = v.Resume()
 		v.Process().Kill()
-		if !d.t.Failed() {
+		out, err := os.ReadFile(filepath.Join(d.Dir, v.Name+".log"))
+		if err != nil || len(out) == 0 {
 			continue
 		}
-		if out, err := os.ReadFile(filepath.Join(d.Dir, v.Name+".log")); err == nil && len(out) > 0 {
-			d.t.Logf("output of %s:\n%s", v.Name, out[max(0, len(out)-3000):])
+		if i := strings.Index(string(out), "WARNING: DATA RACE"); i >= 0 {
+			d.t.Errorf("data race in %s:\n%s", v.Name, out[i:min(len(out), i+outputShown)])
+		}
+		if d.t.Failed() {
+			d.t.Logf("output of %s:\n%s", v.Name, out[max(0, len(out)-outputShown):])
 		}
 	}
 }
@@ -378,21 +385,24 @@
 }
 
 // streams runs n streams at once, stream i through VM i modulo the number of VMs, and calls begun when each has its
-// first token or has ended without one. It returns when all have ended.
+// first token or has ended without one. It returns when all have ended and
+// begun has returned.
 func (d *deployment) streams(n int, key, prompt string, tokens int, vms []*deploy.VM, begun func()) []result {
 	d.t.Helper()
 	var first sync.WaitGroup
 	first.Add(n)
-	go func() {
+	var all sync.WaitGroup
+	all.Go(func() {
 		first.Wait()
 		begun()
-	}()
+	})
 	results := make([]result, n)
 	many(n, func(i int) {
 		var once sync.Once
 		results[i] = d.chatEach(vms[i%len(vms)], key, prompt, tokens, func(int) { once.Do(first.Done) })
 		once.Do(first.Done)
 	})
+	all.Wait()
 	return results
 }
 
--- a/pkg/router/configloop.go
+++ b/pkg/router/configloop.go
@@ -86,8 +86,11 @@
 	}
 }
 
-// publishState puts the newest state in force.
+// publishState puts the newest state in force. Two callers, the follower of the log and the catch-up from a peer, must not
+// interleave, or an older state could replace a newer one.
 func (r *Router) publishState() {
+	r.publishing.Lock()
+	defer r.publishing.Unlock()
 	state := read(&r.config, func(c *config.Replay) *config.State { return c.State() })
 	if state == r.state.Load() {
 		return
--- a/pkg/router/identity.go
+++ b/pkg/router/identity.go
@@ -80,15 +80,23 @@
 // register lists a request under its key. The key is checked again afterwards, since it may have been withdrawn
 // between the look-up and the registration.
 func (r *Router) register(i identity, cancel context.CancelCauseFunc) (remove func(), ref *refusal.Error) {
-	withdrawn := refusal.New(statusUnauthorized, refusal.CodeKeyWithdrawn, "the key was withdrawn")
-	remove = r.keys.Add(i.entry(), func() { cancel(withdrawn) })
+	remove = r.keys.Add(i.entry(), func() { cancel(r.endReason(i)) })
 	if !entryValid(r.state.Load(), i.entry()) {
 		remove()
-		return nil, withdrawn
+		return nil, r.endReason(i)
 	}
 	return remove, nil
 }
 
+// endReason tells why a registered request is ended: its key no longer admits to its workspace, or the VM is isolated
+// and may have missed that.
+func (r *Router) endReason(i identity) *refusal.Error {
+	if entryValid(r.state.Load(), i.entry()) {
+		return errIsolated()
+	}
+	return refusal.New(statusUnauthorized, refusal.CodeKeyWithdrawn, "the key was withdrawn")
+}
+
 // refused keeps account of a refusal.
 func (r *Router) refused(part, request string, ref *refusal.Error) {
 	count(metricRefusals, 1)
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -65,6 +65,8 @@
 	events *timeline.Recorder
 	keys   *auth.Registry
 
+	// publishing is held while a new state is put in force. It is locked before any table.
+	publishing sync.Mutex
 	// state is the configuration in force; it is replaced as a whole.
 	state   atomic.Pointer[config.State]
 	config  guarded[*config.Replay]
