--- a/lab/cachestore/cachestore.go
+++ b/lab/cachestore/cachestore.go
@@ -50,11 +50,8 @@
 
 // Store is the KV cache store.
 type Store struct {
-	opt    Options
-	faults standin.Faults[Faults]
-	server *standin.Server
-	stop   chan struct{}
-	once   sync.Once
+	opt Options
+	standin.Host[Faults]
 
 	mu     sync.Mutex
 	blocks map[key]*list.Element
@@ -68,7 +65,6 @@
 	}
 	return &Store{
 		opt:    opt,
-		stop:   make(chan struct{}),
 		blocks: map[key]*list.Element{},
 		order:  list.New(),
 	}
@@ -76,28 +72,9 @@
 
 // Start listens and serves.
 func (s *Store) Start() error {
-	server, err := standin.Start(s.opt.Listen, s.handle)
-	if err != nil {
-		return err
-	}
-	s.server = server
-	return nil
+	return s.Listen(s.opt.Listen, s.handle)
 }
 
-// Addr returns the bound IP:port.
-func (s *Store) Addr() string { return s.server.Addr() }
-
-// Close stops the store and closes every connection.
-func (s *Store) Close() {
-	s.once.Do(func() {
-		close(s.stop)
-		s.server.Close()
-	})
-}
-
-// SetFaults replaces the switches.
-func (s *Store) SetFaults(f Faults) { s.faults.Set(f) }
-
 // Put keeps the hashes under the seed.
 func (s *Store) Put(b Blocks) {
 	s.mu.Lock()
@@ -140,7 +117,7 @@
 	case "/healthz":
 		ctx.SetBodyString("ok")
 	case "/faults":
-		s.faults.Serve(ctx)
+		s.Switches.Serve(ctx)
 	case "/v1/blocks/put", "/v1/blocks/get", "/v1/blocks/match":
 		s.handleBlocks(ctx)
 	default:
@@ -150,10 +127,10 @@
 
 // handleBlocks answers put (keeps), get (reads, takes the transfer time) and match (looks up only).
 func (s *Store) handleBlocks(ctx *fasthttp.RequestCtx) {
-	f := s.faults.Get()
+	f := s.Switches.Get()
 	switch {
 	case f.Freeze:
-		s.faults.Until(s.stop, func(now Faults) bool { return now.Freeze })
+		s.Switches.Until(s.Stopped, func(now Faults) bool { return now.Freeze })
 		standin.CloseUnanswered(ctx)
 		return
 	case f.Down:
@@ -173,7 +150,7 @@
 		out = s.Match(b)
 	}
 	if path != "/v1/blocks/match" {
-		standin.Pause(standin.Micros(s.opt.BlockDelayUs*int64(len(out.Hashes))), s.stop)
+		standin.Pause(standin.Micros(s.opt.BlockDelayUs*int64(len(out.Hashes))), s.Stopped)
 	}
 	if f.WrongSeed {
 		out.Seed = "0"
--- a/lab/logservice/logservice.go
+++ b/lab/logservice/logservice.go
@@ -90,11 +90,8 @@
 
 // Service is the log service.
 type Service struct {
-	opt    Options
-	faults standin.Faults[Faults]
-	server *standin.Server
-	stop   chan struct{}
-	once   sync.Once
+	opt Options
+	standin.Host[Faults]
 
 	mu       sync.Mutex
 	streams  map[string]*stream
@@ -121,35 +118,15 @@
 	}
 	return &Service{
 		opt:     opt,
-		stop:    make(chan struct{}),
 		streams: map[string]*stream{},
 	}
 }
 
 // Start listens and serves.
 func (s *Service) Start() error {
-	server, err := standin.Start(s.opt.Listen, s.handle)
-	if err != nil {
-		return err
-	}
-	s.server = server
-	return nil
-}
-
-// Addr returns the bound IP:port.
-func (s *Service) Addr() string { return s.server.Addr() }
-
-// Close stops the service and closes every connection.
-func (s *Service) Close() {
-	s.once.Do(func() {
-		close(s.stop)
-		s.server.Close()
-	})
+	return s.Listen(s.opt.Listen, s.handle)
 }
 
-// SetFaults replaces the switches.
-func (s *Service) SetFaults(f Faults) { s.faults.Set(f) }
-
 // Append adds records without faults or pacing and returns the first offset.
 func (s *Service) Append(name string, records ...json.RawMessage) int64 {
 	s.mu.Lock()
@@ -187,7 +164,7 @@
 	case "/healthz":
 		ctx.SetBodyString("ok")
 	case "/faults":
-		s.faults.Serve(ctx)
+		s.Switches.Serve(ctx)
 	case "/stats":
 		standin.Answer(ctx, fasthttp.StatusOK, s.Stats())
 	default:
@@ -202,16 +179,16 @@
 		standin.Refuse(ctx, fasthttp.StatusNotFound, "not_found", "no such path")
 		return
 	}
-	f := s.faults.Get().on(name)
+	f := s.Switches.Get().on(name)
 	switch {
 	case f.Freeze:
-		s.faults.Until(s.stop, func(now Faults) bool { return now.on(name).Freeze })
+		s.Switches.Until(s.Stopped, func(now Faults) bool { return now.on(name).Freeze })
 		standin.CloseUnanswered(ctx)
 		return
 	case f.Down:
 		unavailable(ctx)
 		return
-	case !standin.Pause(standin.Millis(f.DelayMs), s.stop):
+	case !standin.Pause(standin.Millis(f.DelayMs), s.Stopped):
 		standin.CloseUnanswered(ctx)
 		return
 	}
@@ -249,7 +226,7 @@
 	}
 	records := copied(req.Records)
 	if f.LateMs > 0 {
-		if standin.Pause(standin.Millis(f.LateMs), s.stop) {
+		if standin.Pause(standin.Millis(f.LateMs), s.Stopped) {
 			s.Append(name, records...)
 		}
 		standin.CloseUnanswered(ctx)
@@ -260,7 +237,7 @@
 		standin.Refuse(ctx, fasthttp.StatusServiceUnavailable, "overloaded", "too many appends")
 		return
 	}
-	if !standin.Pause(wait, s.stop) {
+	if !standin.Pause(wait, s.Stopped) {
 		standin.CloseUnanswered(ctx)
 		return
 	}
@@ -284,7 +261,7 @@
 // loseOne consumes one of the counted lost replies.
 func (s *Service) loseOne(name string) bool {
 	lost := false
-	s.faults.Update(func(f *Faults) {
+	s.Switches.Update(func(f *Faults) {
 		if f.on(name).LoseNext > 0 {
 			f.LoseNext--
 			lost = true
@@ -359,10 +336,10 @@
 	}
 	wait := min(standin.Millis(int64(args.GetUintOrZero("wait_ms"))), maxWait)
 	reply := s.poll(name, from, limit, time.Now().Add(wait))
-	now := s.faults.Get().on(name)
+	now := s.Switches.Get().on(name)
 	switch {
 	case now.Freeze:
-		s.faults.Until(s.stop, func(f Faults) bool { return f.on(name).Freeze })
+		s.Switches.Until(s.Stopped, func(f Faults) bool { return f.on(name).Freeze })
 		standin.CloseUnanswered(ctx)
 	case now.Down || now.ReadDown:
 		unavailable(ctx)
@@ -388,8 +365,8 @@
 
 // await waits for growth. It returns false when a fault begins or the service closes.
 func (s *Service) await(name string, grown <-chan struct{}, left time.Duration) bool {
-	fault := s.faults.Changed()
-	f := s.faults.Get().on(name)
+	fault := s.Switches.Changed()
+	f := s.Switches.Get().on(name)
 	if f.Down || f.ReadDown || f.Freeze {
 		return false
 	}
@@ -399,7 +376,7 @@
 	case <-grown:
 	case <-t.C:
 	case <-fault:
-	case <-s.stop:
+	case <-s.Stopped:
 		return false
 	}
 	return true
--- a/lab/service/service.go
+++ b/lab/service/service.go
@@ -68,12 +68,9 @@
 
 // Service is a plain service.
 type Service struct {
-	opt    Options
-	faults standin.Faults[Faults]
-	tally  *standin.Tally
-	server *standin.Server
-	stop   chan struct{}
-	once   sync.Once
+	opt Options
+	standin.Host[Faults]
+	tally *standin.Tally
 
 	mu          sync.Mutex
 	lastAttempt string
@@ -84,34 +81,14 @@
 	return &Service{
 		opt:   opt,
 		tally: standin.NewTally(),
-		stop:  make(chan struct{}),
 	}
 }
 
 // Start listens and serves.
 func (s *Service) Start() error {
-	server, err := standin.Start(s.opt.Listen, s.handle)
-	if err != nil {
-		return err
-	}
-	s.server = server
-	return nil
-}
-
-// Addr returns the bound IP:port.
-func (s *Service) Addr() string { return s.server.Addr() }
-
-// Close stops the service and closes every connection.
-func (s *Service) Close() {
-	s.once.Do(func() {
-		close(s.stop)
-		s.server.Close()
-	})
+	return s.Listen(s.opt.Listen, s.handle)
 }
 
-// SetFaults replaces the switches.
-func (s *Service) SetFaults(f Faults) { s.faults.Set(f) }
-
 // Stats returns the counts of runs and headers.
 func (s *Service) Stats() standin.TallyReport { return s.tally.Report() }
 
@@ -120,7 +97,7 @@
 	case "/healthz":
 		ctx.SetBodyString("ok")
 	case "/faults":
-		s.faults.Serve(ctx)
+		s.Switches.Serve(ctx)
 	case "/stats":
 		standin.Answer(ctx, fasthttp.StatusOK, s.Stats())
 	default:
@@ -130,9 +107,9 @@
 
 func (s *Service) call(ctx *fasthttp.RequestCtx) {
 	s.tally.Seen(&ctx.Request.Header)
-	f := s.faults.Get()
+	f := s.Switches.Get()
 	if f.Freeze {
-		s.faults.Until(s.stop, func(now Faults) bool { return now.Freeze })
+		s.Switches.Until(s.Stopped, func(now Faults) bool { return now.Freeze })
 		standin.CloseUnanswered(ctx)
 		return
 	}
@@ -140,13 +117,13 @@
 		standin.Refuse(ctx, fasthttp.StatusServiceUnavailable, "unavailable", "the service is down")
 		return
 	}
-	standin.Pause(standin.Millis(s.opt.DelayMs+f.DelayMs), s.stop)
+	standin.Pause(standin.Millis(s.opt.DelayMs+f.DelayMs), s.Stopped)
 	if f.poisoned(ctx.PostBody()) || f.CrashBefore && s.crashes() {
 		standin.CloseUnanswered(ctx)
 		return
 	}
 	reply := s.run(ctx)
-	standin.Pause(standin.Millis(f.ReplyDelayMs), s.stop)
+	standin.Pause(standin.Millis(f.ReplyDelayMs), s.Stopped)
 	if f.CrashAfter && s.crashes() {
 		standin.CloseUnanswered(ctx)
 		return
@@ -203,7 +180,7 @@
 // crashes reports whether a crash is due and counts it.
 func (s *Service) crashes() bool {
 	crash := false
-	s.faults.Update(func(f *Faults) {
+	s.Switches.Update(func(f *Faults) {
 		crash = f.CrashBefore || f.CrashAfter
 		if f.CrashNext == 0 {
 			return
--- a/lab/vmlist/vmlist.go
+++ b/lab/vmlist/vmlist.go
@@ -50,11 +50,8 @@
 
 // Service is the VM list.
 type Service struct {
-	opt    Options
-	faults standin.Faults[Faults]
-	server *standin.Server
-	stop   chan struct{}
-	once   sync.Once
+	opt Options
+	standin.Host[Faults]
 
 	mu sync.Mutex
 	// history holds lists by the time they were set, oldest first, never empty.
@@ -65,35 +62,15 @@
 func New(opt Options) *Service {
 	return &Service{
 		opt:     opt,
-		stop:    make(chan struct{}),
 		history: []List{{VMs: opt.VMs}},
 	}
 }
 
 // Start listens and serves.
 func (s *Service) Start() error {
-	server, err := standin.Start(s.opt.Listen, s.handle)
-	if err != nil {
-		return err
-	}
-	s.server = server
-	return nil
+	return s.Listen(s.opt.Listen, s.handle)
 }
 
-// Addr returns the bound IP:port.
-func (s *Service) Addr() string { return s.server.Addr() }
-
-// Close stops the service and closes every connection.
-func (s *Service) Close() {
-	s.once.Do(func() {
-		close(s.stop)
-		s.server.Close()
-	})
-}
-
-// SetFaults replaces the switches.
-func (s *Service) SetFaults(f Faults) { s.faults.Set(f) }
-
 // Set replaces the list. Readers see it after the lag.
 func (s *Service) Set(vms []VM) {
 	s.set(vms, time.Now())
@@ -133,7 +110,7 @@
 	case "/healthz":
 		ctx.SetBodyString("ok")
 	case "/faults":
-		s.faults.Serve(ctx)
+		s.Switches.Serve(ctx)
 	case "/v1/vms":
 		s.handleVMs(ctx)
 	default:
@@ -152,10 +129,10 @@
 		standin.Answer(ctx, fasthttp.StatusOK, l)
 		return
 	}
-	f := s.faults.Get()
+	f := s.Switches.Get()
 	switch {
 	case f.Freeze:
-		s.faults.Until(s.stop, func(now Faults) bool { return now.Freeze })
+		s.Switches.Until(s.Stopped, func(now Faults) bool { return now.Freeze })
 		standin.CloseUnanswered(ctx)
 	case f.Down:
 		standin.Refuse(ctx, fasthttp.StatusServiceUnavailable, "unavailable", "the VM list is down")
--- a/lab/weightstore/weightstore.go
+++ b/lab/weightstore/weightstore.go
@@ -45,12 +45,9 @@
 
 // Store is the weight store.
 type Store struct {
-	opt    Options
-	faults standin.Faults[Faults]
-	server *standin.Server
+	opt Options
+	standin.Host[Faults]
 	shared *Bandwidth
-	stop   chan struct{}
-	once   sync.Once
 
 	mu    sync.Mutex
 	done  int64
@@ -62,33 +59,14 @@
 	if opt.LoadTime <= 0 {
 		opt.LoadTime = DefaultLoadTime
 	}
-	return &Store{opt: opt, shared: NewBandwidth(), stop: make(chan struct{})}
+	return &Store{opt: opt, shared: NewBandwidth()}
 }
 
 // Start listens and serves.
 func (s *Store) Start() error {
-	server, err := standin.Start(s.opt.Listen, s.handle)
-	if err != nil {
-		return err
-	}
-	s.server = server
-	return nil
+	return s.Listen(s.opt.Listen, s.handle)
 }
 
-// Addr returns the bound IP:port.
-func (s *Store) Addr() string { return s.server.Addr() }
-
-// Close stops the store and closes every connection.
-func (s *Store) Close() {
-	s.once.Do(func() {
-		close(s.stop)
-		s.server.Close()
-	})
-}
-
-// SetFaults replaces the switches.
-func (s *Store) SetFaults(f Faults) { s.faults.Set(f) }
-
 // Stats returns the counters.
 func (s *Store) Stats() Stats {
 	s.mu.Lock()
@@ -101,7 +79,7 @@
 	case path == "/healthz":
 		ctx.SetBodyString("ok")
 	case path == "/faults":
-		s.faults.Serve(ctx)
+		s.Switches.Serve(ctx)
 	case path == "/stats":
 		standin.Answer(ctx, fasthttp.StatusOK, s.Stats())
 	case strings.HasPrefix(path, "/v1/weights/"):
@@ -118,9 +96,9 @@
 		standin.Refuse(ctx, fasthttp.StatusBadRequest, "bad_request", "use /v1/weights/MODEL/VERSION")
 		return
 	}
-	switch f := s.faults.Get(); {
+	switch f := s.Switches.Get(); {
 	case f.Freeze:
-		s.faults.Until(s.stop, func(now Faults) bool { return now.Freeze })
+		s.Switches.Until(s.Stopped, func(now Faults) bool { return now.Freeze })
 		standin.CloseUnanswered(ctx)
 		return
 	case f.Down:
@@ -138,7 +116,7 @@
 	s.mu.Lock()
 	s.maxAt = max(s.maxAt, s.shared.Loads()+1)
 	s.mu.Unlock()
-	if !s.shared.Load(s.opt.LoadTime, s.stop) {
+	if !s.shared.Load(s.opt.LoadTime, s.Stopped) {
 		return false
 	}
 	s.mu.Lock()
