Ask peers for the configuration before greeting them

Cause: found on reading: the heartbeat with the peers at start came first and shared its bound of 1 s with the request for the configuration, so one peer that did not answer left the VM without a configuration until the next heartbeat. Change: configuration first, heartbeat second with a bound of its own.

--- a/pkg/router/configloop.go
+++ b/pkg/router/configloop.go
@@ -120,9 +120,10 @@
 		return
 	}
 	r.applyVMList(list)
-	// Requests that crash endpoints must be known before the first request is served.
-	r.greetPeers()
 	r.restoreFromPeers(ctx)
+	// Requests that crash endpoints must be known before the first request is served. A peer that does not answer must
+	// not use up the time for the configuration, so this comes second and has its own bound.
+	r.greetPeers()
 	r.publishState()
 }
 
