Put a configuration in force before its read counts as contact

After the pause the VM read the withdrawal, noted the read as contact, and only then put the new state in force; requests between the two passed the isolation check with the old state. Ruled out: pushed heartbeats (they prove no contact) and the long poll that was pending over the pause (it counts from its start). Change: the state is put in force first, and only the offset in force counts as applied, also after a catch-up from a peer.

--- a/pkg/router/configloop.go
+++ b/pkg/router/configloop.go
@@ -36,11 +36,13 @@
 	f := r.follower()
 	for r.ctx.Err() == nil {
 		progress, err := f.Read(r.ctx, configPoll)
+		// The state is put in force before the read counts as contact. In the other order a VM that resumed after a
+		// pause served a request under a key whose withdrawal it had read but not put in force.
+		r.publishState()
 		if err == nil {
 			r.observeLogRead(progress.Started, progress.AtEnd)
 			r.logVerdicts(progress.Verdicts)
 		}
-		r.publishState()
 		if err != nil {
 			r.configReadFailed(err)
 		}
--- a/pkg/router/membership.go
+++ b/pkg/router/membership.go
@@ -113,7 +113,8 @@
 // observeLogRead notes an answered read of the config stream.
 func (r *Router) observeLogRead(started time.Time, atEnd bool) {
 	r.logAnswered()
-	next := read(&r.config, func(c *config.Replay) int64 { return c.NextOffset() })
+	// Only what is in force counts as applied.
+	next := r.state.Load().NextOffset()
 	r.members.do(func(t *member.Table) {
 		if atEnd {
 			t.ObserveRead(started, next)
@@ -264,9 +265,9 @@
 				r.peerStateRefused(err)
 			}
 		})
-		next := read(&r.config, func(c *config.Replay) int64 { return c.NextOffset() })
-		r.members.do(func(t *member.Table) { t.ObserveConfig(next) })
 		r.publishState()
+		next := r.state.Load().NextOffset()
+		r.members.do(func(t *member.Table) { t.ObserveConfig(next) })
 	})
 }
 
