--- a/Makefile
+++ b/Makefile
@@ -50,6 +50,8 @@
 	GOBIN=$(TOOLS) go install github.com/twitchtv/twirp/protoc-gen-twirp@$(PROTOC_GEN_TWIRP_VERSION)
 	PATH=$(TOOLS):$$PATH protoc -I pkg/peer --go_out=pkg/peer --go_opt=paths=source_relative \
 		--twirp_out=pkg/peer --twirp_opt=paths=source_relative pkg/peer/peer.proto
+	PATH=$(TOOLS):$$PATH protoc -I pkg/gossip --go_out=pkg/gossip --go_opt=paths=source_relative \
+		--twirp_out=pkg/gossip --twirp_opt=paths=source_relative pkg/gossip/gossip.proto
 
 # Starts a small deployment, sends real requests, prints answers, refusals and the timeline.
 demo: build
--- a/cmd/corneldeal/main.go
+++ b/cmd/corneldeal/main.go
@@ -62,6 +62,7 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			serveCommand(),
+			gatewayCommand(),
 			checkCommand(),
 			publishCommand(),
 			statusCommand(),
--- a/cmd/corneldeal/platform.go
+++ b/cmd/corneldeal/platform.go
@@ -25,16 +25,16 @@
 	}
 }
 
-// platform holds the clients that operators' commands use.
-type platform struct {
+// clients holds the clients that operators' commands use.
+type clients struct {
 	http *httpcall.Client
 	log  *logservice.Client
 	vms  *vmlist.Client
 }
 
-func newPlatform(c *cli.Command) *platform {
+func newClients(c *cli.Command) *clients {
 	http := httpcall.NewClient()
-	return &platform{
+	return &clients{
 		http: http,
 		log:  logservice.New(c.String("log"), http),
 		vms:  vmlist.New(c.String("vm-list"), http),
@@ -49,7 +49,7 @@
 }
 
 // statuses asks every VM of the list.
-func (p *platform) statuses(ctx context.Context) ([]vmStatus, error) {
+func (p *clients) statuses(ctx context.Context) ([]vmStatus, error) {
 	list, err := p.vms.Read(ctx)
 	if err != nil {
 		return nil, err
@@ -69,7 +69,7 @@
 	return results, nil
 }
 
-func (p *platform) status(ctx context.Context, address string) (caller.Status, error) {
+func (p *clients) status(ctx context.Context, address string) (caller.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	req := &fasthttp.Request{}
--- a/cmd/corneldeal/publish.go
+++ b/cmd/corneldeal/publish.go
@@ -43,9 +43,9 @@
 			ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
 			defer cancel()
 			replay := config.NewReplay()
-			clients := newPlatform(c)
+			clients := newClients(c)
 			p := &publisher{
-				platform: clients,
+				clients: clients,
 				replay:   replay,
 				follower: &configsync.Follower{Log: clients.log, Replay: replay},
 				out:      c.Root().Writer,
@@ -57,7 +57,7 @@
 
 // publisher follows one release note.
 type publisher struct {
-	*platform
+	*clients
 	replay   *config.Replay
 	follower *configsync.Follower
 	out      io.Writer
--- a/cmd/corneldeal/status.go
+++ b/cmd/corneldeal/status.go
@@ -15,7 +15,7 @@
 		Usage: "print configuration revision, contact and load of every VM",
 		Flags: []cli.Flag{platformFlags()[1]},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			rows, err := newPlatform(c).statuses(ctx)
+			rows, err := newClients(c).statuses(ctx)
 			if err != nil {
 				return err
 			}
--- /dev/null
+++ b/pkg/gateway/attempt.go
@@ -0,0 +1,411 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/corneldeal/corneldeal/pkg/httpcall"
+	"github.com/corneldeal/corneldeal/pkg/ingress"
+	"github.com/corneldeal/corneldeal/pkg/place"
+	"github.com/corneldeal/corneldeal/pkg/refusal"
+	"github.com/corneldeal/corneldeal/pkg/steady"
+	"github.com/corneldeal/corneldeal/pkg/traffic"
+)
+
+const (
+	// maxAnswerBytes bounds an answer that is held before it is passed on.
+	maxAnswerBytes = 8 << 20
+	// notRunTries bounds the sends of one request that endpoints refused without running it.
+	notRunTries = 3
+	// patience bounds the wait for the first byte of an idempotent request before another endpoint is tried; it is at
+	// least patienceLeast and patienceFactor times the prediction.
+	patienceLeast  = 900 * time.Millisecond
+	patienceFactor = 4
+	// leastBudget is the time below which a send is no real offer.
+	leastBudget = 30 * time.Millisecond
+)
+
+// errImpatient cancels an attempt at a silent endpoint.
+var errImpatient = errors.New("gateway: endpoint is silent")
+
+// errTimeLimit cancels an attempt at the end of the request's time.
+var errTimeLimit = errors.New("gateway: time limit reached")
+
+// result is the end of one attempt.
+type result struct {
+	outcome place.Outcome
+	// notRun is the proof that the endpoint did not run the request.
+	notRun bool
+	// done is set once the caller has its final answer.
+	done bool
+	err  error
+}
+
+// target is the endpoint chosen for an attempt.
+type target struct {
+	service *traffic.Service
+	choice  place.Choice
+	request *place.Request
+	store   *traffic.CacheStore
+	// firstSeen is set once the first event of the attempt was seen.
+	firstSeen bool
+}
+
+// forward sends the request to endpoints until the caller has its final answer.
+func (g *Gateway) forward(r *request) {
+	for {
+		t, refused := g.choose(r)
+		if refused != nil {
+			g.giveUp(r, refused)
+			return
+		}
+		res := g.attempt(r, t)
+		if res.done {
+			return
+		}
+		if err := r.x.Context().Err(); err != nil {
+			g.callerLeft(r)
+			return
+		}
+		if !res.notRun {
+			r.sends++
+		}
+		r.excluded = append(r.excluded, t.choice.Endpoint.ID)
+		if !g.mayRetry(r, t, res) {
+			g.giveUp(r, g.failureOf(r, res))
+			return
+		}
+		g.meters.count("retries_total")
+	}
+}
+
+// choose finds the endpoint for the next attempt under the configuration in force now.
+func (g *Gateway) choose(r *request) (*target, *refusal.Error) {
+	if refused := g.authorize(r); refused != nil {
+		return nil, refused
+	}
+	now := steady.Now()
+	left := r.deadline.Sub(now)
+	if left < leastBudget {
+		return nil, refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeDeadline, "no time is left").
+			After(noEndpointRetry)
+	}
+	c := g.config.Load()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, name := range r.route.Pick(r.call.ID) {
+		s := c.Services[name]
+		if s == nil {
+			continue
+		}
+		endpoints := g.endpoints.Usable(name)
+		p := g.placement(r, s)
+		choice := g.placer.Place(p, endpoints, g.facts(c, s, endpoints), now)
+		if choice.Endpoint == nil {
+			continue
+		}
+		r.expected = choice.Expected
+		if choice.Expected > left {
+			return nil, refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeQueueFull, "the answer would be late").
+				After(choice.Expected - left + noEndpointRetry)
+		}
+		if r.tries == 0 {
+			g.retryBudget(name).First(now)
+		}
+		r.tries++
+		g.placer.Sent(p, choice, now)
+		return &target{service: s, choice: choice, request: p, store: c.StoreNear(g.settings.DataCentre)}, nil
+	}
+	return nil, refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeNoEndpoint, "no endpoint is available").
+		After(noEndpointRetry)
+}
+
+// mayRetry decides whether another endpoint is tried.
+func (g *Gateway) mayRetry(r *request, t *target, res result) bool {
+	if res.notRun {
+		if r.tries >= notRunTries {
+			return false
+		}
+	} else if !r.route.Idempotent() || r.sends >= r.route.Attempts {
+		return false
+	}
+	if r.begun && r.lastEventID == "" {
+		return false
+	}
+	now := steady.Now()
+	if r.deadline.Sub(now) < leastBudget {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.retryBudget(t.service.Name).Take(now) {
+		g.meters.count("retries_over_budget_total")
+		return false
+	}
+	return true
+}
+
+// failureOf returns the final answer after a failed attempt.
+func (g *Gateway) failureOf(r *request, res result) *refusal.Error {
+	if r.sends == 0 && res.notRun {
+		return refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeQueueFull, "the endpoints refused the request").
+			After(noEndpointRetry)
+	}
+	if errors.Is(res.err, errTimeLimit) {
+		return refusal.New(fasthttp.StatusGatewayTimeout, refusal.CodeDeadline, "the endpoint did not answer in time").
+			With(refusal.Unknown)
+	}
+	return refusal.New(fasthttp.StatusBadGateway, refusal.CodeEndpointFailed, "the endpoint failed").With(refusal.Unknown)
+}
+
+// giveUp ends a request without a success.
+func (g *Gateway) giveUp(r *request, refused *refusal.Error) {
+	if r.begun {
+		g.meters.count("streams_cut_total")
+		g.logEnd(r, "cut", 0, refused.Message)
+		r.x.Abort()
+		return
+	}
+	if r.failure != nil {
+		g.logEnd(r, "endpoint failed", r.failure.StatusCode(), "")
+		r.x.Respond(r.failure)
+		return
+	}
+	if r.sends > 0 && refused.RunState == refusal.NotRun {
+		// An earlier attempt may have run.
+		refused = refusal.New(fasthttp.StatusBadGateway, refused.Code, "%s", refused.Message).With(refusal.Unknown)
+	}
+	g.refuse(r, refused)
+}
+
+func (g *Gateway) callerLeft(r *request) {
+	g.meters.count("callers_left_total")
+	g.logEnd(r, "caller left", 0, "")
+	r.x.Abort()
+}
+
+func (g *Gateway) logEnd(r *request, outcome string, status int, detail string) {
+	g.book.line(partRequest).Str("request", r.call.ID).Str("outcome", outcome).Int("status", status).
+		Str("route", r.route.Name).Int("tries", r.tries).Int("events", r.events).
+		Dur("age_ms", steady.Since(r.arrived)).Str("detail", detail).Msg("request ended")
+}
+
+// attempt sends the request to one endpoint and passes its answer on.
+func (g *Gateway) attempt(r *request, t *target) result {
+	ctx, cancel := context.WithCancelCause(r.x.Context())
+	defer cancel(nil)
+	limit := time.AfterFunc(r.deadline.Sub(steady.Now()), func() { cancel(errTimeLimit) })
+	defer limit.Stop()
+	patience := g.impatience(r, t, cancel)
+	defer patience.Stop()
+
+	started := steady.Now()
+	res := g.exchange(ctx, r, t, patience)
+	g.finish(r, t, res, started)
+	return res
+}
+
+// impatience cancels an attempt at an endpoint that stays silent, where the request may be tried elsewhere.
+func (g *Gateway) impatience(r *request, t *target, cancel context.CancelCauseFunc) *time.Timer {
+	if !r.route.Idempotent() || r.sends+1 >= r.route.Attempts {
+		// A timer that never fires keeps the callers simple.
+		return time.AfterFunc(time.Hour, func() {})
+	}
+	wait := max(patienceLeast, patienceFactor*t.choice.Expected)
+	return time.AfterFunc(wait, func() { cancel(errImpatient) })
+}
+
+// finish records the end of an attempt.
+func (g *Gateway) finish(r *request, t *target, res result, started time.Time) {
+	now := steady.Now()
+	g.mu.Lock()
+	g.placer.Done(r.id, res.outcome, now)
+	g.mu.Unlock()
+	line := g.book.line(partRequest).Str("request", r.call.ID).Int("try", r.tries).
+		Str("endpoint", t.choice.Endpoint.ID).Int64("config", r.version).Int64("weights", t.choice.Version).
+		Int("running", t.choice.Running).Int("missing", t.choice.Missing).Int("candidates", t.choice.Candidates).
+		Dur("expected_ms", t.choice.Expected).Dur("took_ms", now.Sub(started)).Str("outcome", outcomeNames[res.outcome]).
+		Bool("not_run", res.notRun)
+	if res.err != nil {
+		line.Err(res.err)
+	}
+	line.Msg("attempt ended")
+	g.meters.count("attempts_" + outcomeNames[res.outcome] + "_total")
+}
+
+var outcomeNames = map[place.Outcome]string{
+	place.Answered:    "answered",
+	place.Failed:      "failed",
+	place.Broken:      "broken",
+	place.Unreachable: "unreachable",
+	place.Full:        "full",
+	place.Neutral:     "neutral",
+	place.Silent:      "silent",
+}
+
+// exchange sends the request and reads the answer.
+func (g *Gateway) exchange(ctx context.Context, r *request, t *target, patience *time.Timer) result {
+	a := Attempt{
+		Endpoint:    t.choice.Endpoint,
+		Remaining:   r.deadline.Sub(steady.Now()),
+		LastEventID: r.lastEventID,
+	}
+	if r.workspace != nil {
+		a.Workspace = r.workspace.Name
+	}
+	if t.request.Engine {
+		a.Engine = true
+		a.Salt = salt(t.request.Model, t.choice.Version, t.request.Wall)
+		a.Version = t.choice.Version
+		a.Urgency = urgency(r)
+		if t.store != nil && len(t.request.Chain) > 1 {
+			a.FetchFrom = t.store.Address
+			a.SaveTo = t.store.Address
+		}
+	}
+	body := r.x.Request.Body()
+	head := g.platform.Wire.Head(&r.x.Request.Header, a, len(body))
+	stream, err := g.http.OpenRaw(ctx, t.choice.Endpoint.Address, head, body)
+	if err != nil {
+		return g.callFailed(ctx, err)
+	}
+	defer stream.Close()
+	return g.readAnswer(ctx, r, t, stream, patience)
+}
+
+// callFailed classifies a call without a readable answer.
+func (g *Gateway) callFailed(ctx context.Context, err error) result {
+	res := result{outcome: place.Broken, err: err, notRun: httpcall.NeverWritten(err)}
+	if res.notRun {
+		res.outcome = place.Unreachable
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		res.err = cause
+		res.outcome = place.Silent
+		if errors.Is(cause, ingress.ErrCallerLeft) || errors.Is(cause, context.Canceled) {
+			res.outcome = place.Neutral
+		}
+	}
+	return res
+}
+
+// errBadAnswer means that an endpoint's answer is not the answer to this request.
+var errBadAnswer = errors.New("gateway: the answer does not belong to the request")
+
+func (g *Gateway) readAnswer(
+	ctx context.Context, r *request, t *target, stream *httpcall.Stream, patience *time.Timer,
+) result {
+	header := &stream.Response.Header
+	answer := g.platform.Wire.ReadAnswer(header)
+	status := header.StatusCode()
+	success := status >= 200 && status < 300
+	if answer.ID != "" && answer.ID != r.call.ID || success && (answer.ID == "" || !answer.Signed) {
+		return result{outcome: place.Broken, err: errBadAnswer}
+	}
+	g.learn(t, answer)
+	if answer.NotRun {
+		return g.refusedByEndpoint(t, stream, answer)
+	}
+	if success && r.route.Kind == traffic.Streaming && isEventStream(header) {
+		return g.pump(ctx, r, t, stream, patience)
+	}
+	patience.Stop()
+	g.firstByte(r)
+	resp, err := g.buffer(stream)
+	if err != nil {
+		return g.callFailed(ctx, err)
+	}
+	if !success && r.route.Idempotent() {
+		// Another endpoint may do better; the answer is kept in case none does.
+		r.failure = resp
+		return result{outcome: place.Failed, err: errEndpointStatus}
+	}
+	if r.begun {
+		return result{outcome: place.Failed, err: errEndpointStatus}
+	}
+	r.x.Respond(resp)
+	outcome := place.Answered
+	if status >= fasthttp.StatusInternalServerError {
+		outcome = place.Failed
+	}
+	g.answered(r, status)
+	return result{outcome: outcome, done: true}
+}
+
+// errEndpointStatus means that an endpoint answered with a failure.
+var errEndpointStatus = errors.New("gateway: the endpoint answered with a failure")
+
+func isEventStream(h *fasthttp.ResponseHeader) bool {
+	return strings.HasPrefix(string(h.ContentType()), "text/event-stream")
+}
+
+// learn takes what an answer says of its endpoint.
+func (g *Gateway) learn(t *target, answer Answer) {
+	if answer.Version == 0 || !t.request.Engine {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.placer.Version(t.choice.Endpoint, t.request.Model, answer.Version)
+}
+
+// refusedByEndpoint handles the endpoint's word that it did not run the request.
+func (g *Gateway) refusedByEndpoint(t *target, stream *httpcall.Stream, answer Answer) result {
+	if _, err := g.buffer(stream); err != nil {
+		// The refusal stands; the connection is closed with the stream.
+		g.meters.count("refusals_truncated_total")
+	}
+	if answer.Misdirected {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if answer.Instance != "" && answer.Instance != t.choice.Endpoint.ID {
+			g.endpoints.Misdirect(t.choice.Endpoint.ID, t.choice.Endpoint.Born)
+		} else {
+			g.placer.Doubt(t.choice.Endpoint, steady.Now())
+		}
+		return result{outcome: place.Neutral, notRun: true, err: errMisdirected}
+	}
+	return result{outcome: place.Full, notRun: true, err: errFull}
+}
+
+var (
+	// errMisdirected means that another endpoint answered, or one with other weights.
+	errMisdirected = errors.New("gateway: the endpoint is not the expected one")
+	// errFull means that the endpoint refused the request without running it.
+	errFull = errors.New("gateway: the endpoint refused the request")
+)
+
+// buffer reads a whole answer.
+func (g *Gateway) buffer(stream *httpcall.Stream) (*fasthttp.Response, error) {
+	resp := &fasthttp.Response{}
+	g.platform.Wire.Forward(&stream.Response.Header, &resp.Header)
+	body, err := io.ReadAll(io.LimitReader(stream, maxAnswerBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > maxAnswerBytes {
+		return nil, fasthttp.ErrBodyTooLarge
+	}
+	resp.SetBodyRaw(body)
+	return resp, nil
+}
+
+// firstByte records the time to the first byte of an answer.
+func (g *Gateway) firstByte(r *request) {
+	now := steady.Now()
+	g.mu.Lock()
+	g.placer.FirstToken(r.id, now)
+	g.mu.Unlock()
+	g.meters.observe("first_byte", now.Sub(r.arrived))
+}
+
+func (g *Gateway) answered(r *request, status int) {
+	g.meters.count("answers_total")
+	g.meters.observe("answer", steady.Since(r.arrived))
+	g.logEnd(r, "answered", status, "")
+}
--- /dev/null
+++ b/pkg/gateway/follow.go
@@ -0,0 +1,312 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/corneldeal/corneldeal/pkg/fleet"
+	"github.com/corneldeal/corneldeal/pkg/share"
+	"github.com/corneldeal/corneldeal/pkg/steady"
+	"github.com/corneldeal/corneldeal/pkg/traffic"
+)
+
+const (
+	// operatorWait is the longest wait of one read of the operator's records, which are rare.
+	operatorWait = 20 * time.Second
+	// endpointPause is the pause between two reads of the endpoints' records. Heartbeats come many times a second,
+	// so a waiting read would return at once.
+	endpointPause = 650 * time.Millisecond
+	// storeTimeout bounds a call to the store beyond its wait.
+	storeTimeout = 2 * time.Second
+	// retryFirst and retryMost bound the pause after a failed call.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 1200 * time.Millisecond
+	// readers is the number of VMs that read the endpoints' records; the others ask them.
+	readers = 2
+	// learnedAge is the age that a version named before this process started is taken to have.
+	learnedAge = 8 * time.Second
+)
+
+// streamState is how far this VM knows a stream.
+type streamState struct {
+	synced bool
+	// next is the offset after the newest record known.
+	next int64
+	// records are the newest records by key, as the platform holds them, for peers.
+	records map[string]Record
+	// changed is the offset of the last record of a key that changed more than a heartbeat does.
+	changed map[string]int64
+	// okAt is when the store last answered on the stream, and failing whether it failed since.
+	okAt    time.Time
+	failing bool
+	// failedAt is the start of the present failure.
+	failedAt time.Time
+}
+
+func newStreamState() *streamState {
+	return &streamState{records: map[string]Record{}, changed: map[string]int64{}}
+}
+
+// followOperator keeps the configuration and the named versions current.
+func (g *Gateway) followOperator() {
+	pause := retryFirst
+	for g.ctx.Err() == nil {
+		err := g.readOperator()
+		if err == nil {
+			pause = retryFirst
+			continue
+		}
+		if !g.sleep(jitter(pause)) {
+			return
+		}
+		pause = min(2*pause, retryMost)
+		g.relayWhileFailing(OperatorStream)
+	}
+}
+
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d)
+}
+
+func (g *Gateway) readOperator() error {
+	return g.readStream(OperatorStream, operatorWait)
+}
+
+// readStream reads what is new in a stream, or all of it where that is not known.
+func (g *Gateway) readStream(s Stream, wait time.Duration) error {
+	g.mu.Lock()
+	synced, next := g.streams[s].synced, g.streams[s].next
+	g.mu.Unlock()
+	if !synced {
+		return g.readNewest(s)
+	}
+	ctx, cancel := context.WithTimeout(g.ctx, wait+storeTimeout)
+	defer cancel()
+	records, end, err := g.platform.Store.Read(ctx, s, next, wait)
+	if errors.Is(err, ErrGap) {
+		g.book.line(partStore).Str("stream", s.String()).Int64("from", next).Msg("records expired, reading all")
+		return g.readNewest(s)
+	}
+	g.noteStore(s, err)
+	if err != nil {
+		return err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.apply(s, records, end)
+	return nil
+}
+
+func (g *Gateway) readNewest(s Stream) error {
+	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
+	defer cancel()
+	records, end, err := g.platform.Store.Newest(ctx, s)
+	g.noteStore(s, err)
+	if err != nil {
+		return err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s == EndpointStream {
+		g.dropMissing(records, end)
+	}
+	g.apply(s, records, end)
+	g.streams[s].synced = true
+	return nil
+}
+
+// dropMissing removes the endpoints that a listing does not show.
+func (g *Gateway) dropMissing(records []Record, end int64) {
+	listed := make(map[string]bool, len(records))
+	for _, r := range records {
+		listed[r.Key] = true
+	}
+	for _, id := range g.endpoints.Missing(listed, end, steady.Now()) {
+		g.endpointLeft(id, "not listed", end)
+	}
+	st := g.streams[EndpointStream]
+	for key, r := range st.records {
+		if !listed[key] && r.Offset < end && len(r.Value) > 0 {
+			st.records[key] = Record{Key: key, Offset: end - 1}
+			st.changed[key] = end - 1
+		}
+	}
+}
+
+// noteStore logs when the store is lost and when it is back.
+func (g *Gateway) noteStore(s Stream, err error) {
+	if g.ctx.Err() != nil {
+		return
+	}
+	now := steady.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	st := g.streams[s]
+	if err != nil {
+		g.meters.count("store_errors_total")
+		if !st.failing {
+			st.failing = true
+			st.failedAt = now
+			g.book.warn(partStore).Str("stream", s.String()).Err(err).Msg("store lost")
+		}
+		return
+	}
+	if st.failing {
+		g.book.line(partStore).Str("stream", s.String()).Dur("down_ms", now.Sub(st.failedAt)).Msg("store back")
+		if s == EndpointStream {
+			g.endpoints.Returned(now)
+		}
+	}
+	st.failing = false
+	st.okAt = now
+}
+
+// apply takes records of a stream from the store or a peer. The caller holds the lock.
+func (g *Gateway) apply(s Stream, records []Record, next int64) {
+	for _, r := range records {
+		if s == OperatorStream {
+			g.applyOperator(r)
+			continue
+		}
+		g.applyEndpoint(r)
+	}
+	st := g.streams[s]
+	st.next = max(st.next, next)
+}
+
+// keep remembers a record for peers. It reports false for one that is not newer.
+func (st *streamState) keep(r Record) bool {
+	old, known := st.records[r.Key]
+	if known && r.Offset <= old.Offset {
+		return false
+	}
+	st.records[r.Key] = r
+	return true
+}
+
+func (g *Gateway) applyOperator(r Record) {
+	st := g.streams[OperatorStream]
+	if !st.keep(r) || len(r.Value) == 0 {
+		return
+	}
+	st.changed[r.Key] = r.Offset
+	change, err := g.platform.Decoder.Operator(r.Key, r.Value)
+	if err != nil {
+		g.book.warn(partConfig).Str("key", r.Key).Int64("offset", r.Offset).Err(err).Msg("record is unreadable")
+		return
+	}
+	if change.Config != nil {
+		g.putInForce(change.Config, r.Offset)
+	}
+	if change.Weights != nil {
+		g.nameVersion(change.Weights)
+	}
+	g.wake()
+}
+
+// putInForce applies a configuration unless a newer one is in force.
+func (g *Gateway) putInForce(c *traffic.Config, offset int64) {
+	if old := g.config.Load(); old != nil && old.Version >= c.Version {
+		return
+	}
+	limits := make([]share.Limit, 0, len(c.Workspaces))
+	for _, w := range c.Workspaces {
+		limits = append(limits, share.Limit{Workspace: w.Name, Rate: w.Rate, Burst: w.Burst})
+	}
+	g.limiter.Configure(limits, steady.Now())
+	g.config.Store(c)
+	g.meters.count("configurations_total")
+	g.book.line(partConfig).Int64("version", c.Version).Int64("offset", offset).Int("routes", len(c.Routes)).
+		Int("workspaces", len(c.Workspaces)).Msg("configuration in force")
+}
+
+func (g *Gateway) nameVersion(w *Weights) {
+	now := steady.Now()
+	known := g.newest[w.Model]
+	if known != nil && known.version >= w.Version {
+		return
+	}
+	if !g.streams[OperatorStream].synced {
+		now = now.Add(-learnedAge)
+	}
+	g.newest[w.Model] = &namedVersion{version: w.Version, at: now}
+	g.book.line(partOrder).Str("model", w.Model).Int64("version", w.Version).Msg("weights named")
+}
+
+func (g *Gateway) applyEndpoint(r Record) {
+	st := g.streams[EndpointStream]
+	now := steady.Now()
+	if !st.keep(r) {
+		return
+	}
+	if len(r.Value) == 0 {
+		st.changed[r.Key] = r.Offset
+		if g.endpoints.Remove(r.Key, r.Offset, now) == fleet.Left {
+			g.endpointLeft(r.Key, "removed", r.Offset)
+		}
+		return
+	}
+	e, err := g.platform.Decoder.Endpoint(r.Key, r.Value)
+	if err != nil {
+		g.meters.count("endpoint_records_unreadable_total")
+		g.book.warn(partEndpoint).Str("endpoint", r.Key).Int64("offset", r.Offset).Err(err).Msg("record is unreadable")
+	}
+	before := g.endpoints.Get(r.Key)
+	change := g.endpoints.Apply(r.Key, r.Offset, e, now)
+	if change == fleet.Updated && sameBut(before, e) {
+		return
+	}
+	st.changed[r.Key] = r.Offset
+	switch change {
+	case fleet.Left:
+		g.endpointLeft(r.Key, "leaving", r.Offset)
+	case fleet.Joined:
+		g.book.line(partEndpoint).Str("endpoint", r.Key).Str("service", e.Service).Str("address", e.Address).
+			Int64("offset", r.Offset).Msg("endpoint joined")
+	}
+}
+
+// sameBut reports whether two states differ at most as heartbeats do.
+func sameBut(a, b *fleet.Endpoint) bool {
+	if a == nil || b == nil || len(a.Versions) != len(b.Versions) {
+		return false
+	}
+	for model, version := range a.Versions {
+		if b.Versions[model] != version {
+			return false
+		}
+	}
+	return a.Born == b.Born && a.Address == b.Address && a.Service == b.Service && a.Ready == b.Ready
+}
+
+func (g *Gateway) endpointLeft(id, why string, offset int64) {
+	g.book.line(partEndpoint).Str("endpoint", id).Str("why", why).Int64("offset", offset).Msg("endpoint left")
+	g.wake()
+}
+
+// followEndpoints keeps the list of endpoints current: from the store on a few VMs, from those on the others.
+func (g *Gateway) followEndpoints() {
+	pause := retryFirst
+	for g.ctx.Err() == nil {
+		if g.askReader() {
+			if !g.sleep(jitter(endpointPause)) {
+				return
+			}
+			continue
+		}
+		if err := g.readStream(EndpointStream, 0); err != nil {
+			if !g.sleep(jitter(pause)) {
+				return
+			}
+			pause = min(2*pause, retryMost)
+			g.relayWhileFailing(EndpointStream)
+			continue
+		}
+		pause = retryFirst
+		if !g.sleep(endpointPause) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/pkg/gateway/gateway.go
@@ -0,0 +1,322 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/corneldeal/corneldeal/pkg/admit"
+	"github.com/corneldeal/corneldeal/pkg/fleet"
+	"github.com/corneldeal/corneldeal/pkg/gossip"
+	"github.com/corneldeal/corneldeal/pkg/httpcall"
+	"github.com/corneldeal/corneldeal/pkg/ingress"
+	"github.com/corneldeal/corneldeal/pkg/issuer"
+	"github.com/corneldeal/corneldeal/pkg/place"
+	"github.com/corneldeal/corneldeal/pkg/settings"
+	"github.com/corneldeal/corneldeal/pkg/share"
+	"github.com/corneldeal/corneldeal/pkg/steady"
+	"github.com/corneldeal/corneldeal/pkg/traffic"
+)
+
+const (
+	// heapShare is the part of the VM's memory at which the collector works harder; the rest is for stacks and the
+	// kernel's buffers.
+	heapShare = 0.55
+	// collectorPercent trades processor time for a small heap.
+	collectorPercent = 50
+	// bodyShare is the part of the memory for request bodies.
+	bodyShare = 0.2
+	// connectionsPerMB and connectionShare bound the callers' connections by memory and by descriptors.
+	connectionsPerMB = 10
+	connectionShare  = 0.45
+	// leaveAfter is the time between failing readiness and closing the listener. The balancer asks once a second and
+	// takes a VM out after two failures.
+	leaveAfter = 3200 * time.Millisecond
+	// leaveMargin is kept between the last wait and the platform's SIGKILL.
+	leaveMargin = 600 * time.Millisecond
+	// leavePoll is the pause between two looks at the open connections while leaving.
+	leavePoll = 50 * time.Millisecond
+)
+
+// Gateway is one process. Create it with New, then Provision, Start and Shutdown.
+type Gateway struct {
+	settings settings.Gateway
+	platform Platform
+	boot     uint64
+	book     *logBook
+	meters   *meters
+	http     *httpcall.Client
+	ingress  *ingress.Server
+	control  *fasthttp.Server
+	socket   *gossip.Socket
+	relay    *http.Server
+	relays   *gossip.Relays
+	config   atomic.Pointer[traffic.Config]
+	leaving  atomic.Bool
+	nextID   atomic.Uint64
+	kick     chan struct{}
+
+	listeners []net.Listener
+	ctx       context.Context
+	cancel    context.CancelFunc
+	loops     sync.WaitGroup
+
+	// mu guards the tables. It is the only lock that covers more than one of them and is never held during I/O; the
+	// locks inside other types are taken after it.
+	mu sync.Mutex
+	tables
+}
+
+// tables is what the decisions rest on.
+type tables struct {
+	endpoints *fleet.Table
+	placer    *place.Placer
+	limiter   *share.Limiter
+	retries   map[string]*admit.RetryBudget
+	right     *issuer.Right
+	peers     map[string]*peerState
+	// contacts are the addresses to which digests are sent, by VM.
+	contacts map[string]string
+	streams  map[Stream]*streamState
+	newest   map[string]*namedVersion
+	claim    issuer.Claim
+	claimed  bool
+	loads    map[string]*loadState
+	// loading is what this VM, as the holder, is emptying or loading.
+	loading []string
+}
+
+// namedVersion is the newest weight version of a model.
+type namedVersion struct {
+	version int64
+	// at is when this VM learned of it.
+	at time.Time
+}
+
+// New returns a gateway that holds no resources yet.
+func New(s settings.Gateway, platform func(*httpcall.Client) Platform) *Gateway {
+	client := httpcall.NewClient()
+	boot := rand.Uint64()
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Gateway{
+		settings: s,
+		platform: platform(client),
+		boot:     boot,
+		book:     newLogBook(s.VM, boot, s.LogLevel, standardOutput),
+		meters:   newMeters(),
+		http:     client,
+		relays:   gossip.NewRelays(),
+		kick:     make(chan struct{}, 1),
+		ctx:      ctx,
+		cancel:   cancel,
+		tables: tables{
+			endpoints: fleet.NewTable(),
+			placer:    place.New(),
+			limiter:   share.New(!s.FirstStart),
+			retries:   map[string]*admit.RetryBudget{},
+			right:     issuer.NewRight(s.Lease()),
+			peers:     map[string]*peerState{},
+			contacts:  map[string]string{},
+			streams:   map[Stream]*streamState{OperatorStream: newStreamState(), EndpointStream: newStreamState()},
+			newest:    map[string]*namedVersion{},
+			claim:     issuer.Claim{Token: -1},
+			loads:     map[string]*loadState{},
+		},
+	}
+}
+
+// Provision binds all sockets.
+func (g *Gateway) Provision() error {
+	memory := int64(g.settings.MemoryMB) << 20
+	debug.SetMemoryLimit(int64(float64(memory) * heapShare))
+	debug.SetGCPercent(collectorPercent)
+	server, err := ingress.New(g, ingress.Options{
+		Connections:   min(g.settings.MemoryMB*connectionsPerMB, int(float64(g.settings.Descriptors)*connectionShare)),
+		BufferedBytes: int64(float64(memory) * bodyShare),
+	})
+	if err != nil {
+		return err
+	}
+	g.ingress = server
+	g.socket, err = gossip.Listen(g.peerAddress(g.settings.Address))
+	if err != nil {
+		return fmt.Errorf("peer datagrams: %w", err)
+	}
+	g.relay = gossip.NewServer(relayService{g})
+	g.control = &fasthttp.Server{Handler: g.serveControl, DisableKeepalive: false, ReadBufferSize: 4 << 10}
+	return nil
+}
+
+func (g *Gateway) peerAddress(ip string) string {
+	return fmt.Sprintf("%s:%d", ip, g.settings.PeerPort)
+}
+
+func (g *Gateway) listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	g.listeners = append(g.listeners, l)
+	return l, nil
+}
+
+// Start begins to serve. It returns once every listener accepts.
+func (g *Gateway) Start() error {
+	g.book.line(partProcess).Str("data_centre", g.settings.DataCentre).Bool("first_start", g.settings.FirstStart).
+		Msg("started")
+	callers, err := g.listen(g.settings.CallerAddress)
+	if err != nil {
+		return err
+	}
+	ready, err := g.listen(g.settings.ReadyAddress)
+	if err != nil {
+		return err
+	}
+	metrics, err := g.listen(fmt.Sprintf("%s:%d", g.settings.Address, g.settings.MetricsPort))
+	if err != nil {
+		return err
+	}
+	peers, err := g.listen(g.peerAddress(g.settings.Address))
+	if err != nil {
+		return err
+	}
+	g.run(func() { g.serveOn("callers", func() error { return g.ingress.Serve(callers) }) })
+	g.run(func() { g.serveOn("ready", func() error { return g.control.Serve(ready) }) })
+	g.run(func() { g.serveOn("metrics", func() error { return g.control.Serve(metrics) }) })
+	g.run(func() { g.serveOn("peers", func() error { return g.relay.Serve(peers) }) })
+	g.run(g.followOperator)
+	g.run(g.followEndpoints)
+	g.run(g.announceVM)
+	g.run(g.sendDigests)
+	g.run(g.receiveDigests)
+	g.run(g.giveOrders)
+	return nil
+}
+
+func (g *Gateway) run(loop func()) {
+	g.loops.Add(1)
+	go func() {
+		defer g.loops.Done()
+		loop()
+	}()
+}
+
+// serveOn serves one listener and logs an end that nobody asked for.
+func (g *Gateway) serveOn(name string, serve func() error) {
+	if err := serve(); err != nil && g.ctx.Err() == nil && !g.leaving.Load() {
+		g.book.warn(partProcess).Str("listener", name).Err(err).Msg("listener ended")
+	}
+}
+
+// Reload takes settings that changed. Only the log level can change while the process runs.
+func (g *Gateway) Reload(s settings.Gateway) {
+	g.book.line(partProcess).Str("log_level", s.LogLevel).Msg("settings reloaded")
+	g.book.setLevel(s.LogLevel)
+}
+
+// Shutdown fails readiness, lets running requests finish and returns when they have, or before the grace ends.
+func (g *Gateway) Shutdown() {
+	started := steady.Now()
+	g.leaving.Store(true)
+	g.ingress.Leave()
+	g.wake()
+	g.book.line(partProcess).Int("connections", g.ingress.Open()).Msg("stopping")
+	time.Sleep(leaveAfter)
+	g.ingress.Close()
+	for g.ingress.Open() > 0 && steady.Since(started) < g.settings.Grace()-leaveMargin {
+		time.Sleep(leavePoll)
+	}
+	g.sendLeaving()
+	g.book.line(partProcess).Int("connections", g.ingress.Open()).Msg("stopped")
+	g.cancel()
+	if err := g.book.close(); err != nil {
+		fmt.Fprintln(standardOutput, "log writer:", err)
+	}
+}
+
+// ready reports whether the gateway can serve callers.
+func (g *Gateway) ready() bool {
+	if g.leaving.Load() || g.config.Load() == nil {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.streams[EndpointStream].synced
+}
+
+// serveControl answers the readiness probe and the metrics page.
+func (g *Gateway) serveControl(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case g.platform.Wire.ReadyPath():
+		if !g.ready() {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		}
+	case "/metrics":
+		ctx.SetContentType("text/plain; charset=utf-8")
+		g.meters.write(ctx)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+// Limits implements ingress.Handler.
+func (g *Gateway) Limits() ingress.Limits {
+	limits := ingress.Limits{
+		HeaderBytes:   settings.DefaultMaxHeaderBytes,
+		BodyBytes:     settings.DefaultMaxBodyBytes,
+		HeaderTimeout: defaultHeaderTimeout,
+		IdleTimeout:   defaultIdleTimeout,
+	}
+	if c := g.config.Load(); c != nil {
+		limits.HeaderBytes = positive(c.Limits.HeaderBytes, limits.HeaderBytes)
+		limits.BodyBytes = positive(c.Limits.BodyBytes, limits.BodyBytes)
+		limits.HeaderTimeout = positive(c.Limits.HeaderTimeout, limits.HeaderTimeout)
+		limits.IdleTimeout = positive(c.Limits.IdleTimeout, limits.IdleTimeout)
+	}
+	return limits
+}
+
+// Limits until a configuration is known.
+const (
+	defaultHeaderTimeout = 3 * time.Second
+	defaultIdleTimeout   = 15 * time.Second
+)
+
+func positive[T int | time.Duration](value, otherwise T) T {
+	if value > 0 {
+		return value
+	}
+	return otherwise
+}
+
+// Malformed implements ingress.Handler.
+func (g *Gateway) Malformed(status int, reason string) {
+	g.meters.count("malformed_requests_total")
+	g.book.line(partRequest).Int("status", status).Str("reason", reason).Msg("unreadable request refused")
+}
+
+// wake sends a digest at once.
+func (g *Gateway) wake() {
+	select {
+	case g.kick <- struct{}{}:
+	default:
+	}
+}
+
+// sleep waits, and reports false when the process ends.
+func (g *Gateway) sleep(d time.Duration) bool {
+	select {
+	case <-g.ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/pkg/gateway/observe.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"expvar"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/phuslu/log"
+
+	"github.com/corneldeal/corneldeal/pkg/steady"
+)
+
+// Parts are the prefixes of log lines.
+const (
+	partProcess  = "process"
+	partConfig   = "config"
+	partEndpoint = "endpoint"
+	partPeer     = "peer"
+	partRequest  = "request"
+	partOrder    = "order"
+	partStore    = "store"
+	partLog      = "log"
+)
+
+const (
+	// linesPerSecond bounds the log lines of one part. What is left out is counted.
+	linesPerSecond = 200
+	// lineQueue bounds the lines that wait for a slow reader of standard output.
+	lineQueue = 4096
+)
+
+// logBook writes structured lines within a budget per part, and never blocks on the reader.
+type logBook struct {
+	logger *log.Logger
+
+	mu      sync.Mutex
+	second  int64
+	written map[string]int
+	left    map[string]int
+}
+
+func newLogBook(vm string, boot uint64, level string, out io.Writer) *logBook {
+	writer := &log.AsyncWriter{ChannelSize: lineQueue, DiscardOnFull: true, Writer: &log.IOWriter{Writer: out}}
+	return &logBook{
+		logger: &log.Logger{
+			Level:      log.ParseLevel(level),
+			TimeFormat: "2006-01-02T15:04:05.000Z07:00",
+			Context:    log.NewContext(nil).Str("vm", vm).Str("boot", fmt.Sprintf("%x", boot)).Value(),
+			Writer:     writer,
+		},
+		written: map[string]int{},
+		left:    map[string]int{},
+	}
+}
+
+// line starts a line of a part. It is nil, which is safe to use, where the budget is spent.
+func (l *logBook) line(part string) *log.Entry {
+	if !l.allowed(part) {
+		return nil
+	}
+	return l.logger.Info().Str("part", part)
+}
+
+// warn starts a line on something that an operator should know.
+func (l *logBook) warn(part string) *log.Entry {
+	if !l.allowed(part) {
+		return nil
+	}
+	return l.logger.Warn().Str("part", part)
+}
+
+func (l *logBook) allowed(part string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	second := steady.Now().Unix()
+	if second != l.second {
+		l.second = second
+		l.report()
+		clear(l.written)
+	}
+	if l.written[part] >= linesPerSecond {
+		l.left[part]++
+		return false
+	}
+	l.written[part]++
+	return true
+}
+
+// report tells how many lines the budget left out in the second before.
+func (l *logBook) report() {
+	for _, part := range slices.Sorted(maps.Keys(l.left)) {
+		l.logger.Warn().Str("part", partLog).Str("of", part).Int("count", l.left[part]).Msg("lines left out")
+	}
+	clear(l.left)
+}
+
+func (l *logBook) close() error {
+	if closer, ok := l.logger.Writer.(io.Closer); ok {
+		return closer.Close()
+	}
+	return nil
+}
+
+// Histogram bounds, in milliseconds.
+const (
+	histogramLowest  = 1
+	histogramHighest = 60_000
+	histogramDigits  = 2
+)
+
+// meters are the counters and histograms of the process.
+type meters struct {
+	counters *expvar.Map
+
+	mu         sync.Mutex
+	histograms map[string]*hdrhistogram.Histogram
+}
+
+func newMeters() *meters {
+	return &meters{counters: new(expvar.Map).Init(), histograms: map[string]*hdrhistogram.Histogram{}}
+}
+
+// count adds one to a counter.
+func (m *meters) count(name string) {
+	m.counters.Add(name, 1)
+}
+
+// observe adds a duration to a histogram.
+func (m *meters) observe(name string, d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h := m.histograms[name]
+	if h == nil {
+		h = hdrhistogram.New(histogramLowest, histogramHighest, histogramDigits)
+		m.histograms[name] = h
+	}
+	// Values outside the bounds are counted at the bound.
+	if err := h.RecordValue(min(max(d.Milliseconds(), histogramLowest), histogramHighest)); err != nil {
+		m.counters.Add("histogram_errors_total", 1)
+	}
+}
+
+// quantiles are those that the metrics page shows.
+var quantiles = []float64{50, 95, 99}
+
+// write prints all metrics as text, one a line.
+func (m *meters) write(w io.Writer) {
+	m.counters.Do(func(kv expvar.KeyValue) {
+		_, _ = fmt.Fprintf(w, "corneldeal_%s %s\n", kv.Key, kv.Value)
+	})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(m.histograms)) {
+		h := m.histograms[name]
+		for _, q := range quantiles {
+			_, _ = fmt.Fprintf(w, "corneldeal_%s_ms{quantile=\"%g\"} %d\n", name, q/100, h.ValueAtQuantile(q))
+		}
+		_, _ = fmt.Fprintf(w, "corneldeal_%s_ms_count %d\n", name, h.TotalCount())
+	}
+}
+
+// standardOutput is where logs go.
+var standardOutput io.Writer = os.Stdout
+
+func (l *logBook) setLevel(level string) {
+	l.logger.SetLevel(log.ParseLevel(level))
+}
--- /dev/null
+++ b/pkg/gateway/request.go
@@ -0,0 +1,261 @@
+package gateway
+
+import (
+	"bytes"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/corneldeal/corneldeal/pkg/admit"
+	"github.com/corneldeal/corneldeal/pkg/fleet"
+	"github.com/corneldeal/corneldeal/pkg/ingress"
+	"github.com/corneldeal/corneldeal/pkg/place"
+	"github.com/corneldeal/corneldeal/pkg/refusal"
+	"github.com/corneldeal/corneldeal/pkg/steady"
+	"github.com/corneldeal/corneldeal/pkg/traffic"
+)
+
+const (
+	// defaultTimeout bounds a request whose caller and route name no time.
+	defaultTimeout = 30 * time.Second
+	// noConfigRetry is told to callers of a process that knows no configuration yet.
+	noConfigRetry = 500 * time.Millisecond
+	// noEndpointRetry is told where no endpoint is known or all failed.
+	noEndpointRetry = 400 * time.Millisecond
+	// retrySpread spreads the times at which callers come back.
+	retrySpread = 0.4
+	bitsPerByte = 8
+	// urgencyTop is the urgency of priority 0, and urgencyStep what each further priority adds.
+	urgencyTop  = 3
+	urgencyStep = 2
+	urgencyMost = 9
+	// versionMargin keeps the last request on old weights clear of the limit.
+	versionMargin = 1500 * time.Millisecond
+	// unsizedOutput is the output that is assumed where neither hint nor limit is given.
+	unsizedOutput = 64
+)
+
+// request is one caller's attempt on its way through the gateway.
+type request struct {
+	x    *ingress.Exchange
+	call Call
+	id   uint64
+	// route, workspace and service are what the configuration in force says; they are checked again before each send.
+	route     *traffic.Route
+	workspace *traffic.Workspace
+	version   int64
+	arrived   time.Time
+	deadline  time.Time
+	cost      int64
+	charged   bool
+	// sends counts the endpoints that may have run the request, tries all attempts.
+	sends, tries int
+	excluded     []string
+	// lastEventID is the last event that the caller has, for a resumed stream.
+	lastEventID string
+	// begun is set once the header of a stream was sent to the caller.
+	begun bool
+	// events counts those sent to the caller.
+	events int
+	// failure is an endpoint's own answer that is passed on if no other attempt succeeds.
+	failure *fasthttp.Response
+	// expected is the prediction of the last placement.
+	expected time.Duration
+}
+
+// Serve implements ingress.Handler.
+func (g *Gateway) Serve(x *ingress.Exchange) {
+	g.meters.count("requests_total")
+	r := &request{x: x, id: g.nextID.Add(1), arrived: steady.Now()}
+	call, err := g.platform.Wire.ReadCall(&x.Request.Header)
+	r.call = call
+	r.lastEventID = call.LastEventID
+	if err != nil {
+		g.refuse(r, refusal.New(fasthttp.StatusBadRequest, refusal.CodeBadRequest, "%s", err.Error()))
+		return
+	}
+	if refused := g.authorize(r); refused != nil {
+		g.refuse(r, refused)
+		return
+	}
+	r.deadline = r.arrived.Add(g.timeLimit(r))
+	if refused := g.charge(r); refused != nil {
+		g.refuse(r, refused)
+		return
+	}
+	g.forward(r)
+}
+
+// timeLimit returns the time for the final answer.
+func (g *Gateway) timeLimit(r *request) time.Duration {
+	limit := r.call.Budget
+	if t := r.route.Timeout; t > 0 && (limit == 0 || t < limit) {
+		limit = t
+	}
+	if limit == 0 {
+		return defaultTimeout
+	}
+	return limit
+}
+
+// authorize finds the route and the workspace under the configuration in force.
+func (g *Gateway) authorize(r *request) *refusal.Error {
+	c := g.config.Load()
+	if c == nil {
+		return refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeNoConfig, "no configuration is known yet").
+			After(noConfigRetry)
+	}
+	r.version = c.Version
+	path, _, _ := bytes.Cut(r.x.Request.Header.RequestURI(), []byte("?"))
+	r.route = c.Match(string(r.x.Request.Header.Host()), string(path))
+	if r.route == nil {
+		return refusal.New(fasthttp.StatusNotFound, refusal.CodeNoRoute, "no route matches")
+	}
+	r.workspace = c.WorkspaceOf(r.call.Key)
+	if r.workspace == nil && c.Keyed() && !r.route.Public {
+		return refusal.New(fasthttp.StatusUnauthorized, refusal.CodeUnauthorized, "the key is not known")
+	}
+	return nil
+}
+
+// charge takes the request's tokens from its workspace.
+func (g *Gateway) charge(r *request) *refusal.Error {
+	if r.workspace == nil {
+		return nil
+	}
+	r.cost = r.workspace.DefaultCost
+	if r.call.Sized {
+		r.cost = int64(r.call.PromptTokens + r.call.OutputTokens)
+	}
+	g.mu.Lock()
+	ok, wait := g.limiter.Take(r.workspace.Name, r.cost, r.arrived)
+	g.mu.Unlock()
+	if !ok {
+		return refusal.New(fasthttp.StatusTooManyRequests, refusal.CodeRateLimited, "the workspace is over its rate").
+			After(wait)
+	}
+	r.charged = true
+	return nil
+}
+
+// refund gives the tokens back of a request that did not run.
+func (g *Gateway) refund(r *request) {
+	if !r.charged {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limiter.Return(r.workspace.Name, r.cost)
+	r.charged = false
+}
+
+// refuse answers with a refusal of the gateway's own.
+func (g *Gateway) refuse(r *request, e *refusal.Error) {
+	if e.RunState == refusal.NotRun {
+		g.refund(r)
+	}
+	g.meters.counters.Add("refusals_total", 1)
+	g.meters.counters.Add("refusals_"+string(e.Code)+"_total", 1)
+	line := g.book.line(partRequest).Str("request", r.call.ID).Str("outcome", "refused").Int("status", e.Status).
+		Str("code", string(e.Code)).Str("run_state", string(e.RunState)).Int64("config", r.version).
+		Int("tries", r.tries).Dur("age_ms", steady.Since(r.arrived)).Dur("expected_ms", r.expected)
+	if r.route != nil {
+		line.Str("route", r.route.Name)
+	}
+	if r.workspace != nil {
+		line.Str("workspace", r.workspace.Name)
+	}
+	resp := &fasthttp.Response{}
+	resp.SetStatusCode(e.Status)
+	g.platform.Wire.Identify(&resp.Header, r.call.ID)
+	resp.Header.SetContentType("application/json")
+	resp.SetBodyString(fmt.Sprintf(`{"error":{"code":%q,"run_state":%q,"message":%q}}`, e.Code, e.RunState, e.Message))
+	if e.RetryAfter > 0 {
+		after := e.RetryAfter + time.Duration(rand.Float64()*retrySpread*float64(e.RetryAfter))
+		line.Dur("retry_after_ms", after)
+		resp.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+	line.Msg("request refused")
+	r.x.Respond(resp)
+}
+
+// placement returns the request as the placer sees it.
+func (g *Gateway) placement(r *request, s *traffic.Service) *place.Request {
+	p := &place.Request{ID: r.id, Exclude: r.excluded}
+	if s.Engine == nil {
+		return p
+	}
+	p.Engine = true
+	p.Model = r.call.Model
+	p.Chain = r.call.Chain
+	p.Prompt = r.call.PromptTokens
+	p.Output = r.call.OutputTokens
+	if hint := r.call.ExpectedOutput; hint > 0 && hint < p.Output {
+		p.Output = hint
+	}
+	if p.Output == 0 {
+		p.Output = unsizedOutput
+	}
+	p.Wall = wallOf(r.workspace)
+	if named := g.newest[p.Model]; named != nil {
+		p.Newest, p.Named = named.version, named.at
+	}
+	return p
+}
+
+// wallOf returns what separates the cached material of an isolated workspace.
+func wallOf(w *traffic.Workspace) string {
+	if w == nil || !w.Isolated {
+		return ""
+	}
+	return w.Name
+}
+
+// salt separates cached material by model, weight version and, where the workspace is isolated, workspace.
+func salt(model string, version int64, wall string) string {
+	h := fnv.New64a()
+	_, _ = fmt.Fprintf(h, "%q %d %q", model, version, wall)
+	return strconv.FormatUint(h.Sum64(), 36)
+}
+
+// facts returns the properties of a service for placement. The caller holds the lock.
+func (g *Gateway) facts(c *traffic.Config, s *traffic.Service, endpoints []*fleet.Endpoint) place.Facts {
+	f := place.Facts{DataCentre: g.settings.DataCentre}
+	if len(endpoints) > 0 {
+		f.Slots = endpoints[0].Slots
+	}
+	if s.Engine == nil {
+		return f
+	}
+	f.Slots = s.Engine.Slots
+	f.CacheTokens = s.Engine.CacheTokens
+	f.VersionLimit = g.settings.VersionLimit() - versionMargin
+	if store := c.StoreNear(g.settings.DataCentre); store != nil && s.Engine.TokenBytes > 0 {
+		bytesPerMs := store.LinkMbps * 1e6 / bitsPerByte / 1e3
+		f.StoreTokensPerMs = bytesPerMs / float64(s.Engine.TokenBytes)
+	}
+	return f
+}
+
+// urgency returns the rank of a request in an engine's queue.
+func urgency(r *request) int {
+	priority := r.route.Priority
+	if r.workspace != nil && r.workspace.HasPriority {
+		priority = r.workspace.Priority
+	}
+	return min(urgencyTop+urgencyStep*priority, urgencyMost)
+}
+
+// retryBudget returns the budget of a service. The caller holds the lock.
+func (g *Gateway) retryBudget(service string) *admit.RetryBudget {
+	b := g.retries[service]
+	if b == nil {
+		b = &admit.RetryBudget{}
+		g.retries[service] = b
+	}
+	return b
+}
--- a/pkg/httpcall/httpcall.go
+++ b/pkg/httpcall/httpcall.go
@@ -8,11 +8,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"strconv"
 	"sync"
 	"time"
 
@@ -24,6 +26,14 @@
 	DialTimeout = time.Second
 	// idleLimit is kept below the keep-alive time of common servers, so that a pooled connection is seldom stale.
 	idleLimit = 5 * time.Second
+	// keepAliveShare is the part of a server's announced keep-alive time for which a connection is reused.
+	keepAliveShare = 0.7
+	// unackedLimit is the time after which a connection whose data are not acknowledged counts as dead.
+	unackedLimit = 2 * time.Second
+	// Probes find a connection that went silent while an answer is awaited.
+	probeIdle     = time.Second
+	probeInterval = 700 * time.Millisecond
+	probeCount    = 3
 	// idlePerAddress bounds the pooled connections of one address.
 	idlePerAddress = 64
 	// readBufferBytes bounds the headers of a response, which must fit into the buffer.
@@ -62,7 +72,8 @@
 	net.Conn
 	reader *bufio.Reader
 	writer *bufio.Writer
-	idleAt time.Time
+	// reuseUntil is when an idle connection is too old to be used again.
+	reuseUntil time.Time
 }
 
 // Client keeps idle connections by address. It is safe for concurrent use.
@@ -97,7 +108,7 @@
 		cn := conns[len(conns)-1]
 		conns = conns[:len(conns)-1]
 		c.idle[address] = conns
-		if time.Since(cn.idleAt) < idleLimit {
+		if time.Now().Before(cn.reuseUntil) && quiet(cn.Conn) {
 			return cn
 		}
 		_ = cn.Close()
@@ -105,8 +116,8 @@
 	return nil
 }
 
-func (c *Client) put(address string, cn *conn) {
-	cn.idleAt = time.Now()
+func (c *Client) put(address string, cn *conn, idle time.Duration) {
+	cn.reuseUntil = time.Now().Add(idle)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.idle[address]) >= idlePerAddress {
@@ -117,7 +128,16 @@
 }
 
 func dial(ctx context.Context, address string) (*conn, error) {
-	d := net.Dialer{Timeout: DialTimeout}
+	d := net.Dialer{
+		Timeout: DialTimeout,
+		Control: limitUnacked,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     probeIdle,
+			Interval: probeInterval,
+			Count:    probeCount,
+		},
+	}
 	raw, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, &Error{Address: address, Err: err}
@@ -164,7 +184,22 @@
 		_ = cn.Close()
 		return
 	}
-	c.put(address, cn)
+	c.put(address, cn, idleTime(&resp.Header))
+}
+
+// idleTime returns the time for which the server keeps an idle connection, with a margin.
+func idleTime(h *fasthttp.ResponseHeader) time.Duration {
+	value := h.Peek(fasthttp.HeaderKeepAlive)
+	_, after, found := bytes.Cut(value, []byte("timeout="))
+	if !found {
+		return idleLimit
+	}
+	digits, _, _ := bytes.Cut(after, []byte(","))
+	seconds, err := strconv.Atoi(string(bytes.TrimSpace(digits)))
+	if err != nil {
+		return idleLimit
+	}
+	return min(idleLimit, time.Duration(float64(seconds)*keepAliveShare*float64(time.Second)))
 }
 
 // send writes the request on a connection of its own.
@@ -208,6 +243,8 @@
 	stop    func() bool
 	body    io.Reader
 	ended   bool
+	// written is nil once the request is known to be written completely.
+	written chan error
 }
 
 // Open sends req and returns after the response headers. A cancelled ctx closes the connection at once, also
@@ -249,10 +286,24 @@
 // Close releases the connection: to the pool after a complete body, otherwise by closing it.
 func (s *Stream) Close() {
 	alive := s.stop()
-	if alive && s.ended {
+	if alive && s.ended && s.requestWritten() {
 		_ = s.Response.CloseBodyStream()
 		s.client.release(s.address, s.cn, s.Response)
 		return
 	}
 	_ = s.cn.Close()
 }
+
+// requestWritten reports whether the whole request was sent. A server may answer before it has read a long body; the
+// rest of that body must not be followed by another request.
+func (s *Stream) requestWritten() bool {
+	if s.written == nil {
+		return true
+	}
+	select {
+	case err := <-s.written:
+		return err == nil
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/pkg/ingress/connection.go
@@ -0,0 +1,191 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// drainLimit bounds the unread bytes that are taken off a refused request before its connection is closed, so
+	// that the close does not reset the response.
+	drainLimit = 256 << 10
+	// drainTime bounds the time for it.
+	drainTime = 300 * time.Millisecond
+	// bodyTimeout bounds the time for a request body after its header.
+	bodyTimeout = 20 * time.Second
+	// writeTimeout bounds one write to a caller that does not read.
+	writeTimeout = 20 * time.Second
+	// writeBufferBytes is the size of the write buffer.
+	writeBufferBytes = 4 << 10
+)
+
+// connection is one connection of a caller.
+type connection struct {
+	server *Server
+	conn   net.Conn
+	reader *bufio.Reader
+	writer *bufio.Writer
+
+	mu sync.Mutex
+	// idle is set while no request is being read or answered.
+	idle bool
+	// ending is set once an idle connection is to be closed.
+	ending bool
+}
+
+// serve answers the requests of the connection one after the other.
+func (c *connection) serve() {
+	defer func() {
+		c.server.remove(c)
+		_ = c.conn.Close()
+	}()
+	limits := c.server.handler.Limits()
+	c.reader = bufio.NewReaderSize(c.conn, limits.HeaderBytes)
+	c.writer = bufio.NewWriterSize(c.conn, writeBufferBytes)
+	for c.awaitRequest() && c.serveOne() {
+	}
+}
+
+// endIdle closes the connection if it is idle and no byte of a request was read.
+func (c *connection) endIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = true
+	if c.idle {
+		_ = c.conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+func (c *connection) setIdle(idle bool, timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = idle
+	deadline := time.Now().Add(timeout)
+	if c.ending && idle {
+		deadline = time.Unix(1, 0)
+	}
+	_ = c.conn.SetReadDeadline(deadline)
+}
+
+// awaitRequest waits for the first byte of a request.
+func (c *connection) awaitRequest() bool {
+	limits := c.server.handler.Limits()
+	c.setIdle(true, limits.IdleTimeout)
+	if _, err := c.reader.Peek(1); err != nil {
+		return false
+	}
+	c.setIdle(false, limits.HeaderTimeout)
+	return true
+}
+
+// serveOne reads and answers one request. It reports whether the connection stays open.
+func (c *connection) serveOne() bool {
+	limits := c.server.handler.Limits()
+	req := &fasthttp.Request{}
+	req.Header.DisableNormalizing()
+	req.Header.SetNoDefaultContentType(true)
+	if err := req.Header.Read(c.reader); err != nil {
+		return c.unreadable(headerStatus(err), err.Error())
+	}
+	arrived := time.Now()
+	if problem := framingProblem(&req.Header); problem != "" {
+		return c.unreadable(fasthttp.StatusBadRequest, problem)
+	}
+	length := max(req.Header.ContentLength(), 0)
+	if length > limits.BodyBytes {
+		return c.unreadable(fasthttp.StatusRequestEntityTooLarge, "body too large")
+	}
+	if !c.server.reserve(length) {
+		return c.unreadable(fasthttp.StatusServiceUnavailable, "no memory for the body")
+	}
+	defer c.server.release(length)
+	if status, err := c.readBody(req, limits); err != nil {
+		return c.unreadable(status, err.Error())
+	}
+	return c.answer(req, arrived)
+}
+
+func (c *connection) readBody(req *fasthttp.Request, limits Limits) (status int, err error) {
+	if req.Header.ContentLength() == 0 {
+		return 0, nil
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
+	if req.MayContinue() {
+		if _, err := c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+			return fasthttp.StatusBadRequest, err
+		}
+	}
+	err = req.ContinueReadBody(c.reader, limits.BodyBytes, false)
+	switch {
+	case err == nil:
+		return 0, nil
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return fasthttp.StatusRequestEntityTooLarge, err
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return fasthttp.StatusRequestTimeout, err
+	}
+	return fasthttp.StatusBadRequest, err
+}
+
+// answer runs the handler while it watches for the caller's leaving.
+func (c *connection) answer(req *fasthttp.Request, arrived time.Time) bool {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	_ = c.conn.SetReadDeadline(time.Time{})
+	watch := make(chan struct{})
+	go func() {
+		defer close(watch)
+		if _, err := c.reader.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			cancel(ErrCallerLeft)
+		}
+	}()
+	x := &Exchange{Request: req, Arrived: arrived, conn: c, ctx: ctx, close: req.Header.ConnectionClose()}
+	c.server.handler.Serve(x)
+	_ = c.conn.SetReadDeadline(time.Unix(1, 0))
+	<-watch
+	if x.failed || !x.ended {
+		return false
+	}
+	return !x.close && ctx.Err() == nil
+}
+
+// unreadable answers a request that cannot be read, where there is something to answer, and ends the connection.
+func (c *connection) unreadable(status int, reason string) bool {
+	if status == 0 {
+		return false
+	}
+	c.server.handler.Malformed(status, reason)
+	resp := &fasthttp.Response{}
+	resp.SetStatusCode(status)
+	resp.SetConnectionClose()
+	if status == fasthttp.StatusServiceUnavailable {
+		resp.Header.Set(fasthttp.HeaderRetryAfter, "0.5")
+	}
+	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if resp.Write(c.writer) == nil && c.writer.Flush() == nil {
+		c.drain()
+	}
+	return false
+}
+
+// drain reads what the caller still sends, within bounds.
+func (c *connection) drain() {
+	if tcp, ok := c.conn.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(drainTime))
+	for read := 0; read < drainLimit; {
+		n, err := c.reader.Discard(c.reader.Size() / 2)
+		read += n
+		if err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/pkg/issuer/issuer.go
@@ -0,0 +1,237 @@
+// Package issuer decides who gives orders to engines, and which engine loads new weights next.
+//
+// One VM at a time holds the right to give orders. The holder is the author of the newest claim in the platform's
+// log; the claim's offset is its fencing token. A holder reads the end of the log before it gives orders and may
+// give them for HoldFor after that read began. A VM with a newer claim waits until the older holder's last order
+// must have arrived. The package holds no I/O; time is an argument and must come from a clock that counts
+// suspension.
+package issuer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// HoldFor is the time after the start of a read of the log's end for which its result permits orders.
+	HoldFor = 1200 * time.Millisecond
+	// orderFlight bounds the time in which an order reaches its engine.
+	orderFlight = 500 * time.Millisecond
+	// readEvery is the pause between two reads of the log's end while orders are due.
+	readEvery = 400 * time.Millisecond
+	// claimPause is the pause after a claim that failed, so that two VMs do not contend.
+	claimPause = 1500 * time.Millisecond
+)
+
+// Claim is the newest claim in the log.
+type Claim struct {
+	// Holder is the VM that claimed, Boot its process.
+	Holder string
+	Boot   uint64
+	// Token is the offset of the claim.
+	Token int64
+}
+
+// Situation is what the decision rests on.
+type Situation struct {
+	Self string
+	Boot uint64
+	// Pending tells that orders are due.
+	Pending bool
+	// Reachable tells that this VM reached the store lately.
+	Reachable bool
+	// Holder is the newest claim known. Its Token is -1 where there is none.
+	Holder Claim
+	// HolderAble tells that the holder's process is heard and reaches the store.
+	HolderAble bool
+	// First tells that this VM comes first among the live VMs that reach the store.
+	First bool
+}
+
+// Step is what the VM does next.
+type Step int
+
+const (
+	// Idle means nothing.
+	Idle Step = iota
+	// Read means to read the end of the claims log.
+	Read
+	// ClaimIt means to append a claim behind the newest one.
+	ClaimIt
+	// Act means that orders may be given.
+	Act
+)
+
+// Right keeps this VM's right to give orders. It is safe for one goroutine.
+type Right struct {
+	// leaseTime is the time within which two VMs must not take turns.
+	leaseTime time.Duration
+	// token is the own claim, or -1.
+	token int64
+	// actFrom is when the own claim permits the first order.
+	actFrom time.Time
+	// readAt is the start of the newest read that showed the own claim as the newest.
+	readAt time.Time
+	// nextTry is the earliest time of the next read or claim.
+	nextTry time.Time
+	// fenced is set once an engine refused the own token for a higher one.
+	fenced bool
+}
+
+// NewRight returns a VM without the right. LeaseTime is the platform's bound on holders that take turns.
+func NewRight(leaseTime time.Duration) *Right {
+	return &Right{leaseTime: leaseTime, token: -1}
+}
+
+// Token returns the fencing token of the own claim, or -1.
+func (r *Right) Token() int64 {
+	return r.token
+}
+
+// Next returns the next step.
+func (r *Right) Next(s Situation, now time.Time) Step {
+	if !s.Pending || !s.Reachable {
+		return Idle
+	}
+	mine := r.token >= 0 && s.Holder.Token == r.token && !r.fenced
+	if mine {
+		return r.hold(now)
+	}
+	if now.Before(r.nextTry) || s.HolderAble || !s.First {
+		return Idle
+	}
+	return ClaimIt
+}
+
+func (r *Right) hold(now time.Time) Step {
+	if now.Before(r.actFrom) {
+		return Idle
+	}
+	if r.MayOrder(now) && now.Sub(r.readAt) < readEvery {
+		return Act
+	}
+	if now.Before(r.nextTry) {
+		return Idle
+	}
+	return Read
+}
+
+// MayOrder reports whether an order may be sent now. It is asked again right before each send.
+func (r *Right) MayOrder(now time.Time) bool {
+	return r.token >= 0 && !r.fenced && !now.Before(r.actFrom) && now.Sub(r.readAt) < HoldFor
+}
+
+// Claimed records that the own claim was appended at token. Alone tells that no other VM's claim stood before it.
+func (r *Right) Claimed(token int64, alone bool, now time.Time) {
+	r.token = token
+	r.fenced = false
+	r.readAt = now
+	r.actFrom = now
+	if !alone {
+		r.actFrom = now.Add(HoldFor + orderFlight + r.leaseTime)
+	}
+}
+
+// Failed records a claim or read that failed or was late.
+func (r *Right) Failed(now time.Time) {
+	r.nextTry = now.Add(claimPause)
+}
+
+// Confirmed records a read that began at started and showed newest as the newest claim.
+func (r *Right) Confirmed(newest Claim, started time.Time) {
+	if newest.Token == r.token {
+		r.readAt = started
+	}
+}
+
+// Fenced records that an engine refused an order because of a higher token. The right has ended.
+func (r *Right) Fenced() {
+	r.fenced = true
+	r.token = -1
+}
+
+// Engine is an engine as the load order sees it.
+type Engine struct {
+	ID         string
+	DataCentre string
+	// Version is the weight version that it runs.
+	Version int64
+	// Load is the number of requests there.
+	Load int
+	// Phase is what the holder is doing with it.
+	Phase Phase
+}
+
+// Phase is the state of one load.
+type Phase int
+
+const (
+	// Serving means that no load is planned.
+	Serving Phase = iota
+	// Emptying means that the VMs send no new work there, so that the load disturbs few requests.
+	Emptying
+	// Loading means that the order was given.
+	Loading
+)
+
+// Loads bound the engines that are out of service for a load.
+type Loads struct {
+	// AtOnce is the number of loads in progress at once.
+	AtOnce int
+	// Ahead is the number of engines that are emptied ahead of their load.
+	Ahead int
+}
+
+// LoadsFor returns the bounds for a number of engines. More loads at once slow each other down.
+func LoadsFor(engines int) Loads {
+	atOnce := max(minLoads, engines/enginesPerLoad)
+	return Loads{AtOnce: atOnce, Ahead: atOnce}
+}
+
+const (
+	minLoads       = 2
+	enginesPerLoad = 5
+)
+
+// Choose returns the engines to empty next, least loaded first, so that few requests are disturbed. Data centres
+// with fewer engines out of service go first, so that none loses all of its own at once.
+func Choose(engines []Engine, target int64, limits Loads) []string {
+	out := map[string]int{}
+	busy := 0
+	var due []Engine
+	for _, e := range engines {
+		switch {
+		case e.Phase != Serving:
+			out[e.DataCentre]++
+			busy++
+		case e.Version < target:
+			due = append(due, e)
+		}
+	}
+	var chosen []string
+	for len(due) > 0 && busy < limits.AtOnce+limits.Ahead {
+		i := next(due, out)
+		chosen = append(chosen, due[i].ID)
+		out[due[i].DataCentre]++
+		due = slices.Delete(due, i, i+1)
+		busy++
+	}
+	return chosen
+}
+
+func next(due []Engine, out map[string]int) int {
+	best := 0
+	for i := 1; i < len(due); i++ {
+		a, b := due[i], due[best]
+		order := cmp.Or(
+			cmp.Compare(out[a.DataCentre], out[b.DataCentre]),
+			cmp.Compare(a.Load, b.Load),
+			cmp.Compare(a.ID, b.ID),
+		)
+		if order < 0 {
+			best = i
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/pkg/place/place.go
@@ -0,0 +1,293 @@
+// Package place chooses the endpoint of each request from the expected time to its first token.
+//
+// It follows what this VM has sent, what peers say they have sent, which prompt parts the engines should hold, and
+// how the endpoints have answered lately. Filters drop endpoints, scorers add expected milliseconds, and the lowest
+// sum wins. The package holds no I/O; time is an argument.
+package place
+
+import (
+	"hash/fnv"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/corneldeal/corneldeal/pkg/fleet"
+)
+
+// Part is one part of a prompt.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Request is what placement needs to know of a request.
+type Request struct {
+	// ID identifies the request within the VM.
+	ID uint64
+	// Engine tells that the request runs on a model engine.
+	Engine bool
+	// Model is the model, empty for plain services.
+	Model string
+	// Wall separates the cached material of an isolated workspace. Empty where it is shared.
+	Wall string
+	// Chain holds the parts in order; the last belongs to the request alone.
+	Chain []Part
+	// Prompt and Output are token counts. Output is the expected number.
+	Prompt, Output int
+	// Exclude names endpoints on which an attempt failed.
+	Exclude []string
+	// Newest is the newest weight version named, and Named when this VM learned of it.
+	Newest int64
+	Named  time.Time
+}
+
+// Facts are properties of the service that do not change from request to request.
+type Facts struct {
+	// Slots is the number of requests that run at once on one endpoint.
+	Slots int
+	// CacheTokens is the memory of an engine, in tokens. Zero for plain services.
+	CacheTokens int
+	// StoreTokensPerMs is the speed of the cache store, in tokens per millisecond. Zero where there is none or it is
+	// down.
+	StoreTokensPerMs float64
+	// DataCentre is the VM's own.
+	DataCentre string
+	// VersionLimit is the age of a newer version from which older weights may not start a request. Zero means none.
+	VersionLimit time.Duration
+}
+
+// Load is what one VM has on an endpoint.
+type Load struct {
+	// Running is the number of requests.
+	Running int
+	// Unread is the number of prompt tokens that wait to be computed.
+	Unread int
+	// Memory is the number of tokens that the requests hold or will hold.
+	Memory int
+}
+
+func (l *Load) add(o Load) {
+	l.Running += o.Running
+	l.Unread += o.Unread
+	l.Memory += o.Memory
+}
+
+// Candidate is an endpoint while a request is placed.
+type Candidate struct {
+	Endpoint *fleet.Endpoint
+	// Load is the sum over all VMs.
+	Load Load
+	// Version is the newest known weight version of the request's model.
+	Version int64
+	// Held is the number of shared tokens that the endpoint is expected to hold.
+	Held int
+	// Expected is the predicted time to the first token, in milliseconds.
+	Expected float64
+	// Score is Expected with all preferences added, in milliseconds.
+	Score float64
+
+	state *state
+}
+
+// Choice is the decision for one request.
+type Choice struct {
+	// Endpoint is nil when no endpoint may serve the request.
+	Endpoint *fleet.Endpoint
+	// Version is the weight version that the endpoint is believed to run.
+	Version int64
+	// Expected is the predicted time to the first token.
+	Expected time.Duration
+	// Missing is the number of prompt tokens that the endpoint has to compute.
+	Missing int
+	// Running is the number of requests there over all VMs.
+	Running int
+	// Candidates is the number of endpoints that passed the filters.
+	Candidates int
+}
+
+// Defaults of what is learned.
+const (
+	// prefillTokensPerMs is the assumed speed of reading a prompt until an endpoint's answers correct it.
+	prefillTokensPerMs = 70.0
+	// firstTokenMs is the time to the first token of an empty prompt on an idle engine.
+	firstTokenMs = 75.0
+	// serviceMs is the assumed time of a plain call.
+	serviceMs = 60.0
+	// batchMs is the delay that each running request adds to the others' next token.
+	batchMs = 0.6
+	// generateMs is the assumed time of one output token.
+	generateMs = 10.0
+	// fetchFixedMs is the time of a fetch from the cache store besides the transfer.
+	fetchFixedMs = 6.0
+)
+
+// Placer chooses endpoints and learns from the outcome. It is safe for one goroutine.
+type Placer struct {
+	states map[string]*state
+	sent   map[uint64]*sent
+	peers  map[string]map[string]Load
+	cache  *holdings
+	// loading names the engines that are being emptied or loaded.
+	loading map[string]bool
+}
+
+// New returns a placer that knows nothing.
+func New() *Placer {
+	return &Placer{
+		states:  map[string]*state{},
+		sent:    map[uint64]*sent{},
+		peers:   map[string]map[string]Load{},
+		cache:   newHoldings(),
+		loading: map[string]bool{},
+	}
+}
+
+// Place chooses among endpoints. They must be usable and serve the request's service.
+func (p *Placer) Place(r *Request, endpoints []*fleet.Endpoint, f Facts, now time.Time) Choice {
+	candidates := make([]Candidate, 0, len(endpoints))
+	for _, e := range endpoints {
+		c := Candidate{Endpoint: e, state: p.stateOf(e), Load: p.total(e.ID)}
+		c.Version = c.state.version(e, r.Model)
+		if p.allowed(&c, r, f, now) {
+			candidates = append(candidates, c)
+		}
+	}
+	candidates = keepSound(candidates, now)
+	if len(candidates) == 0 {
+		return Choice{}
+	}
+	home := p.home(r, candidates)
+	best := 0
+	for i := range candidates {
+		c := &candidates[i]
+		p.score(c, r, f, i == home, now)
+		if c.Score < candidates[best].Score {
+			best = i
+		}
+	}
+	c := candidates[best]
+	return Choice{
+		Endpoint:   c.Endpoint,
+		Version:    c.Version,
+		Expected:   time.Duration(c.Expected * float64(time.Millisecond)),
+		Missing:    max(r.Prompt-c.Held, 0),
+		Running:    c.Load.Running,
+		Candidates: len(candidates),
+	}
+}
+
+// allowed holds the filters that are never relaxed.
+func (p *Placer) allowed(c *Candidate, r *Request, f Facts, now time.Time) bool {
+	if slices.Contains(r.Exclude, c.Endpoint.ID) {
+		return false
+	}
+	if !r.Engine {
+		return true
+	}
+	if c.Version == 0 || now.Before(c.state.doubtUntil) {
+		return false
+	}
+	old := c.Version < r.Newest && f.VersionLimit > 0
+	return !old || now.Sub(r.Named) < f.VersionLimit
+}
+
+// home returns the index of the candidate that all VMs prefer for the request's shared parts, by rendezvous hash.
+func (p *Placer) home(r *Request, candidates []Candidate) int {
+	if len(r.Chain) < 2 {
+		return -1
+	}
+	subject := r.Chain[len(r.Chain)-2].ID
+	best, bestWeight := -1, uint64(0)
+	for i := range candidates {
+		if w := weight(subject, candidates[i].Endpoint.ID); best < 0 || w > bestWeight {
+			best, bestWeight = i, w
+		}
+	}
+	return best
+}
+
+func weight(subject uint64, endpoint string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(endpoint))
+	// The finaliser of splitmix64 spreads the bits, which FNV alone does not for short inputs.
+	x := h.Sum64() ^ subject
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// total returns the load of all VMs on an endpoint.
+func (p *Placer) total(id string) Load {
+	var sum Load
+	if s := p.states[id]; s != nil {
+		sum = s.load
+	}
+	for _, loads := range p.peers {
+		sum.add(loads[id])
+	}
+	return sum
+}
+
+// sharedTokens returns the tokens of the parts that other requests may share.
+func sharedTokens(r *Request) int {
+	n := 0
+	for i, part := range r.Chain {
+		if i < len(r.Chain)-1 {
+			n += part.Tokens
+		}
+	}
+	return n
+}
+
+// SetLoading names the engines that are emptied or loaded with new weights.
+func (p *Placer) SetLoading(ids []string) {
+	clear(p.loading)
+	for _, id := range ids {
+		p.loading[id] = true
+	}
+}
+
+// SetPeer replaces the loads that a peer reports. Nil forgets the peer.
+func (p *Placer) SetPeer(vm string, loads map[string]Load) {
+	if loads == nil {
+		delete(p.peers, vm)
+		return
+	}
+	p.peers[vm] = loads
+}
+
+// Own returns this VM's load on each endpoint that has any.
+func (p *Placer) Own() map[string]Load {
+	out := map[string]Load{}
+	for id, s := range p.states {
+		if s.load.Running > 0 {
+			out[id] = s.load
+		}
+	}
+	return out
+}
+
+// Running returns the number of requests of all VMs on an endpoint.
+func (p *Placer) Running(id string) int {
+	return p.total(id).Running
+}
+
+// Forget drops endpoints that are not in keep and have no request of this VM.
+func (p *Placer) Forget(keep func(id string) bool) {
+	for id, s := range p.states {
+		if s.load.Running == 0 && !keep(id) {
+			delete(p.states, id)
+		}
+	}
+}
+
+// Spare returns the free share of the least loaded endpoint's slots, for the time to come back.
+func (p *Placer) Spare(endpoints []*fleet.Endpoint, f Facts) float64 {
+	best := 0.0
+	for _, e := range endpoints {
+		slots := max(f.Slots, 1)
+		free := 1 - float64(p.total(e.ID).Running)/float64(slots)
+		best = math.Max(best, free)
+	}
+	return best
+}
--- /dev/null
+++ b/pkg/place/score.go
@@ -0,0 +1,86 @@
+package place
+
+import (
+	"math"
+	"time"
+)
+
+// Preferences, in milliseconds of expected first token that an endpoint may be slower and still win.
+const (
+	// crossDataCentreMs stands for the delay and the price of bytes between data centres.
+	crossDataCentreMs = 8.0
+	// loadingMs keeps new work from an engine that is emptied or loads new weights.
+	loadingMs = 2000.0
+	// oldVersionMs is the loss of an answer on replaced weights.
+	oldVersionMs = 120.0
+	// failureMs is the loss of an attempt that fails.
+	failureMs = 600.0
+	// busyMs follows a refusal by a full endpoint.
+	busyMs = 150.0
+	// noMemoryMs is the loss of a request that preempts others or is preempted.
+	noMemoryMs = 150.0
+	// memoryHeadroom is the share of an engine's memory that running requests may fill.
+	memoryHeadroom = 0.9
+)
+
+// oldVersionGrace is the age of a newer version within which older weights cost nothing.
+const oldVersionGrace = 1200 * time.Millisecond
+
+// score predicts the first token on a candidate and adds the preferences.
+func (p *Placer) score(c *Candidate, r *Request, f Facts, home bool, now time.Time) {
+	if r.Engine {
+		c.Expected = p.engineMs(c, r, f, home, now)
+	} else {
+		c.Expected = serviceTimeMs(c, f)
+	}
+	c.Expected *= c.state.slowness(now)
+	c.Score = c.Expected
+	if c.Endpoint.DataCentre != f.DataCentre {
+		c.Score += crossDataCentreMs
+	}
+	if p.loading[c.Endpoint.ID] {
+		c.Score += loadingMs
+	}
+	if r.Engine && c.Version < r.Newest && now.Sub(r.Named) > oldVersionGrace {
+		c.Score += oldVersionMs
+	}
+	if now.Before(c.state.busyUntil) {
+		c.Score += busyMs
+	}
+	c.Score += failureMs * c.state.failureRate(now)
+}
+
+// engineMs predicts the time to the first token on an engine: the prompts before it, its own missing tokens, the
+// fetch of those that the cache store has, and the running batch.
+func (p *Placer) engineMs(c *Candidate, r *Request, f Facts, home bool, now time.Time) float64 {
+	shared := sharedTokens(r)
+	c.Held = p.cache.held(c.Endpoint, c.Version, r, now)
+	missing := shared - c.Held
+	if home {
+		// Other VMs send the same parts there.
+		missing /= 2
+	}
+	fetch := 0.0
+	if missing > 0 && f.StoreTokensPerMs > 0 {
+		fetch = math.Min(fetchFixedMs+float64(missing)/f.StoreTokensPerMs, float64(missing)/prefillTokensPerMs)
+		missing = 0
+	}
+	own := max(r.Prompt-shared, 0)
+	t := firstTokenMs + fetch + float64(c.Load.Unread+missing+own)/prefillTokensPerMs
+	t += batchMs * float64(c.Load.Running)
+	if over := c.Load.Running + 1 - f.Slots; over > 0 && f.Slots > 0 {
+		t += float64(over) * float64(r.Output) * generateMs / float64(f.Slots)
+	}
+	room := memoryHeadroom * float64(f.CacheTokens)
+	if need := float64(c.Load.Memory + r.Prompt + r.Output); f.CacheTokens > 0 && need > room {
+		t += noMemoryMs * (1 + (need-room)/float64(f.CacheTokens)*4)
+	}
+	return t
+}
+
+// serviceTimeMs predicts the answer of a plain service from the requests before it.
+func serviceTimeMs(c *Candidate, f Facts) float64 {
+	slots := max(f.Slots, 1)
+	ahead := float64(max(c.Load.Running+1-slots, 0)) / float64(slots)
+	return serviceMs*(1+ahead) + float64(c.Load.Running)
+}
--- /dev/null
+++ b/pkg/share/limiter.go
@@ -0,0 +1,245 @@
+// Package share keeps every workspace to its token rate and burst over all VMs, without a store.
+//
+// Each VM holds one bucket per workspace that stands for the whole system. It deducts what the VM itself admits at
+// once, and what the peers admitted as soon as they tell, so the sum exceeds the limit at most by what is admitted
+// within one exchange. A peer that falls silent may go on admitting: its equal share of stock and refill is set
+// aside until it is heard again, so parts of a partitioned system together stay within the limit. The package holds
+// no I/O; time is an argument.
+package share
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// SilenceAfter is the age of a peer's last word at which its share is set aside. It spans several lost datagrams.
+	SilenceAfter = 1200 * time.Millisecond
+	// ForgetAfter is the age at which a peer no longer counts. Its share is free again.
+	ForgetAfter = 20 * time.Second
+	// startShare is the part of the burst with which a restarted VM begins before it has heard a peer.
+	startShare = 0.1
+	// maxWait bounds the time to come back that is told to callers.
+	maxWait = 30 * time.Second
+)
+
+// Limit is the rate and burst of one workspace over all VMs.
+type Limit struct {
+	Workspace string
+	// Rate is in tokens per second, Burst in tokens. A rate of zero means no limit.
+	Rate, Burst int64
+}
+
+// Usage is what a VM tells of one workspace.
+type Usage struct {
+	Workspace string
+	// Admitted is the number of tokens admitted since the VM started.
+	Admitted int64
+	// Level is the stock that the VM believes to be left over all VMs.
+	Level int64
+}
+
+type bucket struct {
+	rate, burst float64
+	level       float64
+	at          time.Time
+	admitted    int64
+	// fresh is set until the first word of a peer corrects the level of a VM that started into a running system.
+	fresh bool
+}
+
+type peer struct {
+	boot     uint64
+	heard    time.Time
+	admitted map[string]int64
+	// aside is the stock that was set aside for the silent peer, by workspace. Nil while the peer is heard.
+	aside map[string]float64
+}
+
+// Limiter holds the buckets of one VM. It is safe for one goroutine.
+type Limiter struct {
+	buckets map[string]*bucket
+	peers   map[string]*peer
+	// joining is set where the system was running before this process started.
+	joining bool
+}
+
+// New returns a limiter. Joining tells that the VM starts into a system that may be running already, whose stock
+// may be spent.
+func New(joining bool) *Limiter {
+	return &Limiter{
+		buckets: map[string]*bucket{},
+		peers:   map[string]*peer{},
+		joining: joining,
+	}
+}
+
+// Configure sets the limits. Workspaces that are not listed lose theirs.
+func (l *Limiter) Configure(limits []Limit, now time.Time) {
+	next := make(map[string]*bucket, len(limits))
+	for _, lim := range limits {
+		if lim.Rate <= 0 {
+			continue
+		}
+		b := l.buckets[lim.Workspace]
+		if b == nil {
+			b = l.newBucket(lim, now)
+		}
+		l.refill(b, now)
+		// A raised burst is not handed out at once: the stock grows at the new rate.
+		b.rate = float64(lim.Rate)
+		b.burst = float64(lim.Burst)
+		b.level = math.Min(b.level, b.burst)
+		next[lim.Workspace] = b
+	}
+	l.buckets = next
+}
+
+func (l *Limiter) newBucket(lim Limit, now time.Time) *bucket {
+	b := &bucket{
+		rate:  float64(lim.Rate),
+		burst: float64(lim.Burst),
+		level: float64(lim.Burst),
+		at:    now,
+		fresh: l.joining,
+	}
+	if l.joining {
+		b.level *= startShare
+	}
+	return b
+}
+
+// silent returns the number of silent peers and the number of VMs that count.
+func (l *Limiter) silent() (quiet, total int) {
+	total = 1
+	for _, p := range l.peers {
+		total++
+		if p.aside != nil {
+			quiet++
+		}
+	}
+	return quiet, total
+}
+
+// refill mints the tokens since the last call, less the share of silent peers.
+func (l *Limiter) refill(b *bucket, now time.Time) {
+	elapsed := now.Sub(b.at).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	b.at = now
+	quiet, total := l.silent()
+	mint := elapsed * b.rate
+	share := float64(total-quiet) / float64(total)
+	b.level = math.Min(b.level+mint*share, b.burst)
+}
+
+// Take deducts the cost of a request. When there is not enough, wait is the time until there will be.
+// A cost above the burst needs a full bucket and leaves a debt.
+func (l *Limiter) Take(workspace string, cost int64, now time.Time) (ok bool, wait time.Duration) {
+	b := l.buckets[workspace]
+	if b == nil {
+		return true, 0
+	}
+	l.refill(b, now)
+	need := math.Min(float64(cost), b.burst)
+	if b.level >= need {
+		b.level -= float64(cost)
+		b.admitted += cost
+		return true, 0
+	}
+	quiet, total := l.silent()
+	rate := b.rate * float64(total-quiet) / float64(total)
+	wait = time.Duration((need - b.level) / rate * float64(time.Second))
+	return false, min(wait, maxWait)
+}
+
+// Return gives back the cost of a request that did not run.
+func (l *Limiter) Return(workspace string, cost int64) {
+	b := l.buckets[workspace]
+	if b == nil {
+		return
+	}
+	b.level = math.Min(b.level+float64(cost), b.burst)
+	b.admitted -= cost
+}
+
+// Usage returns what peers need to know.
+func (l *Limiter) Usage(now time.Time) []Usage {
+	out := make([]Usage, 0, len(l.buckets))
+	for name, b := range l.buckets {
+		l.refill(b, now)
+		out = append(out, Usage{Workspace: name, Admitted: b.admitted, Level: int64(b.level)})
+	}
+	return out
+}
+
+// Heard takes the word of a peer. Boot identifies the peer's process.
+func (l *Limiter) Heard(vm string, boot uint64, usage []Usage, now time.Time) {
+	p := l.peers[vm]
+	if p == nil {
+		p = &peer{boot: boot, admitted: map[string]int64{}}
+		l.peers[vm] = p
+		// What a peer admitted before this VM first heard it is no debt of the present stock.
+		for _, u := range usage {
+			p.admitted[u.Workspace] = u.Admitted
+		}
+	}
+	if p.boot != boot {
+		// A new process counts from zero.
+		p.boot = boot
+		clear(p.admitted)
+	}
+	aside := p.aside
+	p.aside = nil
+	p.heard = now
+	for _, u := range usage {
+		l.debit(p, u, aside[u.Workspace], now)
+	}
+}
+
+func (l *Limiter) debit(p *peer, u Usage, aside float64, now time.Time) {
+	b := l.buckets[u.Workspace]
+	last := p.admitted[u.Workspace]
+	p.admitted[u.Workspace] = u.Admitted
+	if b == nil {
+		return
+	}
+	l.refill(b, now)
+	if b.fresh {
+		b.fresh = false
+		b.level = math.Min(float64(u.Level), b.burst)
+		return
+	}
+	b.level = math.Min(b.level+aside-float64(u.Admitted-last), b.burst)
+}
+
+// Tick finds peers that fell silent or are gone.
+func (l *Limiter) Tick(now time.Time) {
+	for vm, p := range l.peers {
+		age := now.Sub(p.heard)
+		if age > ForgetAfter {
+			delete(l.peers, vm)
+			continue
+		}
+		if age > SilenceAfter && p.aside == nil {
+			l.setAside(p, now)
+		}
+	}
+}
+
+// Left tells that a peer announced its end. Its share is free at once.
+func (l *Limiter) Left(vm string) {
+	delete(l.peers, vm)
+}
+
+func (l *Limiter) setAside(p *peer, now time.Time) {
+	_, total := l.silent()
+	p.aside = map[string]float64{}
+	for name, b := range l.buckets {
+		l.refill(b, now)
+		part := math.Max(b.level, 0) / float64(total)
+		b.level -= part
+		p.aside[name] = part
+	}
+}
