--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -263,10 +263,7 @@
 		a.Salt = salt(t.request.Model, t.choice.Version, t.request.Wall)
 		a.Version = t.choice.Version
 		a.Urgency = urgency(r)
-		if t.store != nil && len(t.request.Chain) > 1 {
-			a.FetchFrom = t.store.Address
-			a.SaveTo = t.store.Address
-		}
+		g.setTransfers(t, &a)
 	}
 	body := r.x.Request.Body()
 	head := g.platform.Wire.Head(&r.x.Request.Header, a, len(body))
@@ -278,6 +275,20 @@
 	return g.readAnswer(ctx, r, t, stream, patience)
 }
 
+// setTransfers names where the engine gets the shared parts that it lacks, and where it saves them.
+func (g *Gateway) setTransfers(t *target, a *Attempt) {
+	if !t.choice.Lacks {
+		return
+	}
+	if t.store != nil {
+		a.FetchFrom = t.store.Address
+		a.SaveTo = t.store.Address
+	}
+	if t.choice.FetchFrom != nil {
+		a.FetchFrom = t.choice.FetchFrom.Address
+	}
+}
+
 // callFailed classifies a call without a readable answer.
 func (g *Gateway) callFailed(ctx context.Context, err error) result {
 	res := result{outcome: place.Broken, err: err, notRun: httpcall.NeverWritten(err)}
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/corneldeal/corneldeal/pkg/fleet"
+	"github.com/corneldeal/corneldeal/pkg/place"
 	"github.com/corneldeal/corneldeal/pkg/share"
 	"github.com/corneldeal/corneldeal/pkg/steady"
 	"github.com/corneldeal/corneldeal/pkg/traffic"
@@ -25,6 +27,8 @@
 	retryMost  = 1200 * time.Millisecond
 	// readers is the number of VMs that read the endpoints' records; the others ask them.
 	readers = 2
+	// keptNamings bounds the remembered versions of a model; older ones are run by no engine any more.
+	keptNamings = 32
 	// learnedAge is the age that a version named before this process started is taken to have.
 	learnedAge = 8 * time.Second
 )
@@ -224,17 +228,27 @@
 
 func (g *Gateway) nameVersion(w *Weights) {
 	now := steady.Now()
-	known := g.newest[w.Model]
-	if known != nil && known.version >= w.Version {
+	if g.newestOf(w.Model) >= w.Version {
 		return
 	}
 	if !g.streams[OperatorStream].synced {
 		now = now.Add(-learnedAge)
 	}
-	g.newest[w.Model] = &namedVersion{version: w.Version, at: now}
+	known := g.named[w.Model]
+	known = known[max(len(known)-keptNamings, 0):]
+	g.named[w.Model] = append(slices.Clone(known), place.Naming{Version: w.Version, At: now})
 	g.book.line(partOrder).Str("model", w.Model).Int64("version", w.Version).Msg("weights named")
 }
 
+// newestOf returns the newest version named for a model, or 0.
+func (g *Gateway) newestOf(model string) int64 {
+	known := g.named[model]
+	if len(known) == 0 {
+		return 0
+	}
+	return known[len(known)-1].Version
+}
+
 func (g *Gateway) applyEndpoint(r Record) {
 	st := g.streams[EndpointStream]
 	now := steady.Now()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -86,21 +86,14 @@
 	// contacts are the addresses to which digests are sent, by VM.
 	contacts map[string]string
 	streams  map[Stream]*streamState
-	newest   map[string]*namedVersion
-	claim    issuer.Claim
-	claimed  bool
-	loads    map[string]*loadState
+	// named are the weight versions of each model, oldest first. The slices are never modified in place.
+	named map[string][]place.Naming
+	claim issuer.Claim
+	loads map[string]*loadState
 	// loading is what this VM, as the holder, is emptying or loading.
 	loading []string
 }
 
-// namedVersion is the newest weight version of a model.
-type namedVersion struct {
-	version int64
-	// at is when this VM learned of it.
-	at time.Time
-}
-
 // New returns a gateway that holds no resources yet.
 func New(s settings.Gateway, platform func(*httpcall.Client) Platform) *Gateway {
 	client := httpcall.NewClient()
@@ -126,7 +119,7 @@
 			peers:     map[string]*peerState{},
 			contacts:  map[string]string{},
 			streams:   map[Stream]*streamState{OperatorStream: newStreamState(), EndpointStream: newStreamState()},
-			newest:    map[string]*namedVersion{},
+			named:     map[string][]place.Naming{},
 			claim:     issuer.Claim{Token: -1},
 			loads:     map[string]*loadState{},
 		},
--- a/pkg/gateway/orders.go
+++ b/pkg/gateway/orders.go
@@ -21,8 +21,11 @@
 	emptyFor = 900 * time.Millisecond
 	// firstReport is the time after an order at which its end is first asked for, and reportPause the pause between
 	// two questions.
-	firstReport = 1700 * time.Millisecond
-	reportPause = 350 * time.Millisecond
+	firstReport = 1950 * time.Millisecond
+	reportPause = 150 * time.Millisecond
+	// loadTime is the usual time of a load. After it the next load may begin, though the engine's report, which lags,
+	// does not show the end yet.
+	loadTime = 2 * time.Second
 	// loadLimit is the time after which a load that shows no result is ordered again.
 	loadLimit = 9 * time.Second
 	// failedPause is the pause after an engine did not answer.
@@ -93,9 +96,9 @@
 
 // ordersDue reports whether an engine runs an older version than the one named. The caller holds the lock.
 func (g *Gateway) ordersDue() bool {
-	for model, named := range g.newest {
+	for model := range g.named {
 		for _, e := range g.enginesOf(model) {
-			if g.placer.KnownVersion(e, model) < named.version {
+			if g.placer.KnownVersion(e, model) < g.newestOf(model) {
 				return true
 			}
 		}
@@ -233,7 +236,8 @@
 func (g *Gateway) planLoads(now time.Time) []due {
 	var calls []due
 	var loading []string
-	for model, named := range g.newest {
+	for model := range g.named {
+		newest := g.newestOf(model)
 		engines := g.enginesOf(model)
 		view := make([]issuer.Engine, 0, len(engines))
 		inLoad := 0
@@ -250,7 +254,7 @@
 			if st != nil {
 				phase = st.phase
 			}
-			if phase == issuer.Loading {
+			if phase == issuer.Loading && now.Sub(st.since) < loadTime {
 				inLoad++
 			}
 			view = append(view, issuer.Engine{
@@ -258,7 +262,7 @@
 			})
 		}
 		limits := issuer.LoadsFor(len(engines))
-		for _, id := range issuer.Choose(view, named.version, limits) {
+		for _, id := range issuer.Choose(view, newest, limits) {
 			g.loads[id] = &loadState{phase: issuer.Emptying, since: now}
 		}
 		for _, e := range engines {
@@ -270,7 +274,7 @@
 			if now.Before(st.nextAsk) {
 				continue
 			}
-			d := due{endpoint: e, model: model, target: named.version, phase: st.phase}
+			d := due{endpoint: e, model: model, target: newest, phase: st.phase}
 			switch {
 			case st.phase == issuer.Emptying && inLoad < limits.AtOnce && g.empty(e, st, now):
 				inLoad++
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -289,9 +289,9 @@
 // learnedVersions returns the weight versions that are newer than the endpoints' own records tell.
 func (g *Gateway) learnedVersions() []*gossip.Version {
 	var out []*gossip.Version
-	for model, named := range g.newest {
+	for model := range g.named {
 		for _, e := range g.enginesOf(model) {
-			if v := g.placer.KnownVersion(e, model); v > e.Versions[model] && v <= named.version {
+			if v := g.placer.KnownVersion(e, model); v > e.Versions[model] && v <= g.newestOf(model) {
 				out = append(out, &gossip.Version{Endpoint: e.ID, Born: e.Born, Model: model, Version: v})
 			}
 		}
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -201,9 +201,7 @@
 		p.Output = unsizedOutput
 	}
 	p.Wall = wallOf(r.workspace)
-	if named := g.newest[p.Model]; named != nil {
-		p.Newest, p.Named = named.version, named.at
-	}
+	p.Named = g.named[p.Model]
 	return p
 }
 
--- a/pkg/issuer/issuer.go
+++ b/pkg/issuer/issuer.go
@@ -186,7 +186,7 @@
 // LoadsFor returns the bounds for a number of engines. More loads at once slow each other down.
 func LoadsFor(engines int) Loads {
 	atOnce := max(minLoads, engines/enginesPerLoad)
-	return Loads{AtOnce: atOnce, Ahead: atOnce}
+	return Loads{AtOnce: atOnce, Ahead: max(atOnce/2, 1)}
 }
 
 const (
@@ -194,8 +194,9 @@
 	enginesPerLoad = 5
 )
 
-// Choose returns the engines to empty next, least loaded first, so that few requests are disturbed. Data centres
-// with fewer engines out of service go first, so that none loses all of its own at once.
+// Choose returns the engines to empty next. Those with the oldest weights go first, since their time to be replaced
+// ends first; then data centres with fewer engines out of service, so that none loses all of its own at once; then
+// the least loaded, so that few requests are disturbed.
 func Choose(engines []Engine, target int64, limits Loads) []string {
 	out := map[string]int{}
 	busy := 0
@@ -225,6 +226,7 @@
 	for i := 1; i < len(due); i++ {
 		a, b := due[i], due[best]
 		order := cmp.Or(
+			cmp.Compare(a.Version, b.Version),
 			cmp.Compare(out[a.DataCentre], out[b.DataCentre]),
 			cmp.Compare(a.Load, b.Load),
 			cmp.Compare(a.ID, b.ID),
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -36,9 +36,24 @@
 	Prompt, Output int
 	// Exclude names endpoints on which an attempt failed.
 	Exclude []string
-	// Newest is the newest weight version named, and Named when this VM learned of it.
-	Newest int64
-	Named  time.Time
+	// Named are the weight versions that were named, oldest first.
+	Named []Naming
+}
+
+// Naming is one weight version with the time at which this VM learned of it.
+type Naming struct {
+	Version int64
+	At      time.Time
+}
+
+// superseded returns when a version was first superseded. It reports false for the newest.
+func (r *Request) superseded(version int64) (time.Time, bool) {
+	for _, n := range r.Named {
+		if n.Version > version {
+			return n.At, true
+		}
+	}
+	return time.Time{}, false
 }
 
 // Facts are properties of the service that do not change from request to request.
@@ -103,6 +118,10 @@
 	Running int
 	// Candidates is the number of endpoints that passed the filters.
 	Candidates int
+	// FetchFrom is another endpoint that should hold shared parts which the chosen one lacks, or nil.
+	FetchFrom *fleet.Endpoint
+	// Lacks tells that the chosen endpoint lacks shared parts that are worth a transfer.
+	Lacks bool
 }
 
 // Defaults of what is learned.
@@ -166,7 +185,7 @@
 		}
 	}
 	c := candidates[best]
-	return Choice{
+	choice := Choice{
 		Endpoint:   c.Endpoint,
 		Version:    c.Version,
 		Expected:   time.Duration(c.Expected * float64(time.Millisecond)),
@@ -174,6 +193,32 @@
 		Running:    c.Load.Running,
 		Candidates: len(candidates),
 	}
+	if r.Engine && sharedTokens(r) >= leastTransfer {
+		choice.Lacks = true
+		choice.FetchFrom = p.holder(r, endpoints, c, now)
+	}
+	return choice
+}
+
+// leastTransfer is the number of shared tokens below which reading them is cheaper than a transfer.
+const leastTransfer = 800
+
+// holder returns the endpoint that should hold more of the shared parts than the chosen one, the nearest and fullest
+// first, or nil.
+func (p *Placer) holder(r *Request, endpoints []*fleet.Endpoint, chosen Candidate, now time.Time) *fleet.Endpoint {
+	var best *fleet.Endpoint
+	most := max(chosen.Held, sharedTokens(r)/2)
+	for _, e := range endpoints {
+		if e.ID == chosen.Endpoint.ID || p.stateOf(e).version(e, r.Model) != chosen.Version {
+			continue
+		}
+		held := p.cache.held(e, chosen.Version, r, now)
+		near := e.DataCentre == chosen.Endpoint.DataCentre
+		if held > most || held == most && best != nil && near && best.DataCentre != chosen.Endpoint.DataCentre {
+			best, most = e, held
+		}
+	}
+	return best
 }
 
 // allowed holds the filters that are never relaxed.
@@ -187,8 +232,8 @@
 	if c.Version == 0 || now.Before(c.state.doubtUntil) {
 		return false
 	}
-	old := c.Version < r.Newest && f.VersionLimit > 0
-	return !old || now.Sub(r.Named) < f.VersionLimit
+	at, old := r.superseded(c.Version)
+	return !old || now.Sub(at) < f.VersionLimit
 }
 
 // home returns the index of the candidate that all VMs prefer for the request's shared parts, by rendezvous hash.
--- a/pkg/place/score.go
+++ b/pkg/place/score.go
@@ -12,7 +12,7 @@
 	// loadingMs keeps new work from an engine that is emptied or loads new weights.
 	loadingMs = 2000.0
 	// oldVersionMs is the loss of an answer on replaced weights.
-	oldVersionMs = 120.0
+	oldVersionMs = 200.0
 	// failureMs is the loss of an attempt that fails.
 	failureMs = 600.0
 	// busyMs follows a refusal by a full endpoint.
@@ -41,7 +41,7 @@
 	if p.loading[c.Endpoint.ID] {
 		c.Score += loadingMs
 	}
-	if r.Engine && c.Version < r.Newest && now.Sub(r.Named) > oldVersionGrace {
+	if at, old := r.superseded(c.Version); r.Engine && old && now.Sub(at) > oldVersionGrace {
 		c.Score += oldVersionMs
 	}
 	if now.Before(c.state.busyUntil) {
