--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -51,6 +51,7 @@
 	settings settings.Gateway
 	platform Platform
 	boot     uint64
+	started  time.Time
 	book     *logBook
 	meters   *meters
 	http     *httpcall.Client
@@ -103,6 +104,7 @@
 		settings: s,
 		platform: platform(client),
 		boot:     boot,
+		started:  steady.Now(),
 		book:     newLogBook(s.VM, boot, s.LogLevel, standardOutput),
 		meters:   newMeters(),
 		http:     client,
--- a/pkg/gateway/orders.go
+++ b/pkg/gateway/orders.go
@@ -30,6 +30,10 @@
 	loadLimit = 9 * time.Second
 	// failedPause is the pause after an engine did not answer.
 	failedPause = time.Second
+	// sameStart is the difference of two start times up to which the VMs count as started together.
+	sameStart = 2 * time.Second
+	// settledAfter is the uptime from which a VM may hold the right to give orders before older ones.
+	settledAfter = 2 * time.Second
 	// holderKey is the key of the claims.
 	holderKey = "orders"
 )
@@ -79,8 +83,8 @@
 		Holder:    g.claim,
 		First:     true,
 	}
-	for vm, p := range g.peers {
-		if p.able(now) && vm < g.settings.VM {
+	for _, p := range g.peers {
+		if p.able(now) && g.before(p, now) {
 			s.First = false
 		}
 	}
@@ -94,6 +98,20 @@
 	return s
 }
 
+// before reports whether a peer comes before this VM as the next holder. In a rolling restart those that have
+// restarted already stay, so a VM that started clearly later comes first; otherwise the name decides.
+func (g *Gateway) before(p *peerState, now time.Time) bool {
+	later := p.started.Sub(g.started)
+	settled := now.Sub(p.started) > settledAfter
+	switch {
+	case later > sameStart:
+		return settled
+	case later < -sameStart:
+		return now.Sub(g.started) <= settledAfter
+	}
+	return p.vm < g.settings.VM
+}
+
 // ordersDue reports whether an engine runs an older version than the one named. The caller holds the lock.
 func (g *Gateway) ordersDue() bool {
 	for model := range g.named {
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -35,6 +35,8 @@
 	storeFresh = 2500 * time.Millisecond
 	// departuresFor is the time for which a departure is told to peers.
 	departuresFor = 8 * time.Second
+	// namingsFor is the time for which peers are told when a version was named.
+	namingsFor = 60 * time.Second
 	// announcePause is the pause between two tries to register this VM.
 	announcePause = time.Second
 	// relayLag is the time for which peers may know more than this VM before it asks one.
@@ -57,6 +59,8 @@
 	aheadSince time.Time
 	leaving    bool
 	loading    []string
+	// started is when the peer's process started.
+	started time.Time
 }
 
 func (p *peerState) live(now time.Time) bool {
@@ -246,6 +250,7 @@
 		OperatorOffset: op.next,
 		EndpointOffset: ep.next,
 		StoreAgeMs:     g.storeAge(now).Milliseconds(),
+		UptimeMs:       now.Sub(g.started).Milliseconds(),
 		Leaving:        g.leaving.Load(),
 		Loading:        g.loading,
 	}
@@ -261,6 +266,7 @@
 		d.Departures = append(d.Departures, &gossip.Departure{Endpoint: dep.ID, Offset: dep.Offset})
 	}
 	d.Versions = g.learnedVersions()
+	d.Namings = g.recentNamings(now)
 	for _, vm := range slices.Sorted(maps.Keys(g.peers)) {
 		if p := g.peers[vm]; p.live(now) {
 			d.Neighbours = append(d.Neighbours, &gossip.Neighbour{Vm: vm, Address: p.address})
@@ -269,6 +275,19 @@
 	return d
 }
 
+// recentNamings returns the versions whose time matters for placement. The caller holds the lock.
+func (g *Gateway) recentNamings(now time.Time) []*gossip.Naming {
+	var out []*gossip.Naming
+	for model, known := range g.named {
+		for _, n := range known {
+			if age := now.Sub(n.At); age < namingsFor {
+				out = append(out, &gossip.Naming{Model: model, Version: n.Version, AgeMs: age.Milliseconds()})
+			}
+		}
+	}
+	return out
+}
+
 // storeAge returns the age of the store's last answer, large where it never answered.
 func (g *Gateway) storeAge(now time.Time) time.Duration {
 	op, ep := g.streams[OperatorStream], g.streams[EndpointStream]
@@ -341,6 +360,7 @@
 	p.endpointOffset = d.GetEndpointOffset()
 	p.leaving = d.GetLeaving()
 	p.loading = d.GetLoading()
+	p.started = now.Add(-time.Duration(d.GetUptimeMs()) * time.Millisecond)
 	g.addContact(p.vm, p.address)
 	for _, n := range d.GetNeighbours() {
 		if g.contacts[n.GetVm()] == "" {
@@ -373,6 +393,10 @@
 			g.endpointLeft(dep.GetEndpoint(), "peer "+p.vm, dep.GetOffset())
 		}
 	}
+	for _, n := range d.GetNamings() {
+		at := now.Add(-time.Duration(n.GetAgeMs()) * time.Millisecond)
+		g.noteNaming(n.GetModel(), place.Naming{Version: n.GetVersion(), At: at})
+	}
 	for _, v := range d.GetVersions() {
 		if e := g.endpoints.Get(v.GetEndpoint()); e != nil && e.Born == v.GetBorn() {
 			g.placer.Version(e, v.GetModel(), v.GetVersion())
