--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -1,15 +1,12 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/corneldeal/corneldeal/pkg/fleet"
-	"github.com/corneldeal/corneldeal/pkg/place"
 	"github.com/corneldeal/corneldeal/pkg/share"
 	"github.com/corneldeal/corneldeal/pkg/steady"
 	"github.com/corneldeal/corneldeal/pkg/traffic"
@@ -227,47 +224,6 @@
 		Int("workspaces", len(c.Workspaces)).Msg("configuration in force")
 }
 
-// nameVersion takes a version from the operator's records. The records carry no time, so one that was named before
-// this process started is taken to be old until a peer tells.
-func (g *Gateway) nameVersion(w *Weights) {
-	now := steady.Now()
-	if !g.streams[OperatorStream].synced {
-		now = now.Add(-learnedAge)
-	}
-	if g.noteNaming(w.Model, place.Naming{Version: w.Version, At: now}) {
-		g.book.line(partOrder).Str("model", w.Model).Int64("version", w.Version).Msg("weights named")
-	}
-}
-
-// noteNaming remembers when a version was named, the earliest time that anybody tells. It reports whether the version
-// was unknown. The caller holds the lock.
-func (g *Gateway) noteNaming(model string, n place.Naming) bool {
-	known := g.named[model]
-	i, found := slices.BinarySearchFunc(known, n.Version, func(k place.Naming, v int64) int {
-		return cmp.Compare(k.Version, v)
-	})
-	if found && !n.At.Before(known[i].At) {
-		return false
-	}
-	next := slices.Clone(known)
-	if found {
-		next[i] = n
-	} else {
-		next = slices.Insert(next, i, n)
-	}
-	g.named[model] = next[max(len(next)-keptNamings, 0):]
-	return !found
-}
-
-// newestOf returns the newest version named for a model, or 0.
-func (g *Gateway) newestOf(model string) int64 {
-	known := g.named[model]
-	if len(known) == 0 {
-		return 0
-	}
-	return known[len(known)-1].Version
-}
-
 func (g *Gateway) applyEndpoint(r Record) {
 	st := g.streams[EndpointStream]
 	now := steady.Now()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -42,6 +42,9 @@
 	leaveAfter = 3200 * time.Millisecond
 	// leaveMargin is kept between the last wait and the platform's SIGKILL.
 	leaveMargin = 600 * time.Millisecond
+	// refuseAfter is the time after SIGTERM from which new requests are refused, since the grace may not suffice for
+	// them. The balancer sends no new connections by then.
+	refuseAfter = 2700 * time.Millisecond
 	// leavePoll is the pause between two looks at the open connections while leaving.
 	leavePoll = 50 * time.Millisecond
 )
@@ -62,8 +65,10 @@
 	relays   *gossip.Relays
 	config   atomic.Pointer[traffic.Config]
 	leaving  atomic.Bool
-	nextID   atomic.Uint64
-	kick     chan struct{}
+	// leavingSince is the time of SIGTERM, in nanoseconds of the steady clock.
+	leavingSince atomic.Int64
+	nextID       atomic.Uint64
+	kick         chan struct{}
 
 	listeners []net.Listener
 	ctx       context.Context
@@ -90,7 +95,9 @@
 	// named are the weight versions of each model, oldest first. The slices are never modified in place.
 	named map[string][]place.Naming
 	claim issuer.Claim
-	loads map[string]*loadState
+	// lastOrder is when this VM gave its last order, or zero.
+	lastOrder time.Time
+	loads     map[string]*loadState
 	// loading is what this VM, as the holder, is emptying or loading.
 	loading []string
 }
@@ -220,6 +227,7 @@
 // Shutdown fails readiness, lets running requests finish and returns when they have, or before the grace ends.
 func (g *Gateway) Shutdown() {
 	started := steady.Now()
+	g.leavingSince.Store(started.UnixNano())
 	g.leaving.Store(true)
 	g.ingress.Leave()
 	g.wake()
--- a/pkg/gateway/orders.go
+++ b/pkg/gateway/orders.go
@@ -34,6 +34,8 @@
 	sameStart = 2 * time.Second
 	// settledAfter is the uptime from which a VM may hold the right to give orders before older ones.
 	settledAfter = 2 * time.Second
+	// claimRetry is the pause after a claim that could not be confirmed.
+	claimRetry = 300 * time.Millisecond
 	// holderKey is the key of the claims.
 	holderKey = "orders"
 )
@@ -63,8 +65,6 @@
 		g.mu.Unlock()
 		switch step {
 		case issuer.Idle:
-		case issuer.Read:
-			g.confirmClaim()
 		case issuer.ClaimIt:
 			g.claimOrders()
 		case issuer.Act:
@@ -81,12 +81,7 @@
 		Pending:   g.ordersDue() && !g.leaving.Load(),
 		Reachable: g.storeAge(now) < storeFresh,
 		Holder:    g.claim,
-		First:     true,
-	}
-	for _, p := range g.peers {
-		if p.able(now) && g.before(p, now) {
-			s.First = false
-		}
+		First:     g.comesFirst(now),
 	}
 	if p := g.peers[g.claim.Holder]; p != nil {
 		s.HolderAble = p.able(now) && p.boot == g.claim.Boot
@@ -98,6 +93,16 @@
 	return s
 }
 
+// comesFirst reports whether this VM is the one that acts where one has to. The caller holds the lock.
+func (g *Gateway) comesFirst(now time.Time) bool {
+	for _, p := range g.peers {
+		if p.able(now) && g.before(p, now) {
+			return false
+		}
+	}
+	return true
+}
+
 // before reports whether a peer comes before this VM as the next holder. In a rolling restart those that have
 // restarted already stay, so a VM that started clearly later comes first; otherwise the name decides.
 func (g *Gateway) before(p *peerState, now time.Time) bool {
@@ -161,21 +166,28 @@
 	return claim, end, nil
 }
 
-func (g *Gateway) confirmClaim() {
+// confirmClaim reads the newest claim. It reports whether orders may be given now.
+func (g *Gateway) confirmClaim() bool {
 	started := steady.Now()
+	g.mu.Lock()
+	fresh := g.right.MayOrder(started)
+	g.mu.Unlock()
+	if fresh {
+		return true
+	}
 	claim, _, err := g.newestClaim()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if err != nil {
-		g.right.Failed(steady.Now())
 		g.book.warn(partOrder).Err(err).Msg("claim not confirmed")
-		return
+		return false
 	}
 	g.claim = claim
 	g.right.Confirmed(claim, started)
 	if claim.Token != g.right.Token() {
 		g.book.line(partOrder).Str("holder", claim.Holder).Int64("token", claim.Token).Msg("right to give orders lost")
 	}
+	return g.right.MayOrder(steady.Now())
 }
 
 // claimOrders claims the right to give orders, unless its holder is able to use it.
@@ -200,14 +212,26 @@
 		g.book.line(partOrder).Err(err).Msg("right to give orders not claimed")
 		return
 	}
-	// A holder that ran on this VM before can send nothing more.
-	alone := claim.Token < 0 || claim.Holder == g.settings.VM
-	g.right.Claimed(token, alone, now)
+	before, lastOrder := g.holderBefore(claim, now)
+	g.right.Claimed(token, before, lastOrder, now)
 	g.claim = issuer.Claim{Holder: g.settings.VM, Boot: g.boot, Token: token}
-	g.book.line(partOrder).Int64("token", token).Str("before", claim.Holder).Bool("alone", alone).
+	g.book.line(partOrder).Int64("token", token).Str("before", claim.Holder).Int("known", int(before)).
 		Msg("right to give orders claimed")
 }
 
+// holderBefore returns what is known of the holder of an older claim. The caller holds the lock.
+func (g *Gateway) holderBefore(claim issuer.Claim, now time.Time) (issuer.Before, time.Time) {
+	if claim.Token < 0 || claim.Holder == g.settings.VM {
+		// A holder that ran on this VM before can send nothing more.
+		return issuer.Nobody, now
+	}
+	p := g.peers[claim.Holder]
+	if p != nil && p.boot == claim.Boot && p.leaving {
+		return issuer.Stopped, p.lastOrder
+	}
+	return issuer.Unsure, now
+}
+
 // errHolderAble means that the holder of the newest claim can use it.
 var errHolderAble = errors.New("gateway: the holder is able to give orders")
 
@@ -355,11 +379,15 @@
 
 // order tells an engine to load the named version, if this VM still holds the right at this moment.
 func (g *Gateway) order(d due, sequence int64) {
+	confirmed := g.confirmClaim()
 	g.mu.Lock()
+	now := steady.Now()
 	token := g.right.Token()
-	may := g.right.MayOrder(steady.Now())
-	if !may {
-		g.postpone(d.endpoint.ID, steady.Now().Add(orderPause))
+	may := confirmed && g.right.MayOrder(now) && !g.leaving.Load()
+	if may {
+		g.lastOrder = now
+	} else {
+		g.postpone(d.endpoint.ID, now.Add(claimRetry))
 	}
 	g.mu.Unlock()
 	if !may {
@@ -370,7 +398,7 @@
 	result := g.platform.Engines.Order(ctx, d.endpoint, Order{
 		Model: d.model, Version: d.target, Holder: g.settings.VM, Token: token, Expected: sequence,
 	})
-	now := steady.Now()
+	now = steady.Now()
 	g.meters.count("orders_total")
 	g.book.line(partOrder).Str("endpoint", d.endpoint.ID).Str("model", d.model).Int64("version", d.target).
 		Int64("token", token).Int64("expected", sequence).Str("result", result.String()).Msg("order given")
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/corneldeal/corneldeal/pkg/gossip"
@@ -61,6 +62,8 @@
 	loading    []string
 	// started is when the peer's process started.
 	started time.Time
+	// lastOrder is when the peer's process gave its last order, or its start where it gave none.
+	lastOrder time.Time
 }
 
 func (p *peerState) live(now time.Time) bool {
@@ -120,6 +123,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, r := range records {
+		if model, found := strings.CutPrefix(r.Key, namingPrefix); found {
+			g.recallNamings(model, r)
+			continue
+		}
 		var vm vmRecord
 		if err := json.Unmarshal(r.Value, &vm); err != nil {
 			g.book.warn(partPeer).Str("key", r.Key).Err(err).Msg("registration is unreadable")
@@ -253,6 +260,10 @@
 		UptimeMs:       now.Sub(g.started).Milliseconds(),
 		Leaving:        g.leaving.Load(),
 		Loading:        g.loading,
+		LastOrderAgeMs: -1,
+	}
+	if !g.lastOrder.IsZero() {
+		d.LastOrderAgeMs = now.Sub(g.lastOrder).Milliseconds()
 	}
 	for _, u := range g.limiter.Usage(now) {
 		d.Usage = append(d.Usage, &gossip.Usage{Workspace: u.Workspace, Admitted: u.Admitted, Level: u.Level})
@@ -361,6 +372,10 @@
 	p.leaving = d.GetLeaving()
 	p.loading = d.GetLoading()
 	p.started = now.Add(-time.Duration(d.GetUptimeMs()) * time.Millisecond)
+	p.lastOrder = p.started
+	if age := d.GetLastOrderAgeMs(); age >= 0 {
+		p.lastOrder = now.Add(-time.Duration(age) * time.Millisecond)
+	}
 	g.addContact(p.vm, p.address)
 	for _, n := range d.GetNeighbours() {
 		if g.contacts[n.GetVm()] == "" {
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -26,6 +26,8 @@
 	noConfigRetry = 500 * time.Millisecond
 	// noEndpointRetry is told where no endpoint is known or all failed.
 	noEndpointRetry = 400 * time.Millisecond
+	// leavingRetry is told by a VM that is stopping. Another VM takes the request at once.
+	leavingRetry = 50 * time.Millisecond
 	// retrySpread spreads the times at which callers come back.
 	retrySpread = 0.4
 	bitsPerByte = 8
@@ -78,6 +80,11 @@
 		g.refuse(r, refusal.New(fasthttp.StatusBadRequest, refusal.CodeBadRequest, "%s", err.Error()))
 		return
 	}
+	if g.leaving.Load() && r.arrived.UnixNano()-g.leavingSince.Load() > int64(refuseAfter) {
+		g.refuse(r, refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeLeaving, "this VM is stopping").
+			After(leavingRetry))
+		return
+	}
 	if refused := g.authorize(r); refused != nil {
 		g.refuse(r, refused)
 		return
--- a/pkg/issuer/issuer.go
+++ b/pkg/issuer/issuer.go
@@ -15,11 +15,9 @@
 
 const (
 	// HoldFor is the time after the start of a read of the log's end for which its result permits orders.
-	HoldFor = 1200 * time.Millisecond
+	HoldFor = 600 * time.Millisecond
 	// orderFlight bounds the time in which an order reaches its engine.
-	orderFlight = 500 * time.Millisecond
-	// readEvery is the pause between two reads of the log's end while orders are due.
-	readEvery = 400 * time.Millisecond
+	orderFlight = 300 * time.Millisecond
 	// claimPause is the pause after a claim that failed, so that two VMs do not contend.
 	claimPause = 1500 * time.Millisecond
 )
@@ -55,11 +53,9 @@
 const (
 	// Idle means nothing.
 	Idle Step = iota
-	// Read means to read the end of the claims log.
-	Read
 	// ClaimIt means to append a claim behind the newest one.
 	ClaimIt
-	// Act means that orders may be given.
+	// Act means that loads may be planned. Each order needs MayOrder besides.
 	Act
 )
 
@@ -73,7 +69,7 @@
 	actFrom time.Time
 	// readAt is the start of the newest read that showed the own claim as the newest.
 	readAt time.Time
-	// nextTry is the earliest time of the next read or claim.
+	// nextTry is the earliest time of the next claim.
 	nextTry time.Time
 	// fenced is set once an engine refused the own token for a higher one.
 	fenced bool
@@ -94,9 +90,11 @@
 	if !s.Pending || !s.Reachable {
 		return Idle
 	}
-	mine := r.token >= 0 && s.Holder.Token == r.token && !r.fenced
-	if mine {
-		return r.hold(now)
+	if r.token >= 0 && s.Holder.Token == r.token && !r.fenced {
+		if now.Before(r.actFrom) {
+			return Idle
+		}
+		return Act
 	}
 	if now.Before(r.nextTry) || s.HolderAble || !s.First {
 		return Idle
@@ -104,36 +102,40 @@
 	return ClaimIt
 }
 
-func (r *Right) hold(now time.Time) Step {
-	if now.Before(r.actFrom) {
-		return Idle
-	}
-	if r.MayOrder(now) && now.Sub(r.readAt) < readEvery {
-		return Act
-	}
-	if now.Before(r.nextTry) {
-		return Idle
-	}
-	return Read
-}
-
 // MayOrder reports whether an order may be sent now. It is asked again right before each send.
 func (r *Right) MayOrder(now time.Time) bool {
 	return r.token >= 0 && !r.fenced && !now.Before(r.actFrom) && now.Sub(r.readAt) < HoldFor
 }
 
-// Claimed records that the own claim was appended at token. Alone tells that no other VM's claim stood before it.
-func (r *Right) Claimed(token int64, alone bool, now time.Time) {
+// Before is what is known of the holder before an own claim.
+type Before int
+
+const (
+	// Nobody means that no other VM's process can have given an order.
+	Nobody Before = iota
+	// Stopped means that the holder said that it gives no more orders.
+	Stopped
+	// Unsure means that the holder may give orders until its last read ends.
+	Unsure
+)
+
+// Claimed records that the own claim was appended at token. LastOrder is when the holder before gave its last order,
+// which matters where it has stopped.
+func (r *Right) Claimed(token int64, before Before, lastOrder, now time.Time) {
 	r.token = token
 	r.fenced = false
 	r.readAt = now
-	r.actFrom = now
-	if !alone {
+	switch before {
+	case Nobody:
+		r.actFrom = now
+	case Stopped:
+		r.actFrom = lastOrder.Add(orderFlight + r.leaseTime)
+	case Unsure:
 		r.actFrom = now.Add(HoldFor + orderFlight + r.leaseTime)
 	}
 }
 
-// Failed records a claim or read that failed or was late.
+// Failed records a claim that failed or was late.
 func (r *Right) Failed(now time.Time) {
 	r.nextTry = now.Add(claimPause)
 }
--- a/pkg/refusal/refusal.go
+++ b/pkg/refusal/refusal.go
@@ -48,6 +48,7 @@
 	CodeStreamCut        Code = "stream_cut"
 	CodeEndpointRejected Code = "endpoint_rejected"
 	CodeOverloaded       Code = "overloaded"
+	CodeLeaving          Code = "vm_leaving"
 	// CodeAnswerNotKept tells that a repeat finds a finished request whose answer was not kept.
 	CodeAnswerNotKept Code = "answer_not_kept"
 )
