Follow the cache events of engines and store and fetch from what holds the parts

Now sources are known by their events, a save goes only where the store lacks the parts, and parts that nobody holds are read at one home for each version.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -260,10 +260,13 @@
 	}
 	if t.request.Engine {
 		a.Engine = true
-		a.Salt = salt(t.request.Model, t.choice.Version, t.request.Wall)
+		a.Salt = t.request.Salt(t.choice.Version)
 		a.Version = t.choice.Version
 		a.Urgency = urgency(r)
-		g.setTransfers(t, &a)
+		a.FetchFrom = t.choice.FetchFrom
+		if t.choice.Save && t.store != nil {
+			a.SaveTo = t.store.Address
+		}
 	}
 	body := r.x.Request.Body()
 	head := g.platform.Wire.Head(&r.x.Request.Header, a, len(body))
@@ -275,20 +278,6 @@
 	return g.readAnswer(ctx, r, t, stream, patience)
 }
 
-// setTransfers names where the engine gets the shared parts that it lacks, and where it saves them.
-func (g *Gateway) setTransfers(t *target, a *Attempt) {
-	if !t.choice.Lacks {
-		return
-	}
-	if t.store != nil {
-		a.FetchFrom = t.store.Address
-		a.SaveTo = t.store.Address
-	}
-	if t.choice.FetchFrom != nil {
-		a.FetchFrom = t.choice.FetchFrom.Address
-	}
-}
-
 // callFailed classifies a call without a readable answer.
 func (g *Gateway) callFailed(ctx context.Context, err error) result {
 	res := result{outcome: place.Broken, err: err, notRun: httpcall.NeverWritten(err)}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -200,6 +200,7 @@
 	g.run(g.sendDigests)
 	g.run(g.receiveDigests)
 	g.run(g.giveOrders)
+	g.run(g.watchCaches)
 	return nil
 }
 
--- a/pkg/gateway/observe.go
+++ b/pkg/gateway/observe.go
@@ -25,6 +25,7 @@
 	partRequest  = "request"
 	partOrder    = "order"
 	partStore    = "store"
+	partCache    = "cache"
 	partLog      = "log"
 )
 
--- a/pkg/gateway/ports.go
+++ b/pkg/gateway/ports.go
@@ -197,8 +197,21 @@
 	Expected int64
 }
 
-// Engines gives orders to engines.
+// CacheEvents are the changes of what an engine or cache store holds.
+type CacheEvents struct {
+	// Epoch changes when the source restarts.
+	Epoch int64
+	// Next is where the next call goes on.
+	Next int64
+	// Lost tells that there is a gap before these events.
+	Lost   bool
+	Events []place.CacheEvent
+}
+
+// Engines gives orders to engines and watches what they hold.
 type Engines interface {
+	// CacheEvents returns the events of the source at address since a number, waiting up to wait for the first.
+	CacheEvents(ctx context.Context, address string, since int64, wait time.Duration) (CacheEvents, error)
 	Report(ctx context.Context, e *fleet.Endpoint) (Report, error)
 	Order(ctx context.Context, e *fleet.Endpoint, o Order) OrderResult
 }
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -30,6 +30,7 @@
 	leavingRetry = 50 * time.Millisecond
 	// retrySpread spreads the times at which callers come back.
 	retrySpread = 0.4
+	// bitsPerByte converts the bandwidth of links.
 	bitsPerByte = 8
 	// urgencyTop is the urgency of priority 0, and urgencyStep what each further priority adds.
 	urgencyTop  = 3
@@ -207,7 +208,8 @@
 	if p.Output == 0 {
 		p.Output = unsizedOutput
 	}
-	p.Wall = wallOf(r.workspace)
+	wall := wallOf(r.workspace)
+	p.Salt = func(version int64) string { return salt(p.Model, version, wall) }
 	p.Named = g.named[p.Model]
 	return p
 }
@@ -239,13 +241,20 @@
 	f.Slots = s.Engine.Slots
 	f.CacheTokens = s.Engine.CacheTokens
 	f.VersionLimit = g.settings.VersionLimit() - versionMargin
-	if store := c.StoreNear(g.settings.DataCentre); store != nil && s.Engine.TokenBytes > 0 {
-		bytesPerMs := store.LinkMbps * 1e6 / bitsPerByte / 1e3
-		f.StoreTokensPerMs = bytesPerMs / float64(s.Engine.TokenBytes)
+	f.LinkTokensPerMs = tokensPerMs(s.Engine.LinkMbps, s.Engine.TokenBytes)
+	if store := c.StoreNear(g.settings.DataCentre); store != nil {
+		f.Store = store.Address
+		f.StoreTokensPerMs = tokensPerMs(store.LinkMbps, s.Engine.TokenBytes)
 	}
 	return f
 }
 
+// tokensPerMs returns the speed of a link in tokens of the given size.
+func tokensPerMs(mbps float64, tokenBytes int) float64 {
+	const bitsPerMs = 1e3 // of one Mbit/s
+	return mbps * bitsPerMs / bitsPerByte / float64(max(tokenBytes, 1))
+}
+
 // urgency returns the rank of a request in an engine's queue.
 func urgency(r *request) int {
 	priority := r.route.Priority
--- a/pkg/place/outcome.go
+++ b/pkg/place/outcome.go
@@ -28,29 +28,23 @@
 
 // sent is one request on its way.
 type sent struct {
-	endpoint string
+	source   string
 	state    *state
 	load     Load
 	unread   int
 	at       time.Time
 	expected float64
 	answered bool
-	request  *Request
-	version  int64
-	born     int64
 }
 
 // Sent records that a request goes to the chosen endpoint. Done must follow.
 func (p *Placer) Sent(r *Request, c Choice, now time.Time) {
 	s := p.stateOf(c.Endpoint)
 	x := &sent{
-		endpoint: c.Endpoint.ID,
+		source:   SourceOf(c.Endpoint),
 		state:    s,
 		at:       now,
 		expected: float64(c.Expected) / float64(time.Millisecond),
-		request:  r,
-		version:  c.Version,
-		born:     c.Endpoint.Born,
 		load:     Load{Running: 1, Memory: r.Prompt + r.Output},
 		unread:   c.Missing,
 	}
@@ -60,7 +54,7 @@
 	s.pending[r.ID] = x
 	p.sent[r.ID] = x
 	if r.Engine {
-		p.cache.add(c.Endpoint, c.Version, r, now)
+		p.cache.add(SourceOf(c.Endpoint), r.Salt(c.Version), r, now)
 	}
 }
 
@@ -99,14 +93,14 @@
 	case Broken, Silent:
 		s.judge(1, now)
 		s.consecutiveUnhealthy++
-		p.cache.drop(x.endpoint)
+		p.cache.unsend(x.source)
 		if s.consecutiveUnhealthy >= ejectAfter {
 			s.eject(now)
 		}
 	case Unreachable:
 		s.judge(1, now)
 		s.eject(now)
-		p.cache.drop(x.endpoint)
+		p.cache.unsend(x.source)
 	case Full:
 		s.busyUntil = now.Add(busyFor)
 	case Neutral:
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -28,8 +28,8 @@
 	Engine bool
 	// Model is the model, empty for plain services.
 	Model string
-	// Wall separates the cached material of an isolated workspace. Empty where it is shared.
-	Wall string
+	// Salt returns what separates cached material under a weight version. Nil for plain services.
+	Salt func(version int64) string
 	// Chain holds the parts in order; the last belongs to the request alone.
 	Chain []Part
 	// Prompt and Output are token counts. Output is the expected number.
@@ -62,11 +62,13 @@
 	Slots int
 	// CacheTokens is the memory of an engine, in tokens. Zero for plain services.
 	CacheTokens int
-	// StoreTokensPerMs is the speed of the cache store, in tokens per millisecond. Zero where there is none or it is
-	// down.
-	StoreTokensPerMs float64
+	// StoreTokensPerMs and LinkTokensPerMs are the speeds of transfers from the cache store and from an engine, in
+	// tokens per millisecond.
+	StoreTokensPerMs, LinkTokensPerMs float64
 	// DataCentre is the VM's own.
 	DataCentre string
+	// Store is the name of the cache store as a source, or empty.
+	Store string
 	// VersionLimit is the age of a newer version from which older weights may not start a request. Zero means none.
 	VersionLimit time.Duration
 }
@@ -102,6 +104,9 @@
 	Score float64
 
 	state *state
+	// from is the source of fetched tokens.
+	from    string
+	fetched int
 }
 
 // Choice is the decision for one request.
@@ -118,10 +123,10 @@
 	Running int
 	// Candidates is the number of endpoints that passed the filters.
 	Candidates int
-	// FetchFrom is another endpoint that should hold shared parts which the chosen one lacks, or nil.
-	FetchFrom *fleet.Endpoint
-	// Lacks tells that the chosen endpoint lacks shared parts that are worth a transfer.
-	Lacks bool
+	// FetchFrom is the source of shared parts that the chosen endpoint lacks, or empty.
+	FetchFrom string
+	// Save tells that the cache store lacks shared parts that are worth a transfer.
+	Save bool
 }
 
 // Defaults of what is learned.
@@ -136,8 +141,12 @@
 	batchMs = 0.6
 	// generateMs is the assumed time of one output token.
 	generateMs = 10.0
-	// fetchFixedMs is the time of a fetch from the cache store besides the transfer.
+	// fetchFixedMs is the time of a fetch besides the transfer.
 	fetchFixedMs = 6.0
+	// farTransfer is the factor on a transfer between data centres.
+	farTransfer = 2.0
+	// readTwiceMs is the loss of having an engine read parts that another VM may have the home read now.
+	readTwiceMs = 150.0
 )
 
 // Placer chooses endpoints and learns from the outcome. It is safe for one goroutine.
@@ -175,12 +184,13 @@
 	if len(candidates) == 0 {
 		return Choice{}
 	}
-	home := p.home(r, candidates)
 	best := 0
 	for i := range candidates {
-		c := &candidates[i]
-		p.score(c, r, f, i == home, now)
-		if c.Score < candidates[best].Score {
+		p.score(&candidates[i], r, f, now)
+	}
+	p.gather(r, candidates, endpoints, f, now)
+	for i := range candidates {
+		if candidates[i].Score < candidates[best].Score {
 			best = i
 		}
 	}
@@ -189,13 +199,13 @@
 		Endpoint:   c.Endpoint,
 		Version:    c.Version,
 		Expected:   time.Duration(c.Expected * float64(time.Millisecond)),
-		Missing:    max(r.Prompt-c.Held, 0),
+		Missing:    max(r.Prompt-c.Held-c.fetched, 0),
 		Running:    c.Load.Running,
 		Candidates: len(candidates),
+		FetchFrom:  c.from,
 	}
-	if r.Engine && sharedTokens(r) >= leastTransfer {
-		choice.Lacks = true
-		choice.FetchFrom = p.holder(r, endpoints, c, now)
+	if r.Engine && sharedTokens(r) >= leastTransfer && f.Store != "" {
+		choice.Save = p.cache.held(f.Store, r.Salt(c.Version), r, now) < sharedTokens(r)-leastTransfer
 	}
 	return choice
 }
@@ -203,22 +213,100 @@
 // leastTransfer is the number of shared tokens below which reading them is cheaper than a transfer.
 const leastTransfer = 800
 
-// holder returns the endpoint that should hold more of the shared parts than the chosen one, the nearest and fullest
-// first, or nil.
-func (p *Placer) holder(r *Request, endpoints []*fleet.Endpoint, chosen Candidate, now time.Time) *fleet.Endpoint {
-	var best *fleet.Endpoint
-	most := max(chosen.Held, sharedTokens(r)/2)
+// gather adds the cost of the shared parts that each candidate lacks: a transfer where another source holds them, and
+// reading them where none does. Parts that nobody holds are read at one home per version, so that the VMs do not have
+// several engines read the same.
+func (p *Placer) gather(r *Request, candidates []Candidate, endpoints []*fleet.Endpoint, f Facts, now time.Time) {
+	shared := sharedTokens(r)
+	if !r.Engine || shared < leastTransfer {
+		for i := range candidates {
+			candidates[i].addMs(float64(shared-candidates[i].Held) / prefillTokensPerMs)
+		}
+		return
+	}
+	for version, group := range byVersion(candidates) {
+		sources := p.sourcesOf(r, version, endpoints, f, now)
+		home := p.home(r, candidates, group)
+		for _, i := range group {
+			c := &candidates[i]
+			lacks := shared - c.Held
+			if lacks < leastTransfer {
+				c.addMs(float64(lacks) / prefillTokensPerMs)
+				continue
+			}
+			from, tokens, ms := sources.best(c)
+			c.from, c.fetched = from, tokens
+			unread := lacks - tokens
+			c.addMs(ms + float64(unread)/prefillTokensPerMs)
+			if unread >= leastTransfer && i != home {
+				c.Score += readTwiceMs
+			}
+		}
+	}
+}
+
+// addMs adds to the expected time and the score.
+func (c *Candidate) addMs(ms float64) {
+	c.Expected += ms
+	c.Score += ms
+}
+
+func byVersion(candidates []Candidate) map[int64][]int {
+	out := map[int64][]int{}
+	for i := range candidates {
+		out[candidates[i].Version] = append(out[candidates[i].Version], i)
+	}
+	return out
+}
+
+// source is one holder of shared parts.
+type source struct {
+	name        string
+	endpoint    *fleet.Endpoint
+	held        int
+	tokensPerMs float64
+}
+
+// sources are the holders of a request's shared parts under one version.
+type sources []source
+
+func (p *Placer) sourcesOf(r *Request, version int64, endpoints []*fleet.Endpoint, f Facts, now time.Time) sources {
+	var out sources
+	salt := r.Salt(version)
 	for _, e := range endpoints {
-		if e.ID == chosen.Endpoint.ID || p.stateOf(e).version(e, r.Model) != chosen.Version {
+		s := p.states[e.ID]
+		if s == nil || now.Before(s.ejectUntil) || s.silent(now) {
 			continue
 		}
-		held := p.cache.held(e, chosen.Version, r, now)
-		near := e.DataCentre == chosen.Endpoint.DataCentre
-		if held > most || held == most && best != nil && near && best.DataCentre != chosen.Endpoint.DataCentre {
-			best, most = e, held
+		if held := p.cache.stored(SourceOf(e), salt, r); held >= leastTransfer {
+			out = append(out, source{name: e.Address, endpoint: e, held: held, tokensPerMs: f.LinkTokensPerMs})
 		}
 	}
-	return best
+	if f.Store != "" {
+		if held := p.cache.stored(f.Store, salt, r); held >= leastTransfer {
+			out = append(out, source{name: f.Store, held: held, tokensPerMs: f.StoreTokensPerMs})
+		}
+	}
+	return out
+}
+
+// best returns the source from which a candidate gets most, the tokens that it gets and the expected time.
+func (s sources) best(c *Candidate) (name string, tokens int, ms float64) {
+	bestValue := 0.0
+	for _, src := range s {
+		gain := src.held - c.Held
+		if gain < leastTransfer || src.endpoint != nil && src.endpoint.ID == c.Endpoint.ID {
+			continue
+		}
+		took := fetchFixedMs + float64(gain)/math.Max(src.tokensPerMs, 1)
+		if src.endpoint != nil && src.endpoint.DataCentre != c.Endpoint.DataCentre {
+			took *= farTransfer
+		}
+		if value := float64(gain)/prefillTokensPerMs - took; value > bestValue {
+			name, tokens, ms, bestValue = src.name, gain, took, value
+		}
+	}
+	return name, tokens, ms
 }
 
 // allowed holds the filters that are never relaxed.
@@ -236,14 +324,18 @@
 	return !old || now.Sub(at) < f.VersionLimit
 }
 
-// home returns the index of the candidate that all VMs prefer for the request's shared parts, by rendezvous hash.
-func (p *Placer) home(r *Request, candidates []Candidate) int {
+// home returns the index of the candidate of a group that all VMs prefer for the request's shared parts, by rendezvous
+// hash.
+func (p *Placer) home(r *Request, candidates []Candidate, group []int) int {
 	if len(r.Chain) < 2 {
 		return -1
 	}
 	subject := r.Chain[len(r.Chain)-2].ID
 	best, bestWeight := -1, uint64(0)
-	for i := range candidates {
+	for _, i := range group {
+		if p.loading[candidates[i].Endpoint.ID] {
+			continue
+		}
 		if w := weight(subject, candidates[i].Endpoint.ID); best < 0 || w > bestWeight {
 			best, bestWeight = i, w
 		}
--- a/pkg/place/score.go
+++ b/pkg/place/score.go
@@ -1,9 +1,6 @@
 package place
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Preferences, in milliseconds of expected first token that an endpoint may be slower and still win.
 const (
@@ -27,9 +24,9 @@
 const oldVersionGrace = 1200 * time.Millisecond
 
 // score predicts the first token on a candidate and adds the preferences.
-func (p *Placer) score(c *Candidate, r *Request, f Facts, home bool, now time.Time) {
+func (p *Placer) score(c *Candidate, r *Request, f Facts, now time.Time) {
 	if r.Engine {
-		c.Expected = p.engineMs(c, r, f, home, now)
+		c.Expected = p.engineMs(c, r, f, now)
 	} else {
 		c.Expected = serviceTimeMs(c, f)
 	}
@@ -50,23 +47,13 @@
 	c.Score += failureMs * c.state.failureRate(now)
 }
 
-// engineMs predicts the time to the first token on an engine: the prompts before it, its own missing tokens, the
-// fetch of those that the cache store has, and the running batch.
-func (p *Placer) engineMs(c *Candidate, r *Request, f Facts, home bool, now time.Time) float64 {
+// engineMs predicts the time to the first token on an engine from the prompts before it, its own part of the prompt and
+// the running batch. The shared parts are added by gather.
+func (p *Placer) engineMs(c *Candidate, r *Request, f Facts, now time.Time) float64 {
 	shared := sharedTokens(r)
-	c.Held = p.cache.held(c.Endpoint, c.Version, r, now)
-	missing := shared - c.Held
-	if home {
-		// Other VMs send the same parts there.
-		missing /= 2
-	}
-	fetch := 0.0
-	if missing > 0 && f.StoreTokensPerMs > 0 {
-		fetch = math.Min(fetchFixedMs+float64(missing)/f.StoreTokensPerMs, float64(missing)/prefillTokensPerMs)
-		missing = 0
-	}
+	c.Held = min(p.cache.held(SourceOf(c.Endpoint), r.Salt(c.Version), r, now), shared)
 	own := max(r.Prompt-shared, 0)
-	t := firstTokenMs + fetch + float64(c.Load.Unread+missing+own)/prefillTokensPerMs
+	t := firstTokenMs + float64(c.Load.Unread+own)/prefillTokensPerMs
 	t += batchMs * float64(c.Load.Running)
 	if over := c.Load.Running + 1 - f.Slots; over > 0 && f.Slots > 0 {
 		t += float64(over) * float64(r.Output) * generateMs / float64(f.Slots)
--- a/pkg/traffic/config.go
+++ b/pkg/traffic/config.go
@@ -97,6 +97,8 @@
 	TokenBytes int
 	// LinkMbps is the bandwidth of an engine for cache transfers, in Mbit/s.
 	LinkMbps float64
+	// MaxWatches is the number of event watches that one engine holds at once over all VMs.
+	MaxWatches int
 	// Models are the models that the engines serve.
 	Models []string
 }
