--- /dev/null
+++ b/pkg/fleet/table_test.go
@@ -0,0 +1,107 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+func ready(id string, born int64) *Endpoint {
+	return &Endpoint{ID: id, Born: born, Service: "s", Address: "10.0.0.1:80", Ready: true}
+}
+
+func draining(id string, born int64) *Endpoint {
+	e := ready(id, born)
+	e.Ready = false
+	return e
+}
+
+// Guards against records that come twice or late, from the log and from peers, undoing newer ones.
+func TestOlderRecordChangesNothing(t *testing.T) {
+	table := NewTable()
+	table.Apply("a", 5, draining("a", 1), start)
+	if got := table.Apply("a", 4, ready("a", 1), start); got != Unchanged || table.Get("a") != nil {
+		t.Fatal("an older record brought a leaving endpoint back")
+	}
+	table.Remove("a", 6, start)
+	if table.Apply("a", 6, ready("a", 1), start); table.Get("a") != nil {
+		t.Fatal("a record that is not newer than the removal brought the endpoint back")
+	}
+}
+
+func TestUnreadableRecordNamesNoEndpoint(t *testing.T) {
+	table := NewTable()
+	table.Apply("a", 1, ready("a", 1), start)
+	table.Apply("b", 2, ready("b", 1), start)
+	table.Apply("a", 3, nil, start)
+	if table.Get("a") != nil || table.Get("b") == nil || len(table.Usable("s")) != 1 {
+		t.Fatal("an unreadable record must take out its own endpoint and no other")
+	}
+}
+
+// Guards against dropping workers that lapsed while the store was away and register again.
+func TestRemovalAfterOutageWaits(t *testing.T) {
+	table := NewTable()
+	table.Apply("a", 1, ready("a", 1), start)
+	table.Apply("b", 2, ready("b", 1), start)
+	table.Returned(start)
+	table.Remove("a", 3, start.Add(100*time.Millisecond))
+	table.Remove("b", 4, start.Add(100*time.Millisecond))
+	if table.Get("a") == nil || table.Get("b") == nil {
+		t.Fatal("a removal in the grace took effect at once")
+	}
+	table.Apply("a", 5, ready("a", 1), start.Add(time.Second))
+	gone := table.Expire(start.Add(ReturnGrace))
+	if len(gone) != 1 || gone[0] != "b" || table.Get("a") == nil || table.Get("b") != nil {
+		t.Fatalf("gone %v, want only the endpoint that is not back", gone)
+	}
+}
+
+func TestMissingSparesNewerRecords(t *testing.T) {
+	table := NewTable()
+	table.Apply("old", 1, ready("old", 1), start)
+	table.Apply("new", 9, ready("new", 1), start)
+	gone := table.Missing(map[string]bool{}, 9, start)
+	if len(gone) != 1 || gone[0] != "old" || table.Get("new") == nil {
+		t.Fatalf("gone %v, want only what the listing could have shown", gone)
+	}
+}
+
+// Guards against a VM that the store turns away sending work to an endpoint that its peers know to be leaving, and
+// against losing the endpoint for good when it registers again.
+func TestPeerReportsDeparture(t *testing.T) {
+	table := NewTable()
+	table.Apply("a", 1, ready("a", 1), start)
+	if !table.Leave("a", 3, start) || table.Get("a") != nil {
+		t.Fatal("the departure had no effect")
+	}
+	table.Apply("a", 2, ready("a", 1), start)
+	if table.Get("a") != nil {
+		t.Fatal("a record older than the departure brought the endpoint back")
+	}
+	table.Apply("a", 4, ready("a", 1), start)
+	if table.Get("a") == nil {
+		t.Fatal("a newer record did not bring the endpoint back")
+	}
+	if table.Leave("a", 3, start) {
+		t.Fatal("an old departure took effect again")
+	}
+	if got := table.Departures(start.Add(-time.Second)); len(got) != 1 || got[0].ID != "a" {
+		t.Fatalf("departures %v", got)
+	}
+}
+
+func TestMisdirectedUntilItChanges(t *testing.T) {
+	table := NewTable()
+	table.Apply("a", 1, ready("a", 1), start)
+	table.Misdirect("a", 1)
+	table.Apply("a", 2, ready("a", 1), start)
+	if table.Get("a") != nil {
+		t.Fatal("a heartbeat brought the misdirected entry back")
+	}
+	table.Apply("a", 3, ready("a", 2), start)
+	if table.Get("a") == nil {
+		t.Fatal("a new start is not used")
+	}
+}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"io"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/corneldeal/corneldeal/pkg/crashguard"
 	"github.com/corneldeal/corneldeal/pkg/httpcall"
 	"github.com/corneldeal/corneldeal/pkg/ingress"
 	"github.com/corneldeal/corneldeal/pkg/place"
@@ -26,6 +28,8 @@
 	// least patienceLeast and patienceFactor times the prediction.
 	patienceLeast  = 900 * time.Millisecond
 	patienceFactor = 4
+	// crashRetry is told to callers of requests that crash endpoints.
+	crashRetry = 30 * time.Second
 	// leastBudget is the time below which a send is no real offer.
 	leastBudget = 30 * time.Millisecond
 )
@@ -98,6 +102,10 @@
 	c := g.config.Load()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if r.fingerprint != 0 && g.crashes.Refuse(r.fingerprint, now) {
+		return nil, refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeCrashSuspect, "the request crashes endpoints").
+			After(crashRetry)
+	}
 	for _, name := range r.route.Pick(r.call.ID) {
 		s := c.Services[name]
 		if s == nil {
@@ -225,6 +233,7 @@
 	now := steady.Now()
 	g.mu.Lock()
 	g.placer.Done(r.id, res.outcome, now)
+	g.noteCrash(r, t, res, now)
 	g.mu.Unlock()
 	line := g.book.line(partRequest).Str("request", r.call.ID).Int("try", r.tries).
 		Str("endpoint", t.choice.Endpoint.ID).Int64("config", r.version).Int64("weights", t.choice.Version).
@@ -238,6 +247,23 @@
 	g.meters.count("attempts_" + outcomeNames[res.outcome] + "_total")
 }
 
+// noteCrash counts an endpoint that broke off while it ran the request. The caller holds the lock.
+func (g *Gateway) noteCrash(r *request, t *target, res result, now time.Time) {
+	if r.fingerprint == 0 {
+		return
+	}
+	switch {
+	case res.outcome == place.Answered:
+		g.crashes.Clear(r.fingerprint)
+	case res.outcome == place.Broken && !res.notRun:
+		e := t.choice.Endpoint
+		name := e.ID + "/" + strconv.FormatInt(e.Born, 10)
+		if g.crashes.Note(crashguard.Crash{Fingerprint: r.fingerprint, Endpoint: name}, now) {
+			g.wake()
+		}
+	}
+}
+
 var outcomeNames = map[place.Outcome]string{
 	place.Answered:    "answered",
 	place.Failed:      "failed",
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/corneldeal/corneldeal/pkg/admit"
+	"github.com/corneldeal/corneldeal/pkg/crashguard"
 	"github.com/corneldeal/corneldeal/pkg/fleet"
 	"github.com/corneldeal/corneldeal/pkg/gossip"
 	"github.com/corneldeal/corneldeal/pkg/httpcall"
@@ -87,6 +88,7 @@
 	placer    *place.Placer
 	limiter   *share.Limiter
 	retries   map[string]*admit.RetryBudget
+	crashes   *crashguard.Tally
 	right     *issuer.Right
 	peers     map[string]*peerState
 	// contacts are the addresses to which digests are sent, by VM.
@@ -95,9 +97,7 @@
 	// named are the weight versions of each model, oldest first. The slices are never modified in place.
 	named map[string][]place.Naming
 	claim issuer.Claim
-	// lastOrder is when this VM gave its last order, or zero.
-	lastOrder time.Time
-	loads     map[string]*loadState
+	loads map[string]*loadState
 	// loading is what this VM, as the holder, is emptying or loading.
 	loading []string
 }
@@ -124,6 +124,7 @@
 			placer:    place.New(),
 			limiter:   share.New(!s.FirstStart),
 			retries:   map[string]*admit.RetryBudget{},
+			crashes:   crashguard.NewTally(),
 			right:     issuer.NewRight(s.Lease()),
 			peers:     map[string]*peerState{},
 			contacts:  map[string]string{},
--- a/pkg/gateway/orders.go
+++ b/pkg/gateway/orders.go
@@ -221,8 +221,7 @@
 
 // holderBefore returns what is known of the holder of an older claim. The caller holds the lock.
 func (g *Gateway) holderBefore(claim issuer.Claim, now time.Time) (issuer.Before, time.Time) {
-	if claim.Token < 0 || claim.Holder == g.settings.VM {
-		// A holder that ran on this VM before can send nothing more.
+	if claim.Token < 0 {
 		return issuer.Nobody, now
 	}
 	p := g.peers[claim.Holder]
@@ -385,7 +384,7 @@
 	token := g.right.Token()
 	may := confirmed && g.right.MayOrder(now) && !g.leaving.Load()
 	if may {
-		g.lastOrder = now
+		g.right.Ordered(now)
 	} else {
 		g.postpone(d.endpoint.ID, now.Add(claimRetry))
 	}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -11,6 +11,9 @@
 	"strings"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"github.com/corneldeal/corneldeal/pkg/crashguard"
 	"github.com/corneldeal/corneldeal/pkg/gossip"
 	"github.com/corneldeal/corneldeal/pkg/place"
 	"github.com/corneldeal/corneldeal/pkg/share"
@@ -36,6 +39,8 @@
 	storeFresh = 2500 * time.Millisecond
 	// departuresFor is the time for which a departure is told to peers.
 	departuresFor = 8 * time.Second
+	// crashesFor is the time for which a crash is told to peers.
+	crashesFor = 3 * time.Second
 	// namingsFor is the time for which peers are told when a version was named.
 	namingsFor = 60 * time.Second
 	// announcePause is the pause between two tries to register this VM.
@@ -62,7 +67,8 @@
 	loading    []string
 	// started is when the peer's process started.
 	started time.Time
-	// lastOrder is when the peer's process gave its last order, or its start where it gave none.
+	// lastOrder is when the peer's process or a holder before it may have given its last order, or the start of the
+	// process where there was none.
 	lastOrder time.Time
 }
 
@@ -260,10 +266,9 @@
 		UptimeMs:       now.Sub(g.started).Milliseconds(),
 		Leaving:        g.leaving.Load(),
 		Loading:        g.loading,
-		LastOrderAgeMs: -1,
 	}
-	if !g.lastOrder.IsZero() {
-		d.LastOrderAgeMs = now.Sub(g.lastOrder).Milliseconds()
+	if last := g.right.LastOrder(); !last.IsZero() {
+		d.LastOrderAgeMs = proto.Int64(now.Sub(last).Milliseconds())
 	}
 	for _, u := range g.limiter.Usage(now) {
 		d.Usage = append(d.Usage, &gossip.Usage{Workspace: u.Workspace, Admitted: u.Admitted, Level: u.Level})
@@ -276,6 +281,9 @@
 	for _, dep := range g.endpoints.Departures(now.Add(-departuresFor)) {
 		d.Departures = append(d.Departures, &gossip.Departure{Endpoint: dep.ID, Offset: dep.Offset})
 	}
+	for _, c := range g.crashes.Recent(now.Add(-crashesFor)) {
+		d.Accusations = append(d.Accusations, &gossip.Accusation{Fingerprint: c.Fingerprint, Crashed: c.Endpoint})
+	}
 	d.Versions = g.learnedVersions()
 	d.Namings = g.recentNamings(now)
 	for _, vm := range slices.Sorted(maps.Keys(g.peers)) {
@@ -373,8 +381,8 @@
 	p.loading = d.GetLoading()
 	p.started = now.Add(-time.Duration(d.GetUptimeMs()) * time.Millisecond)
 	p.lastOrder = p.started
-	if age := d.GetLastOrderAgeMs(); age >= 0 {
-		p.lastOrder = now.Add(-time.Duration(age) * time.Millisecond)
+	if d.LastOrderAgeMs != nil {
+		p.lastOrder = now.Add(-time.Duration(d.GetLastOrderAgeMs()) * time.Millisecond)
 	}
 	g.addContact(p.vm, p.address)
 	for _, n := range d.GetNeighbours() {
@@ -408,6 +416,9 @@
 			g.endpointLeft(dep.GetEndpoint(), "peer "+p.vm, dep.GetOffset())
 		}
 	}
+	for _, a := range d.GetAccusations() {
+		g.crashes.Note(crashguard.Crash{Fingerprint: a.GetFingerprint(), Endpoint: a.GetCrashed()}, now)
+	}
 	for _, n := range d.GetNamings() {
 		at := now.Add(-time.Duration(n.GetAgeMs()) * time.Millisecond)
 		g.noteNaming(n.GetModel(), place.Naming{Version: n.GetVersion(), At: at})
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/corneldeal/corneldeal/pkg/admit"
+	"github.com/corneldeal/corneldeal/pkg/crashguard"
 	"github.com/corneldeal/corneldeal/pkg/fleet"
 	"github.com/corneldeal/corneldeal/pkg/ingress"
 	"github.com/corneldeal/corneldeal/pkg/place"
@@ -66,6 +67,9 @@
 	events int
 	// failure is an endpoint's own answer that is passed on if no other attempt succeeds.
 	failure *fasthttp.Response
+	// fingerprint identifies the request over its caller's repeats. Zero for one without a body, which nothing tells
+	// from other requests.
+	fingerprint uint64
 	// expected is the prediction of the last placement.
 	expected time.Duration
 }
@@ -91,6 +95,7 @@
 		return
 	}
 	r.deadline = r.arrived.Add(g.timeLimit(r))
+	r.fingerprint = fingerprintOf(r)
 	if refused := g.charge(r); refused != nil {
 		g.refuse(r, refused)
 		return
@@ -98,6 +103,18 @@
 	g.forward(r)
 }
 
+func fingerprintOf(r *request) uint64 {
+	body := r.x.Request.Body()
+	if len(body) == 0 {
+		return 0
+	}
+	workspace := ""
+	if r.workspace != nil {
+		workspace = r.workspace.Name
+	}
+	return crashguard.Fingerprint(workspace, string(r.x.Request.Header.RequestURI()), body)
+}
+
 // timeLimit returns the time for the final answer.
 func (g *Gateway) timeLimit(r *request) time.Duration {
 	limit := r.call.Budget
--- a/pkg/issuer/issuer.go
+++ b/pkg/issuer/issuer.go
@@ -67,6 +67,8 @@
 	token int64
 	// actFrom is when the own claim permits the first order.
 	actFrom time.Time
+	// lastOrder is the latest time at which this VM or a holder before it may have given an order, or zero.
+	lastOrder time.Time
 	// readAt is the start of the newest read that showed the own claim as the newest.
 	readAt time.Time
 	// nextTry is the earliest time of the next claim.
@@ -111,7 +113,8 @@
 type Before int
 
 const (
-	// Nobody means that no other VM's process can have given an order.
+	// Nobody means that there was no claim before. An older claim of this VM is none that can be passed over: its
+	// process may have ended while it waited for the holder before.
 	Nobody Before = iota
 	// Stopped means that the holder said that it gives no more orders.
 	Stopped
@@ -119,8 +122,8 @@
 	Unsure
 )
 
-// Claimed records that the own claim was appended at token. LastOrder is when the holder before gave its last order,
-// which matters where it has stopped.
+// Claimed records that the own claim was appended at token. LastOrder is the LastOrder of the holder before, which
+// matters where it has stopped.
 func (r *Right) Claimed(token int64, before Before, lastOrder, now time.Time) {
 	r.token = token
 	r.fenced = false
@@ -129,12 +132,25 @@
 	case Nobody:
 		r.actFrom = now
 	case Stopped:
+		r.lastOrder = lastOrder
 		r.actFrom = lastOrder.Add(orderFlight + r.leaseTime)
 	case Unsure:
+		r.lastOrder = now.Add(HoldFor)
 		r.actFrom = now.Add(HoldFor + orderFlight + r.leaseTime)
 	}
 }
 
+// Ordered records that an order is sent now.
+func (r *Right) Ordered(now time.Time) {
+	r.lastOrder = now
+}
+
+// LastOrder returns the latest time at which this VM or a holder before it may have given an order, or zero. It may
+// lie in the future.
+func (r *Right) LastOrder() time.Time {
+	return r.lastOrder
+}
+
 // Failed records a claim that failed or was late.
 func (r *Right) Failed(now time.Time) {
 	r.nextTry = now.Add(claimPause)
--- /dev/null
+++ b/pkg/place/place_test.go
@@ -0,0 +1,212 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/corneldeal/corneldeal/pkg/fleet"
+)
+
+var start = time.Unix(1000, 0)
+
+var facts = Facts{
+	Slots: 128, CacheTokens: 130_000, DataCentre: "x", Store: "store", StoreTokensPerMs: 277, LinkTokensPerMs: 1300,
+	VersionLimit: 13 * time.Second,
+}
+
+func engine(i int, version int64) *fleet.Endpoint {
+	return &fleet.Endpoint{
+		ID: fmt.Sprint("e", i), Born: 1, Address: fmt.Sprint("10.0.0.", i), DataCentre: "x", Ready: true,
+		Versions: map[string]int64{"m": version},
+	}
+}
+
+func engines(n int) []*fleet.Endpoint {
+	var out []*fleet.Endpoint
+	for i := range n {
+		out = append(out, engine(i, 1))
+	}
+	return out
+}
+
+// prompt returns a request with 6,000 shared tokens under the subject and 1,000 of its own.
+func prompt(id, subject uint64) *Request {
+	return &Request{
+		ID: id, Engine: true, Model: "m", Prompt: 7000, Output: 20,
+		Chain: []Part{{ID: 1, Tokens: 2000}, {ID: subject, Tokens: 4000}, {ID: 1 << 40, Tokens: 1000}},
+		Salt:  func(version int64) string { return fmt.Sprint(version) },
+	}
+}
+
+func held(subject uint64) []CacheEvent {
+	return []CacheEvent{{Salt: "1", Part: 1, Tokens: 2000}, {Salt: "1", Part: subject, Tokens: 4000}}
+}
+
+// Guards against the time of an old version being counted from the newest naming, so that version 1 was still used
+// 15 s after version 2 had superseded it.
+func TestLimitCountsFromFirstSuccessor(t *testing.T) {
+	p := New()
+	r := prompt(1, 2)
+	r.Named = []Naming{{Version: 2, At: start}, {Version: 3, At: start.Add(6 * time.Second)}}
+	both := []*fleet.Endpoint{engine(0, 1), engine(1, 2)}
+	if c := p.Place(r, both[:1], facts, start.Add(12*time.Second)); c.Endpoint == nil {
+		t.Fatal("old weights are refused before the limit")
+	}
+	if c := p.Place(r, both[:1], facts, start.Add(13*time.Second)); c.Endpoint != nil {
+		t.Fatal("weights superseded 13 s ago are used")
+	}
+	if c := p.Place(r, both, facts, start.Add(13*time.Second)); c.Endpoint != both[1] || c.Version != 2 {
+		t.Fatal("version 2 was superseded 7 s ago only")
+	}
+}
+
+// Guards against sending on to an engine that accepts requests and never answers.
+func TestSilentEngineIsAvoided(t *testing.T) {
+	p := New()
+	list := engines(2)
+	r := prompt(1, 2)
+	first := p.Place(r, list, facts, start)
+	p.Sent(r, first, start)
+	now := start.Add(3 * time.Second)
+	for i := uint64(2); i < 30; i++ {
+		r := prompt(i, i)
+		c := p.Place(r, list, facts, now)
+		if c.Endpoint == first.Endpoint {
+			t.Fatal("a request went to the silent engine")
+		}
+		p.Sent(r, c, now)
+		p.FirstToken(i, now)
+		p.Done(i, Answered, now)
+	}
+	p.FirstToken(1, now)
+	p.Done(1, Answered, now)
+	if !p.stateOf(first.Endpoint).lastAnswer.Equal(now) || p.stateOf(first.Endpoint).silent(now) {
+		t.Fatal("an engine that answers again counts as silent")
+	}
+}
+
+// Guards against several VMs having several engines read the same parts for the first time.
+func TestUnreadPartsGoToOneHome(t *testing.T) {
+	homes := map[string]bool{}
+	for vm := range 5 {
+		p := New()
+		// Each VM has other work under way.
+		p.SetPeer("peer", map[string]Load{fmt.Sprint("e", vm): {Running: 2, Unread: 2000}})
+		homes[p.Place(prompt(1, 77), engines(9), facts, start).Endpoint.ID] = true
+	}
+	if len(homes) != 1 {
+		t.Fatalf("first reads of one subject go to %d engines", len(homes))
+	}
+}
+
+// Guards against guessing what engines hold: only events make a source.
+func TestSourceComesFromEvents(t *testing.T) {
+	p := New()
+	list := engines(3)
+	if c := p.Place(prompt(1, 2), list, facts, start); c.FetchFrom != "" || !c.Save {
+		t.Fatalf("fetches from %q and saves %v though nobody holds the parts", c.FetchFrom, c.Save)
+	}
+	p.CacheEvents("store", 1, false, held(2))
+	c := p.Place(prompt(1, 2), list, facts, start)
+	if c.FetchFrom != "store" || c.Save {
+		t.Fatalf("fetches from %q and saves %v though the store holds the parts", c.FetchFrom, c.Save)
+	}
+	p.CacheEvents(SourceOf(list[1]), 1, false, held(2))
+	if c := p.Place(prompt(1, 2), list, facts, start); c.Endpoint != list[1] || c.FetchFrom != "" {
+		t.Fatalf("placed on %s, fetch from %q; want the engine that holds the parts", c.Endpoint.ID, c.FetchFrom)
+	}
+	p.SetPeer("peer", map[string]Load{"e1": {Running: 60, Unread: 60_000}})
+	if c := p.Place(prompt(1, 2), list, facts, start); c.Endpoint == list[1] || c.FetchFrom != SourceOf(list[1]) {
+		t.Fatalf("placed on %s, fetch from %q; want another engine that fetches from it", c.Endpoint.ID, c.FetchFrom)
+	}
+}
+
+// Guards against events of before a restart or under another salt.
+func TestRestartAndSaltVoidHoldings(t *testing.T) {
+	p := New()
+	list := engines(2)
+	p.CacheEvents("store", 1, false, held(2))
+	r := prompt(1, 2)
+	r.Salt = func(int64) string { return "other" }
+	if c := p.Place(r, list, facts, start); c.FetchFrom != "" {
+		t.Fatal("parts of another salt were fetched")
+	}
+	p.CacheEvents("store", 2, false, nil)
+	if c := p.Place(prompt(1, 2), list, facts, start); c.FetchFrom != "" {
+		t.Fatal("parts of before a restart were fetched")
+	}
+}
+
+func TestLoadSpreadsOverEngines(t *testing.T) {
+	p := New()
+	list := engines(4)
+	counts := map[string]int{}
+	for i := range uint64(40) {
+		r := prompt(i+1, 2)
+		r.Chain = nil
+		c := p.Place(r, list, facts, start)
+		p.Sent(r, c, start)
+		counts[c.Endpoint.ID]++
+	}
+	for _, e := range list {
+		if counts[e.ID] != 10 {
+			t.Fatalf("spread %v, want 10 on each", counts)
+		}
+	}
+}
+
+func TestEngineBeingEmptiedGetsNoNewWork(t *testing.T) {
+	p := New()
+	list := engines(2)
+	p.CacheEvents(SourceOf(list[0]), 1, false, held(2))
+	p.SetLoading([]string{"e0"})
+	if c := p.Place(prompt(1, 2), list, facts, start); c.Endpoint != list[1] {
+		t.Fatal("an engine that is emptied gets new work")
+	}
+	if c := p.Place(prompt(1, 2), list[:1], facts, start); c.Endpoint != list[0] {
+		t.Fatal("the only engine is not used")
+	}
+}
+
+func TestUnreachableEndpointIsTriedAgain(t *testing.T) {
+	p := New()
+	list := engines(2)
+	r := &Request{ID: 1}
+	c := Choice{Endpoint: list[0]}
+	p.Sent(r, c, start)
+	p.Done(1, Unreachable, start)
+	if got := p.Place(&Request{ID: 2}, list, facts, start); got.Endpoint != list[1] {
+		t.Fatal("an endpoint that was just unreachable is chosen")
+	}
+	if got := p.Place(&Request{ID: 2}, list[:1], facts, start); got.Endpoint == nil {
+		t.Fatal("the last endpoint is refused")
+	}
+	later := start.Add(time.Minute)
+	p.SetPeer("peer", map[string]Load{"e1": {Running: 500}})
+	if got := p.Place(&Request{ID: 2}, list, facts, later); got.Endpoint != list[0] {
+		t.Fatal("an endpoint stays out for good")
+	}
+}
+
+// Guards against leaks: every load that was added is taken off, whatever the outcome.
+func TestLoadsReturnToZero(t *testing.T) {
+	p := New()
+	list := engines(1)
+	for i, outcome := range []Outcome{Answered, Failed, Broken, Unreachable, Full, Neutral, Silent} {
+		r := prompt(uint64(i+1), 2)
+		c := p.Place(r, list, facts, start)
+		p.Sent(r, c, start)
+		if outcome == Answered {
+			p.FirstToken(r.ID, start)
+		}
+		p.Done(r.ID, outcome, start)
+		p.Done(r.ID, outcome, start)
+	}
+	if got := p.stateOf(list[0]).load; got != (Load{}) {
+		t.Fatalf("load %+v is left", got)
+	}
+	if len(p.Own()) != 0 || len(p.sent) != 0 {
+		t.Fatal("requests are left")
+	}
+}
--- a/pkg/share/limiter.go
+++ b/pkg/share/limiter.go
@@ -19,6 +19,8 @@
 	ForgetAfter = 20 * time.Second
 	// startShare is the part of the burst with which a restarted VM begins before it has heard a peer.
 	startShare = 0.1
+	// rateShare is the weight of the newest exchange in a peer's rate.
+	rateShare = 0.5
 	// maxWait bounds the time to come back that is told to callers.
 	maxWait = 30 * time.Second
 )
@@ -52,6 +54,8 @@
 	boot     uint64
 	heard    time.Time
 	admitted map[string]int64
+	// rate is what the peer admitted lately, in tokens per second by workspace.
+	rate map[string]float64
 	// aside is the stock that was set aside for the silent peer, by workspace. Nil while the peer is heard.
 	aside map[string]float64
 }
@@ -143,17 +147,29 @@
 	}
 	l.refill(b, now)
 	need := math.Min(float64(cost), b.burst)
-	if b.level >= need {
+	unheard := l.unheard(workspace, now)
+	if b.level-unheard >= need {
 		b.level -= float64(cost)
 		b.admitted += cost
 		return true, 0
 	}
 	quiet, total := l.silent()
 	rate := b.rate * float64(total-quiet) / float64(total)
-	wait = time.Duration((need - b.level) / rate * float64(time.Second))
+	wait = time.Duration((need + unheard - b.level) / rate * float64(time.Second))
 	return false, min(wait, maxWait)
 }
 
+// unheard returns what the peers should have admitted since their last words, at the rate of those.
+func (l *Limiter) unheard(workspace string, now time.Time) float64 {
+	sum := 0.0
+	for _, p := range l.peers {
+		if p.aside == nil {
+			sum += p.rate[workspace] * math.Max(now.Sub(p.heard).Seconds(), 0)
+		}
+	}
+	return sum
+}
+
 // Return gives back the cost of a request that did not run.
 func (l *Limiter) Return(workspace string, cost int64) {
 	b := l.buckets[workspace]
@@ -178,7 +194,7 @@
 func (l *Limiter) Heard(vm string, boot uint64, usage []Usage, now time.Time) {
 	p := l.peers[vm]
 	if p == nil {
-		p = &peer{boot: boot, admitted: map[string]int64{}}
+		p = &peer{boot: boot, admitted: map[string]int64{}, rate: map[string]float64{}, heard: now}
 		l.peers[vm] = p
 		// What a peer admitted before this VM first heard it is no debt of the present stock.
 		for _, u := range usage {
@@ -189,11 +205,17 @@
 		// A new process counts from zero.
 		p.boot = boot
 		clear(p.admitted)
+		clear(p.rate)
 	}
+	elapsed := now.Sub(p.heard).Seconds()
 	aside := p.aside
 	p.aside = nil
 	p.heard = now
 	for _, u := range usage {
+		if elapsed > 0 {
+			lately := math.Max(float64(u.Admitted-p.admitted[u.Workspace])/elapsed, 0)
+			p.rate[u.Workspace] += (lately - p.rate[u.Workspace]) * rateShare
+		}
 		l.debit(p, u, aside[u.Workspace], now)
 	}
 }
@@ -235,10 +257,11 @@
 
 func (l *Limiter) setAside(p *peer, now time.Time) {
 	_, total := l.silent()
-	p.aside = map[string]float64{}
+	p.aside = make(map[string]float64, len(l.buckets))
 	for name, b := range l.buckets {
 		l.refill(b, now)
-		part := math.Max(b.level, 0) / float64(total)
+		unheard := p.rate[name] * now.Sub(p.heard).Seconds()
+		part := unheard + math.Max(b.level-unheard, 0)/float64(total)
 		b.level -= part
 		p.aside[name] = part
 	}
--- /dev/null
+++ b/pkg/share/limiter_test.go
@@ -0,0 +1,199 @@
+package share
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+const (
+	rate  = 100_000
+	burst = 100_000
+	// window and excess are the platform's: an excess of a tenth and a fixed number of tokens in each window.
+	window      = 8 * time.Second
+	excessShare = 0.1
+	excessFixed = 110_000
+	step        = 50 * time.Millisecond
+)
+
+// node is one simulated VM.
+type node struct {
+	name    string
+	boot    uint64
+	limiter *Limiter
+	group   int
+	down    bool
+}
+
+// world drives several limiters that exchange their usage.
+type world struct {
+	t        *testing.T
+	rng      *rand.Rand
+	nodes    []*node
+	now      time.Time
+	admitted []struct {
+		at     time.Time
+		tokens int64
+	}
+}
+
+func newWorld(t *testing.T, nodes int) *world {
+	w := &world{t: t, rng: rand.New(rand.NewPCG(1, 2)), now: start}
+	for i := range nodes {
+		n := &node{name: string(rune('a' + i))}
+		w.nodes = append(w.nodes, n)
+		w.start(n, false)
+	}
+	return w
+}
+
+func (w *world) start(n *node, joining bool) {
+	n.boot++
+	n.down = false
+	n.limiter = New(joining)
+	n.limiter.Configure([]Limit{{Workspace: "w", Rate: rate, Burst: burst}}, w.now)
+}
+
+// run advances the world. Each VM offers demand tokens a second in requests of cost tokens; digests go between VMs of
+// one group every 250 ms and a tenth is lost.
+func (w *world) run(d time.Duration, demand, cost int64) (admitted int64) {
+	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(step) {
+		for _, n := range w.nodes {
+			if n.down {
+				continue
+			}
+			n.limiter.Tick(w.now)
+			offers := float64(demand) * step.Seconds() / float64(cost)
+			for offers > 0 && (offers >= 1 || w.rng.Float64() < offers) {
+				offers--
+				if ok, _ := n.limiter.Take("w", cost, w.now); ok {
+					admitted += cost
+					w.admitted = append(w.admitted, struct {
+						at     time.Time
+						tokens int64
+					}{w.now, cost})
+				}
+			}
+		}
+		if w.now.Sub(start)%(250*time.Millisecond) == 0 {
+			w.exchange()
+		}
+	}
+	return admitted
+}
+
+func (w *world) exchange() {
+	for _, from := range w.nodes {
+		if from.down {
+			continue
+		}
+		usage := from.limiter.Usage(w.now)
+		for _, to := range w.nodes {
+			if to == from || to.down || to.group != from.group || w.rng.IntN(10) == 0 {
+				continue
+			}
+			to.limiter.Heard(from.name, from.boot, usage, w.now)
+		}
+	}
+}
+
+// checkWindows fails where some window holds more than the platform allows.
+func (w *world) checkWindows() {
+	w.t.Helper()
+	allowed := int64((rate*window.Seconds()+burst)*(1+excessShare)) + excessFixed
+	sum, first := int64(0), 0
+	for _, a := range w.admitted {
+		sum += a.tokens
+		for a.at.Sub(w.admitted[first].at) > window {
+			sum -= w.admitted[first].tokens
+			first++
+		}
+		if sum > allowed {
+			w.t.Fatalf("%d tokens in a window, %d allowed", sum, allowed)
+		}
+	}
+}
+
+// Guards against a workspace at several times its rate getting its rate on each VM.
+func TestSumKeepsLimitUnderOverload(t *testing.T) {
+	w := newWorld(t, 9)
+	got := w.run(30*time.Second, rate, 9_000)
+	w.checkWindows()
+	if least := int64(25 * rate); got < least {
+		t.Fatalf("admitted %d tokens in 30 s, want at least %d", got, least)
+	}
+}
+
+// Guards against the parts of a partitioned system each admitting the whole rate.
+func TestPartitionKeepsLimit(t *testing.T) {
+	w := newWorld(t, 9)
+	w.run(5*time.Second, rate, 9_000)
+	for i, n := range w.nodes {
+		n.group = i % 3
+	}
+	w.run(15*time.Second, rate, 9_000)
+	for _, n := range w.nodes {
+		n.group = 0
+	}
+	w.run(10*time.Second, rate, 9_000)
+	w.checkWindows()
+}
+
+// Guards against restarted processes that start with a full stock, singly and all at once.
+func TestRestartsKeepLimit(t *testing.T) {
+	w := newWorld(t, 9)
+	for range 6 {
+		w.run(2*time.Second, rate, 9_000)
+		n := w.nodes[w.rng.IntN(len(w.nodes))]
+		n.down = true
+		w.run(time.Second, rate, 9_000)
+		w.start(n, true)
+	}
+	for _, n := range w.nodes {
+		w.start(n, true)
+	}
+	w.run(10*time.Second, rate, 9_000)
+	w.checkWindows()
+}
+
+// Guards against a lowered limit that leaves the old stock.
+func TestLoweredLimitTakesStock(t *testing.T) {
+	l := New(false)
+	l.Configure([]Limit{{Workspace: "w", Rate: rate, Burst: burst}}, start)
+	l.Configure([]Limit{{Workspace: "w", Rate: 10, Burst: 100}}, start)
+	if ok, wait := l.Take("w", 100, start); !ok {
+		t.Fatalf("refused the burst, wait %v", wait)
+	}
+	ok, wait := l.Take("w", 50, start)
+	if ok || wait != 5*time.Second {
+		t.Fatalf("ok %v, wait %v; want a refusal for 5 s", ok, wait)
+	}
+}
+
+// Guards against a request larger than the burst never being served.
+func TestCostAboveBurstLeavesDebt(t *testing.T) {
+	l := New(false)
+	l.Configure([]Limit{{Workspace: "w", Rate: 10, Burst: 100}}, start)
+	if ok, _ := l.Take("w", 200, start); !ok {
+		t.Fatal("a full bucket refuses a cost above the burst")
+	}
+	if ok, wait := l.Take("w", 10, start); ok || wait != 11*time.Second {
+		t.Fatalf("ok %v, wait %v; want 11 s", ok, wait)
+	}
+	l.Return("w", 200)
+	if ok, _ := l.Take("w", 10, start); !ok {
+		t.Fatal("a returned cost is not available")
+	}
+}
+
+// Guards against a peer's whole past being charged when it is first heard or heard again after a long silence.
+func TestLateFirstWordIsNoDebt(t *testing.T) {
+	l := New(false)
+	l.Configure([]Limit{{Workspace: "w", Rate: rate, Burst: burst}}, start)
+	l.Heard("peer", 1, []Usage{{Workspace: "w", Admitted: 50 * rate}}, start)
+	if ok, _ := l.Take("w", burst, start); !ok {
+		t.Fatal("the first word of a peer was charged")
+	}
+}
