--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -241,7 +242,26 @@
 	}
 	g.sendLeaving()
 	g.book.line(partProcess).Int("connections", g.ingress.Open()).Msg("stopped")
+	g.Close()
+}
+
+// Close ends all work at once and releases what Provision and Start took. A second call does nothing.
+func (g *Gateway) Close() {
+	if g.ctx.Err() != nil {
+		return
+	}
+	g.leaving.Store(true)
 	g.cancel()
+	g.ingress.Close()
+	err := errors.Join(g.socket.Close(), g.relay.Close(), g.control.Shutdown())
+	if err != nil {
+		g.book.warn(partProcess).Err(err).Msg("listeners not closed cleanly")
+	}
+	for _, l := range g.listeners {
+		// Most are closed by their servers already.
+		_ = l.Close()
+	}
+	g.http.Close()
 	if err := g.book.close(); err != nil {
 		fmt.Fprintln(standardOutput, "log writer:", err)
 	}
