--- a/cmd/corneldeal/publish.go
+++ b/cmd/corneldeal/publish.go
@@ -45,7 +45,7 @@
 			replay := config.NewReplay()
 			clients := newClients(c)
 			p := &publisher{
-				clients: clients,
+				clients:  clients,
 				replay:   replay,
 				follower: &configsync.Follower{Log: clients.log, Replay: replay},
 				out:      c.Root().Writer,
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -263,7 +263,8 @@
 	}
 	g.http.Close()
 	if err := g.book.close(); err != nil {
-		fmt.Fprintln(standardOutput, "log writer:", err)
+		// The log itself failed, so standard error is all that is left.
+		println("log writer:", err.Error())
 	}
 }
 
