--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -19,7 +19,7 @@
 	// so a waiting read would return at once.
 	endpointPause = 650 * time.Millisecond
 	// storeTimeout bounds a call to the store beyond its wait.
-	storeTimeout = 2 * time.Second
+	storeTimeout = 1200 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed call.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 1200 * time.Millisecond
@@ -148,6 +148,7 @@
 	st := g.streams[s]
 	if err != nil {
 		g.meters.count("store_errors_total")
+		g.storeFailedAt = now
 		if !st.failing {
 			st.failing = true
 			st.failedAt = now
--- a/pkg/gateway/orders.go
+++ b/pkg/gateway/orders.go
@@ -18,7 +18,7 @@
 	// orderTimeout bounds an order or a report.
 	orderTimeout = 400 * time.Millisecond
 	// emptyFor is the longest time for which an engine is emptied before its order.
-	emptyFor = 900 * time.Millisecond
+	emptyFor = 600 * time.Millisecond
 	// firstReport is the time after an order at which its end is first asked for, and reportPause the pause between
 	// two questions.
 	firstReport = 1950 * time.Millisecond
@@ -30,6 +30,8 @@
 	loadLimit = 9 * time.Second
 	// failedPause is the pause after an engine did not answer.
 	failedPause = time.Second
+	// holderSilence is the age of the holder's last digest at which another VM claims.
+	holderSilence = 1100 * time.Millisecond
 	// sameStart is the difference of two start times up to which the VMs count as started together.
 	sameStart = 2 * time.Second
 	// settledAfter is the uptime from which a VM may hold the right to give orders before older ones.
@@ -84,7 +86,7 @@
 		First:     g.comesFirst(now),
 	}
 	if p := g.peers[g.claim.Holder]; p != nil {
-		s.HolderAble = p.able(now) && p.boot == g.claim.Boot
+		s.HolderAble = p.holds(g.claim, now)
 	}
 	if !s.Pending {
 		clear(g.loads)
@@ -93,6 +95,11 @@
 	return s
 }
 
+// holds reports whether the peer made a claim and is able to use it.
+func (p *peerState) holds(claim issuer.Claim, now time.Time) bool {
+	return p.boot == claim.Boot && p.able(now) && now.Sub(p.heard) < holderSilence
+}
+
 // comesFirst reports whether this VM is the one that acts where one has to. The caller holds the lock.
 func (g *Gateway) comesFirst(now time.Time) bool {
 	for _, p := range g.peers {
@@ -179,6 +186,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if err != nil {
+		g.storeFailedAt = steady.Now()
 		g.book.warn(partOrder).Err(err).Msg("claim not confirmed")
 		return false
 	}
@@ -237,7 +245,7 @@
 // mayClaim checks the newest claim as just read. The caller holds the lock.
 func (g *Gateway) mayClaim(claim issuer.Claim, now time.Time) error {
 	p := g.peers[claim.Holder]
-	if p != nil && p.able(now) && p.boot == claim.Boot {
+	if p != nil && p.holds(claim, now) {
 		return errHolderAble
 	}
 	return nil
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -36,7 +36,7 @@
 	// rareDigests is the share of digests that a silent address still gets.
 	rareDigests = 40
 	// storeFresh is the age of the store's last answer up to which a VM counts as in reach of it.
-	storeFresh = 2500 * time.Millisecond
+	storeFresh = 1500 * time.Millisecond
 	// departuresFor is the time for which a departure is told to peers.
 	departuresFor = 8 * time.Second
 	// crashesFor is the time for which a crash is told to peers.
@@ -307,19 +307,19 @@
 	return out
 }
 
-// storeAge returns the age of the store's last answer, large where it never answered.
+// storeAge returns the age of the store's last answer, zero while no call has failed since, and large where it never
+// answered. The caller holds the lock.
 func (g *Gateway) storeAge(now time.Time) time.Duration {
-	op, ep := g.streams[OperatorStream], g.streams[EndpointStream]
-	if !op.okAt.IsZero() && !op.failing {
-		// A waiting read is under way; nothing shows that it will fail.
-		return 0
+	newest := g.streams[OperatorStream].okAt
+	if at := g.streams[EndpointStream].okAt; at.After(newest) {
+		newest = at
 	}
-	newest := op.okAt
-	if ep.okAt.After(newest) {
-		newest = ep.okAt
-	}
-	if newest.IsZero() {
+	switch {
+	case newest.IsZero():
 		return time.Hour
+	case newest.After(g.storeFailedAt):
+		// A waiting read may be under way; nothing shows that it will fail.
+		return 0
 	}
 	return now.Sub(newest)
 }
--- a/pkg/issuer/issuer.go
+++ b/pkg/issuer/issuer.go
@@ -19,7 +19,7 @@
 	// orderFlight bounds the time in which an order reaches its engine.
 	orderFlight = 300 * time.Millisecond
 	// claimPause is the pause after a claim that failed, so that two VMs do not contend.
-	claimPause = 1500 * time.Millisecond
+	claimPause = 400 * time.Millisecond
 )
 
 // Claim is the newest claim in the log.
