--- /dev/null
+++ b/pkg/admit/shed_test.go
@@ -0,0 +1,59 @@
+package admit
+
+import (
+	"testing"
+	"time"
+)
+
+// Replays half of the endpoints lost under full load: twice the requests that the rest can serve, for a minute.
+// Without shedding the queue grows and every answer is late. With it, what can be served is served on time.
+func TestOverloadServesOnTimeWhatItCan(t *testing.T) {
+	const (
+		objective = 600 * time.Millisecond
+		work      = 20 * time.Millisecond
+		gap       = 10 * time.Millisecond
+		requests  = 6000
+	)
+	run := func(shed bool) (onTime, late, refused int) {
+		var free time.Duration
+		for i := range requests {
+			now := time.Duration(i) * gap
+			wait := max(free-now, 0)
+			expected := wait + work
+			if shed && Shed(Offer{Expected: expected, Objective: objective, Running: int(wait / work)}) > 0 {
+				refused++
+				continue
+			}
+			free = max(free, now) + work
+			if expected <= objective {
+				onTime++
+			} else {
+				late++
+			}
+		}
+		return onTime, late, refused
+	}
+	onTime, late, refused := run(true)
+	// The endpoint serves half of the requests; nine tenths of those are to be on time.
+	if least := requests / 2 * 9 / 10; onTime < least || late > 0 {
+		t.Errorf("%d on time, %d late, %d refused; want at least %d on time and none late", onTime, late, refused, least)
+	}
+	if onTime, late, _ := run(false); onTime > late {
+		t.Errorf("the load is no overload: %d on time, %d late without shedding", onTime, late)
+	}
+}
+
+// Guards against refusals while places are free, for instance on an endpoint that was slow a moment ago.
+func TestNothingIsShedWhilePlacesAreFree(t *testing.T) {
+	slow := Offer{Expected: 5 * time.Second, Objective: 600 * time.Millisecond, Running: shedRunning - 1}
+	if Shed(slow) != 0 {
+		t.Error("refused though few requests run")
+	}
+	if Shed(Offer{Expected: time.Minute, Running: 500}) != 0 {
+		t.Error("refused though the route names no objective")
+	}
+	full := Offer{Age: 100 * time.Millisecond, Expected: 700 * time.Millisecond, Objective: 600 * time.Millisecond, Running: 40}
+	if got := Shed(full); got != 200*time.Millisecond {
+		t.Errorf("late by %v, want 200 ms", got)
+	}
+}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/corneldeal/corneldeal/pkg/admit"
 	"github.com/corneldeal/corneldeal/pkg/crashguard"
 	"github.com/corneldeal/corneldeal/pkg/httpcall"
 	"github.com/corneldeal/corneldeal/pkg/ingress"
@@ -122,6 +123,10 @@
 			return nil, refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeQueueFull, "the answer would be late").
 				After(choice.Expected - left + noEndpointRetry)
 		}
+		if late := shed(r, s, choice, now); late > 0 {
+			return nil, refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeOverloaded, "the engines are overloaded").
+				After(late)
+		}
 		if r.tries == 0 {
 			g.retryBudget(name).First(now)
 		}
@@ -133,6 +138,16 @@
 		After(noEndpointRetry)
 }
 
+// shed returns by how much a new request would be late on overloaded engines.
+func shed(r *request, s *traffic.Service, c place.Choice, now time.Time) time.Duration {
+	if s.Engine == nil || r.tries > 0 {
+		return 0
+	}
+	return admit.Shed(admit.Offer{
+		Age: now.Sub(r.arrived), Expected: c.Expected, Objective: r.route.Objective, Running: c.Running,
+	})
+}
+
 // mayRetry decides whether another endpoint is tried.
 func (g *Gateway) mayRetry(r *request, t *target, res result) bool {
 	if res.notRun {
