Wait for endpoints' records instead of polling, log the inputs' ages

Cause: the endpoints' stream is quiet while nothing changes, so polling cost calls and a change was up to 0.65 s old.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -249,10 +249,12 @@
 	g.mu.Lock()
 	g.placer.Done(r.id, res.outcome, now)
 	g.noteCrash(r, t, res, now)
+	listAge := now.Sub(g.streams[EndpointStream].readAt)
 	g.mu.Unlock()
 	line := g.book.line(partRequest).Str("request", r.call.ID).Int("try", r.tries).
 		Str("endpoint", t.choice.Endpoint.ID).Int64("config", r.version).Int64("weights", t.choice.Version).
 		Int("running", t.choice.Running).Int("missing", t.choice.Missing).Int("candidates", t.choice.Candidates).
+		Str("fetch_from", t.choice.FetchFrom).Dur("list_age_ms", listAge).
 		Dur("expected_ms", t.choice.Expected).Dur("took_ms", now.Sub(started)).Str("outcome", outcomeNames[res.outcome]).
 		Bool("not_run", res.notRun)
 	if res.err != nil {
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -15,9 +15,13 @@
 const (
 	// operatorWait is the longest wait of one read of the operator's records, which are rare.
 	operatorWait = 20 * time.Second
-	// endpointPause is the pause between two reads of the endpoints' records. Heartbeats come many times a second,
-	// so a waiting read would return at once.
-	endpointPause = 650 * time.Millisecond
+	// endpointWait is the longest wait of one read of the endpoints' records. It is short, since a reader whose calls
+	// hang has to notice.
+	endpointWait = 1500 * time.Millisecond
+	// endpointPause is the pause between two reads, so that many changes come in few calls.
+	endpointPause = 300 * time.Millisecond
+	// askPause is the pause between two questions to a reader.
+	askPause = 500 * time.Millisecond
 	// storeTimeout bounds a call to the store beyond its wait.
 	storeTimeout = 1200 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed call.
@@ -40,6 +44,8 @@
 	records map[string]Record
 	// changed is the offset of the last record of a key that changed more than a heartbeat does.
 	changed map[string]int64
+	// readAt is when the stream was last read, from the store or a peer.
+	readAt time.Time
 	// okAt is when the store last answered on the stream, and failing whether it failed since.
 	okAt    time.Time
 	failing bool
@@ -177,6 +183,7 @@
 	}
 	st := g.streams[s]
 	st.next = max(st.next, next)
+	st.readAt = steady.Now()
 }
 
 // keep remembers a record for peers. It reports false for one that is not newer.
@@ -220,6 +227,7 @@
 	}
 	g.limiter.Configure(limits, steady.Now())
 	g.config.Store(c)
+	g.configAt = steady.Now()
 	g.meters.count("configurations_total")
 	g.book.line(partConfig).Int64("version", c.Version).Int64("offset", offset).Int("routes", len(c.Routes)).
 		Int("workspaces", len(c.Workspaces)).Msg("configuration in force")
@@ -281,12 +289,12 @@
 	pause := retryFirst
 	for g.ctx.Err() == nil {
 		if g.askReader() {
-			if !g.sleep(jitter(endpointPause)) {
+			if !g.sleep(jitter(askPause)) {
 				return
 			}
 			continue
 		}
-		if err := g.readStream(EndpointStream, 0); err != nil {
+		if err := g.readStream(EndpointStream, endpointWait); err != nil {
 			if !g.sleep(jitter(pause)) {
 				return
 			}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -99,6 +99,8 @@
 	named map[string][]place.Naming
 	claim issuer.Claim
 	loads map[string]*loadState
+	// configAt is when the configuration in force was applied.
+	configAt time.Time
 	// storeFailedAt is when a call to the store last failed, or zero.
 	storeFailedAt time.Time
 	// loading is what this VM, as the holder, is emptying or loading.
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -367,7 +367,7 @@
 		p = &peerState{vm: d.GetVm(), boot: d.GetBoot()}
 		g.peers[d.GetVm()] = p
 		g.wake()
-	} else if !p.live(now) {
+	} else if now.Sub(p.heard) >= silentAfter {
 		g.book.line(partPeer).Str("peer", p.vm).Dur("silent_ms", now.Sub(p.heard)).Msg("peer is back")
 	}
 	p.sequence = d.GetSequence()
@@ -537,6 +537,9 @@
 	}
 	behind := reader.endpointOffset > g.streams[EndpointStream].next
 	vm, address := reader.vm, reader.address
+	if !behind {
+		g.streams[EndpointStream].readAt = reader.heard
+	}
 	g.mu.Unlock()
 	if !behind {
 		return true
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/valyala/fasthttp"
 
 	"github.com/corneldeal/corneldeal/pkg/admit"
@@ -56,6 +57,8 @@
 	deadline  time.Time
 	cost      int64
 	charged   bool
+	// level is the stock of the workspace's rate after the charge.
+	level int64
 	// sends counts the endpoints that may have run the request, tries all attempts.
 	sends, tries int
 	excluded     []string
@@ -158,6 +161,7 @@
 	}
 	g.mu.Lock()
 	ok, wait := g.limiter.Take(r.workspace.Name, r.cost, r.arrived)
+	r.level = g.limiter.Level(r.workspace.Name, r.arrived)
 	g.mu.Unlock()
 	if !ok {
 		return refusal.New(fasthttp.StatusTooManyRequests, refusal.CodeRateLimited, "the workspace is over its rate").
@@ -188,12 +192,7 @@
 	line := g.book.line(partRequest).Str("request", r.call.ID).Str("outcome", "refused").Int("status", e.Status).
 		Str("code", string(e.Code)).Str("run_state", string(e.RunState)).Int64("config", r.version).
 		Int("tries", r.tries).Dur("age_ms", steady.Since(r.arrived)).Dur("expected_ms", r.expected)
-	if r.route != nil {
-		line.Str("route", r.route.Name)
-	}
-	if r.workspace != nil {
-		line.Str("workspace", r.workspace.Name)
-	}
+	g.logInputs(line, r)
 	resp := &fasthttp.Response{}
 	resp.SetStatusCode(e.Status)
 	g.platform.Wire.Identify(&resp.Header, r.call.ID)
@@ -208,6 +207,31 @@
 	r.x.Respond(resp)
 }
 
+// logInputs adds what a decision rested on and how old it is.
+func (g *Gateway) logInputs(line *log.Entry, r *request) {
+	if line == nil {
+		return
+	}
+	now := steady.Now()
+	g.mu.Lock()
+	listAge := now.Sub(g.streams[EndpointStream].readAt)
+	configAge := now.Sub(g.configAt)
+	peers := 0
+	for _, p := range g.peers {
+		if p.live(now) {
+			peers++
+		}
+	}
+	g.mu.Unlock()
+	line.Dur("config_age_ms", configAge).Dur("list_age_ms", listAge).Int("peers", peers)
+	if r.route != nil {
+		line.Str("route", r.route.Name)
+	}
+	if r.workspace != nil {
+		line.Str("workspace", r.workspace.Name).Int64("cost", r.cost).Int64("level", r.level)
+	}
+}
+
 // placement returns the request as the placer sees it.
 func (g *Gateway) placement(r *request, s *traffic.Service) *place.Request {
 	p := &place.Request{ID: r.id, Exclude: r.excluded}
--- a/pkg/share/limiter.go
+++ b/pkg/share/limiter.go
@@ -159,6 +159,15 @@
 	return false, min(wait, maxWait)
 }
 
+// Level returns the stock that is believed to be left over all VMs, or zero where there is no limit.
+func (l *Limiter) Level(workspace string, now time.Time) int64 {
+	b := l.buckets[workspace]
+	if b == nil {
+		return 0
+	}
+	return int64(b.level - l.unheard(workspace, now))
+}
+
 // unheard returns what the peers should have admitted since their last words, at the rate of those.
 func (l *Limiter) unheard(workspace string, now time.Time) float64 {
 	sum := 0.0
