--- /dev/null
+++ b/pkg/gateway/digest.go
@@ -0,0 +1,216 @@
+package gateway
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/corneldeal/corneldeal/pkg/gossip"
+	"github.com/corneldeal/corneldeal/pkg/steady"
+)
+
+const (
+	// digestPause is the pause between two digests to a peer in a small system.
+	digestPause = 250 * time.Millisecond
+	// digestPausePerPeer stretches the pause so that a large system's digests stay within the bytes for control.
+	digestPausePerPeer = 20 * time.Millisecond
+	// kickPause is the least time between two digests.
+	kickPause = 25 * time.Millisecond
+	// dropAfter is the age at which digests to a silent address become rare.
+	dropAfter = 30 * time.Second
+	// rareDigests is the share of digests that a silent address still gets.
+	rareDigests = 40
+	// departuresFor is the time for which a departure is told to peers.
+	departuresFor = 8 * time.Second
+	// crashesFor is the time for which a crash is told to peers.
+	crashesFor = 3 * time.Second
+	// namingsFor is the time for which peers are told when a version was named.
+	namingsFor = 60 * time.Second
+)
+
+// sendDigests tells the peers what this VM knows, regularly and when something changed.
+func (g *Gateway) sendDigests() {
+	var sequence uint64
+	for {
+		g.mu.Lock()
+		pause := max(digestPause, time.Duration(len(g.contacts))*digestPausePerPeer)
+		g.mu.Unlock()
+		if !g.sleep(kickPause) {
+			return
+		}
+		select {
+		case <-g.ctx.Done():
+			return
+		case <-g.kick:
+		case <-time.After(pause - kickPause):
+		}
+		sequence++
+		g.sendDigest(sequence)
+	}
+}
+
+func (g *Gateway) sendDigest(sequence uint64) {
+	now := steady.Now()
+	g.mu.Lock()
+	g.tick(now)
+	digest := g.digest(sequence, now)
+	to := g.recipients(sequence, now)
+	g.mu.Unlock()
+	datagram, err := gossip.Encode(digest)
+	if err != nil || len(datagram) > gossip.MaxDigestBytes {
+		g.book.warn(partPeer).Int("bytes", len(datagram)).Err(err).Msg("digest not sent")
+		return
+	}
+	for _, address := range to {
+		if err := g.socket.Send(address, datagram); err != nil {
+			g.meters.count("digest_send_errors_total")
+		}
+	}
+	g.meters.counters.Add("digest_bytes_total", int64(len(datagram)*len(to)))
+}
+
+// sendLeaving tells the peers that this process ends.
+func (g *Gateway) sendLeaving() {
+	now := steady.Now()
+	g.mu.Lock()
+	digest := g.digest(1<<62, now)
+	to := g.recipients(0, now)
+	g.mu.Unlock()
+	digest.Leaving = true
+	datagram, err := gossip.Encode(digest)
+	if err != nil {
+		g.book.warn(partPeer).Err(err).Msg("digest not sent")
+		return
+	}
+	for _, address := range to {
+		if err := g.socket.Send(address, datagram); err != nil {
+			g.meters.count("digest_send_errors_total")
+		}
+	}
+}
+
+// recipients returns the addresses for this digest. Addresses that were silent for long get few. The caller holds
+// the lock.
+func (g *Gateway) recipients(sequence uint64, now time.Time) []netip.AddrPort {
+	var out []netip.AddrPort
+	for vm, ip := range g.contacts {
+		p := g.peers[vm]
+		if p != nil && now.Sub(p.heard) > dropAfter && sequence%rareDigests != 0 {
+			continue
+		}
+		addr, err := netip.ParseAddr(ip)
+		if err != nil {
+			delete(g.contacts, vm)
+			continue
+		}
+		out = append(out, netip.AddrPortFrom(addr, uint16(g.settings.PeerPort)))
+	}
+	return out
+}
+
+// tick ages what is known. The caller holds the lock.
+func (g *Gateway) tick(now time.Time) {
+	g.limiter.Tick(now)
+	for _, id := range g.endpoints.Expire(now) {
+		g.endpointLeft(id, "not back after the store's return", 0)
+	}
+	g.placer.Forget(func(id string) bool { return g.endpoints.Get(id) != nil })
+	loading := slices.Clone(g.loading)
+	for vm, p := range g.peers {
+		if now.Sub(p.heard) > forgetAfter {
+			g.placer.SetPeer(vm, nil)
+			continue
+		}
+		loading = append(loading, p.loading...)
+	}
+	g.placer.SetLoading(loading)
+}
+
+// digest builds the word of this VM. The caller holds the lock.
+func (g *Gateway) digest(sequence uint64, now time.Time) *gossip.Digest {
+	op, ep := g.streams[OperatorStream], g.streams[EndpointStream]
+	d := &gossip.Digest{
+		Vm:             g.settings.VM,
+		Boot:           g.boot,
+		Sequence:       sequence,
+		Address:        g.settings.Address,
+		DataCentre:     g.settings.DataCentre,
+		OperatorOffset: op.next,
+		EndpointOffset: ep.next,
+		StoreAgeMs:     g.storeAge(now).Milliseconds(),
+		UptimeMs:       now.Sub(g.started).Milliseconds(),
+		Leaving:        g.leaving.Load(),
+		Loading:        g.loading,
+	}
+	if last := g.right.LastOrder(); !last.IsZero() {
+		d.LastOrderAgeMs = proto.Int64(now.Sub(last).Milliseconds())
+	}
+	for _, u := range g.limiter.Usage(now) {
+		d.Usage = append(d.Usage, &gossip.Usage{Workspace: u.Workspace, Admitted: u.Admitted, Level: u.Level})
+	}
+	for id, l := range g.placer.Own() {
+		d.Loads = append(d.Loads, &gossip.Load{
+			Endpoint: id, Running: int32(l.Running), Unread: int32(l.Unread), Memory: int32(l.Memory),
+		})
+	}
+	for _, dep := range g.endpoints.Departures(now.Add(-departuresFor)) {
+		d.Departures = append(d.Departures, &gossip.Departure{Endpoint: dep.ID, Offset: dep.Offset})
+	}
+	for _, c := range g.crashes.Recent(now.Add(-crashesFor)) {
+		d.Accusations = append(d.Accusations, &gossip.Accusation{Fingerprint: c.Fingerprint, Crashed: c.Endpoint})
+	}
+	d.Versions = g.learnedVersions()
+	d.Namings = g.recentNamings(now)
+	for _, vm := range slices.Sorted(maps.Keys(g.peers)) {
+		if p := g.peers[vm]; p.live(now) {
+			d.Neighbours = append(d.Neighbours, &gossip.Neighbour{Vm: vm, Address: p.address})
+		}
+	}
+	return d
+}
+
+// recentNamings returns the versions whose time matters for placement. The caller holds the lock.
+func (g *Gateway) recentNamings(now time.Time) []*gossip.Naming {
+	var out []*gossip.Naming
+	for model, known := range g.named {
+		for _, n := range known {
+			if age := now.Sub(n.At); age < namingsFor {
+				out = append(out, &gossip.Naming{Model: model, Version: n.Version, AgeMs: age.Milliseconds()})
+			}
+		}
+	}
+	return out
+}
+
+// storeAge returns the age of the store's last answer, zero while no call has failed since, and large where it never
+// answered. The caller holds the lock.
+func (g *Gateway) storeAge(now time.Time) time.Duration {
+	newest := g.streams[OperatorStream].okAt
+	if at := g.streams[EndpointStream].okAt; at.After(newest) {
+		newest = at
+	}
+	switch {
+	case newest.IsZero():
+		return time.Hour
+	case newest.After(g.storeFailedAt):
+		// A waiting read may be under way; nothing shows that it will fail.
+		return 0
+	}
+	return now.Sub(newest)
+}
+
+// learnedVersions returns the weight versions that are newer than the endpoints' own records tell.
+func (g *Gateway) learnedVersions() []*gossip.Version {
+	var out []*gossip.Version
+	for model := range g.named {
+		for _, e := range g.enginesOf(model) {
+			if v := g.placer.KnownVersion(e, model); v > e.Versions[model] && v <= g.newestOf(model) {
+				out = append(out, &gossip.Version{Endpoint: e.ID, Born: e.Born, Model: model, Version: v})
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/gateway/relay.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/corneldeal/corneldeal/pkg/gossip"
+	"github.com/corneldeal/corneldeal/pkg/steady"
+)
+
+const (
+	// relayLag is the time for which peers may know more than this VM before it asks one.
+	relayLag = 300 * time.Millisecond
+)
+
+// relayWhileFailing asks a peer for records while the store fails.
+func (g *Gateway) relayWhileFailing(s Stream) {
+	now := steady.Now()
+	g.mu.Lock()
+	var best *peerState
+	for _, p := range g.peers {
+		if !p.live(now) {
+			continue
+		}
+		ahead := p.operatorOffset > g.streams[OperatorStream].next
+		if s == EndpointStream {
+			ahead = p.endpointOffset > g.streams[EndpointStream].next
+		}
+		if ahead && (best == nil || p.storeAt.After(best.storeAt)) {
+			best = p
+		}
+	}
+	g.mu.Unlock()
+	if best != nil {
+		g.fetchFrom(best.vm, best.address)
+	}
+}
+
+// fetchFrom asks a peer for what it has read from the store. It reports whether the peer answered.
+func (g *Gateway) fetchFrom(vm, address string) bool {
+	g.mu.Lock()
+	req := &gossip.StateRequest{
+		OperatorOffset: g.streams[OperatorStream].next,
+		EndpointOffset: g.streams[EndpointStream].next,
+	}
+	g.mu.Unlock()
+	resp, err := g.relays.State(g.ctx, g.peerAddress(address), req)
+	if err != nil {
+		g.meters.count("relay_errors_total")
+		g.book.warn(partPeer).Str("peer", vm).Err(err).Msg("relay failed")
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.apply(OperatorStream, fromWire(resp.GetOperator()), resp.GetOperatorOffset())
+	g.apply(EndpointStream, fromWire(resp.GetEndpoints()), resp.GetEndpointOffset())
+	if resp.GetEndpointOffset() > 0 {
+		g.streams[EndpointStream].synced = true
+	}
+	if resp.GetOperatorOffset() > 0 {
+		g.streams[OperatorStream].synced = true
+	}
+	return true
+}
+
+func fromWire(records []*gossip.Record) []Record {
+	out := make([]Record, 0, len(records))
+	for _, r := range records {
+		out = append(out, Record{Key: r.GetKey(), Offset: r.GetOffset(), Value: r.GetValue()})
+	}
+	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	return out
+}
+
+// askReader lets one of the VMs that read the endpoints' records tell what is new. It reports false where this VM
+// has to read itself.
+func (g *Gateway) askReader() bool {
+	now := steady.Now()
+	g.mu.Lock()
+	if !g.streams[EndpointStream].synced {
+		g.mu.Unlock()
+		return false
+	}
+	able := []string{g.settings.VM}
+	for vm, p := range g.peers {
+		if p.able(now) {
+			able = append(able, vm)
+		}
+	}
+	slices.Sort(able)
+	able = able[:min(len(able), readers)]
+	if slices.Contains(able, g.settings.VM) {
+		g.mu.Unlock()
+		return false
+	}
+	reader := g.peers[able[0]]
+	for _, vm := range able {
+		if g.peers[vm].dataCentre == g.settings.DataCentre {
+			reader = g.peers[vm]
+		}
+	}
+	behind := reader.endpointOffset > g.streams[EndpointStream].next
+	vm, address := reader.vm, reader.address
+	if !behind {
+		g.streams[EndpointStream].readAt = reader.heard
+	}
+	g.mu.Unlock()
+	if !behind {
+		return true
+	}
+	return g.fetchFrom(vm, address)
+}
+
+// relayService implements gossip.Relay.
+type relayService struct {
+	g *Gateway
+}
+
+// State implements gossip.Relay.
+func (s relayService) State(_ context.Context, req *gossip.StateRequest) (*gossip.StateResponse, error) {
+	g := s.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	op, ep := g.streams[OperatorStream], g.streams[EndpointStream]
+	resp := &gossip.StateResponse{
+		Operator:  op.after(req.GetOperatorOffset()),
+		Endpoints: ep.after(req.GetEndpointOffset()),
+	}
+	if op.synced {
+		resp.OperatorOffset = op.next
+	}
+	if ep.synced {
+		resp.EndpointOffset = ep.next
+	}
+	return resp, nil
+}
+
+// after returns the newest records of the keys that changed at or after an offset.
+func (st *streamState) after(offset int64) []*gossip.Record {
+	var out []*gossip.Record
+	for key, changed := range st.changed {
+		if changed >= offset {
+			r := st.records[key]
+			out = append(out, &gossip.Record{Key: key, Offset: r.Offset, Value: r.Value})
+		}
+	}
+	return out
+}
