--- a/pkg/gateway/digest.go
+++ b/pkg/gateway/digest.go
@@ -21,6 +21,8 @@
 	kickPause = 25 * time.Millisecond
 	// dropAfter is the age at which digests to a silent address become rare.
 	dropAfter = 30 * time.Second
+	// lastSequence is the number of a process's last digest.
+	lastSequence = 1 << 62
 	// rareDigests is the share of digests that a silent address still gets.
 	rareDigests = 40
 	// departuresFor is the time for which a departure is told to peers.
@@ -59,30 +61,24 @@
 	digest := g.digest(sequence, now)
 	to := g.recipients(sequence, now)
 	g.mu.Unlock()
-	datagram, err := gossip.Encode(digest)
-	if err != nil || len(datagram) > gossip.MaxDigestBytes {
-		g.book.warn(partPeer).Int("bytes", len(datagram)).Err(err).Msg("digest not sent")
-		return
-	}
-	for _, address := range to {
-		if err := g.socket.Send(address, datagram); err != nil {
-			g.meters.count("digest_send_errors_total")
-		}
-	}
-	g.meters.counters.Add("digest_bytes_total", int64(len(datagram)*len(to)))
+	g.broadcast(digest, to)
 }
 
 // sendLeaving tells the peers that this process ends.
 func (g *Gateway) sendLeaving() {
 	now := steady.Now()
 	g.mu.Lock()
-	digest := g.digest(1<<62, now)
+	digest := g.digest(lastSequence, now)
 	to := g.recipients(0, now)
 	g.mu.Unlock()
 	digest.Leaving = true
+	g.broadcast(digest, to)
+}
+
+func (g *Gateway) broadcast(digest *gossip.Digest, to []netip.AddrPort) {
 	datagram, err := gossip.Encode(digest)
-	if err != nil {
-		g.book.warn(partPeer).Err(err).Msg("digest not sent")
+	if err != nil || len(datagram) > gossip.MaxDigestBytes {
+		g.book.warn(partPeer).Int("bytes", len(datagram)).Err(err).Msg("digest not sent")
 		return
 	}
 	for _, address := range to {
@@ -90,6 +86,7 @@
 			g.meters.count("digest_send_errors_total")
 		}
 	}
+	g.meters.counters.Add("digest_bytes_total", int64(len(datagram)*len(to)))
 }
 
 // recipients returns the addresses for this digest. Addresses that were silent for long get few. The caller holds
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -115,7 +115,7 @@
 		usage = append(usage, share.Usage{Workspace: u.GetWorkspace(), Admitted: u.GetAdmitted(), Level: u.GetLevel()})
 	}
 	g.limiter.Heard(p.vm, p.boot, usage, now)
-	if p.leaving && d.GetSequence() == 1<<62 {
+	if p.leaving && d.GetSequence() == lastSequence {
 		g.limiter.Left(p.vm)
 	}
 	loads := make(map[string]place.Load, len(d.GetLoads()))
