--- a/cmd/corneldeal/timeline.go
+++ b/cmd/corneldeal/timeline.go
@@ -23,15 +23,19 @@
 	return &cli.Command{
 		Name:  "timeline",
 		Usage: "merge the events of all VMs into one order",
-		Description: "The settings file of any VM names the VM list and holds the peer token. Events of a VM that does\n" +
-			"not answer are missing; the command says so.",
+		ArgsUsage: "[LOG...]",
+		Description: "With log files of gateways, their lines are merged. Otherwise the settings file of any VM names the\n" +
+			"VM list and holds the peer token; events of a VM that does not answer are missing, and the command says so.",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`", Required: true},
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`, needed without log files"},
 			&cli.DurationFlag{Name: "last", Usage: "how far back to look", Value: time.Minute},
 			&cli.StringFlag{Name: "format", Usage: "text, or trace for a trace viewer", Value: "text"},
 			&cli.StringFlag{Name: "request", Usage: "only events of the request with this `ID`"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Args().Present() {
+				return printLogs(c)
+			}
 			s, problems := settings.Load(c.String("settings"))
 			if printProblems(problems) > 0 {
 				return &exitError{status: exitInvalid, message: fmt.Sprintf("%d problems found", len(problems))}
@@ -49,6 +53,17 @@
 	}
 }
 
+func printLogs(c *cli.Command) error {
+	unreadable, err := mergeLogs(c.Root().Writer, c.Args().Slice(), c.String("request"))
+	if err != nil {
+		return err
+	}
+	if unreadable > 0 {
+		_, err = fmt.Fprintln(c.Root().ErrWriter, unreadable, "lines are no log lines and were left out")
+	}
+	return err
+}
+
 func timelineWriter(format string) (func(io.Writer, []timeline.Event) error, error) {
 	switch format {
 	case "text":
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -190,7 +190,8 @@
 	}
 	metrics, err := g.listen(fmt.Sprintf("%s:%d", g.settings.Address, g.settings.MetricsPort))
 	if err != nil {
-		return err
+		// Callers can be served without the metrics page.
+		g.book.warn(partProcess).Err(err).Msg("no metrics page")
 	}
 	peers, err := g.listen(g.peerAddress(g.settings.Address))
 	if err != nil {
@@ -198,7 +199,9 @@
 	}
 	g.run(func() { g.serveOn("callers", func() error { return g.ingress.Serve(callers) }) })
 	g.run(func() { g.serveOn("ready", func() error { return g.control.Serve(ready) }) })
-	g.run(func() { g.serveOn("metrics", func() error { return g.control.Serve(metrics) }) })
+	if metrics != nil {
+		g.run(func() { g.serveOn("metrics", func() error { return g.control.Serve(metrics) }) })
+	}
 	g.run(func() { g.serveOn("peers", func() error { return g.relay.Serve(peers) }) })
 	g.run(g.followOperator)
 	g.run(g.followEndpoints)
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 	"net/netip"
 	"os"
@@ -29,13 +30,14 @@
 	FirstStart bool `yaml:"first_start"`
 	// StoreAddress is IP:port of the platform's store.
 	StoreAddress string `yaml:"store_address"`
-	MemoryMB     int    `yaml:"memory_mb"`
-	Descriptors  int    `yaml:"descriptors"`
-	// GraceSeconds is the time between SIGTERM and SIGKILL.
+	// MemoryMB and Descriptors are the limits of the process. Default 128 and 1,024.
+	MemoryMB    int `yaml:"memory_mb"`
+	Descriptors int `yaml:"descriptors"`
+	// GraceSeconds is the time between SIGTERM and SIGKILL. Default 8.
 	GraceSeconds float64 `yaml:"grace_s"`
-	// LeaseMs is the time within which two VMs must not give orders in turns.
+	// LeaseMs is the time within which two VMs must not give orders in turns. Default 3,000.
 	LeaseMs float64 `yaml:"lease_ms"`
-	// VersionMs is the time after which no request may start on weights that were replaced.
+	// VersionMs is the time after which no request may start on weights that were replaced. Default 15,000.
 	VersionMs float64 `yaml:"version_ms"`
 	// LogLevel is debug, info, warn or error. Default info.
 	LogLevel string `yaml:"log_level"`
@@ -67,13 +69,32 @@
 
 // ParseGateway checks the settings in data. The file name is used in problems only.
 func ParseGateway(file string, data []byte) (Gateway, []Problem) {
-	g := Gateway{LogLevel: DefaultLogLevel}
+	g := Gateway{}
 	if err := yaml.Unmarshal(data, &g); err != nil {
 		return g, []Problem{{File: file, Line: lineOf(err), Key: "-", Message: firstLine(err), Expected: "YAML of the known types"}}
 	}
+	g.setDefaults()
 	return g, g.problems(file)
 }
 
+// Defaults of a gateway's settings that a deployment may leave out.
+const (
+	DefaultGraceSeconds = 8
+	DefaultLeaseMs      = 3000
+	DefaultVersionMs    = 15000
+	DefaultDescriptors  = 1024
+	DefaultMemoryMB     = 128
+)
+
+func (g *Gateway) setDefaults() {
+	g.LogLevel = cmp.Or(g.LogLevel, DefaultLogLevel)
+	g.GraceSeconds = cmp.Or(g.GraceSeconds, DefaultGraceSeconds)
+	g.LeaseMs = cmp.Or(g.LeaseMs, DefaultLeaseMs)
+	g.VersionMs = cmp.Or(g.VersionMs, DefaultVersionMs)
+	g.Descriptors = cmp.Or(g.Descriptors, DefaultDescriptors)
+	g.MemoryMB = cmp.Or(g.MemoryMB, DefaultMemoryMB)
+}
+
 func (g *Gateway) problems(file string) []Problem {
 	r := &reader{file: file}
 	need := func(ok bool, key, expected string, value any) {
