--- a/pkg/limit/limiter.go
+++ b/pkg/limit/limiter.go
@@ -1,7 +1,6 @@
 package limit
 
 import (
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -24,8 +23,6 @@
 	// to start full. A VM in contact with the log is at most 3 s behind, so no other VM can have held the slot
 	// and filled its bucket under the same release note.
 	ownedBefore = 10 * time.Second
-	// Never is returned by WaitFor when no waiting helps.
-	Never = time.Duration(math.MaxInt64)
 )
 
 // Workspace is the limit of one workspace.
@@ -392,19 +389,6 @@
 	return tokens
 }
 
-// WaitFor estimates the time until the tokens are available over all VMs, from the own stock, the hints of peers
-// and the rate. Zero means now. Never means that waiting does not help.
-func (l *Limiter) WaitFor(name string, tokens int64, now time.Time) time.Duration {
-	if l.check(name, tokens) != Granted {
-		return Never
-	}
-	have := l.stock(name, now) + l.hinted(name, now)
-	if have >= tokens {
-		return 0
-	}
-	return mintTime(tokens-have, l.workspaces[name].rate)
-}
-
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/pkg/limit/limiter_test.go
+++ b/pkg/limit/limiter_test.go
@@ -103,12 +103,6 @@
 	if g, _ := l.Take("w", 101, at(time.Minute)); g.Outcome != AboveBurst || len(g.Parts) != 0 {
 		t.Fatalf("got %+v", g)
 	}
-	if d := l.WaitFor("w", 101, start); d != Never {
-		t.Fatalf("waits %v", d)
-	}
-	if d := l.WaitFor("w", 25, start); d != 2500*time.Millisecond {
-		t.Fatalf("waits %v for 25 tokens at 10/s", d)
-	}
 }
 
 // TestLowerLimitAppliesAtOnce guards against a stock above a burst that was lowered.
--- a/pkg/route/filter.go
+++ b/pkg/route/filter.go
@@ -22,12 +22,9 @@
 	return !slices.Contains(r.Exclude, c.Name)
 }
 
-// aloneFilter drops endpoints reserved for a suspected request, and for a suspected request all that are busy.
-type aloneFilter struct{}
-
-func (aloneFilter) Keep(c *Candidate, r *Request) bool {
-	if c.Reserved {
-		return false
-	}
-	return !r.Alone || c.InFlight < 1
+// reservedFilter drops endpoints on which a suspected request runs alone.
+type reservedFilter struct{}
+
+func (reservedFilter) Keep(c *Candidate, _ *Request) bool {
+	return !c.Reserved
 }
--- a/pkg/route/placement.go
+++ b/pkg/route/placement.go
@@ -22,8 +22,6 @@
 	StoreBlocks int
 	// Exclude names endpoints on which an attempt failed.
 	Exclude []string
-	// Alone asks for an endpoint on which nothing else runs, for a request that is suspected of a crash.
-	Alone bool
 	// Held is the time for which the request was held back so far because of Placement.Wait.
 	Held time.Duration
 }
--- a/pkg/route/placer.go
+++ b/pkg/route/placer.go
@@ -65,7 +65,7 @@
 	options.Transfer.MicrosPerBlock = cmp.Or(options.Transfer.MicrosPerBlock, defaultTransferMicrosPerBlock)
 	p := &Placer{
 		options:  options,
-		filters:  []Filter{servesFilter{}, excludeFilter{}, aloneFilter{}},
+		filters:  []Filter{servesFilter{}, excludeFilter{}, reservedFilter{}},
 		random:   rand.New(rand.NewPCG(options.Seed, 0)),
 		states:   make(map[string]*endpointState),
 		pending:  make(map[uint64]*pending),
