--- a/cmd/corneldeal/timeline.go
+++ b/cmd/corneldeal/timeline.go
@@ -21,8 +21,8 @@
 
 func timelineCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "timeline",
-		Usage: "merge the events of all VMs into one order",
+		Name:      "timeline",
+		Usage:     "merge the events of all VMs into one order",
 		ArgsUsage: "[LOG...]",
 		Description: "With log files of gateways, their lines are merged. Otherwise the settings file of any VM names the\n" +
 			"VM list and holds the peer token; events of a VM that does not answer are missing, and the command says so.",
--- a/pkg/limit/hint.go
+++ b/pkg/limit/hint.go
@@ -69,14 +69,3 @@
 	}
 	return out
 }
-
-// hinted returns the tokens that peers told to have.
-func (l *Limiter) hinted(name string, now time.Time) int64 {
-	tokens := int64(0)
-	for _, h := range l.hints {
-		if now.Sub(h.at) < hintAge {
-			tokens += h.spare[name]
-		}
-	}
-	return tokens
-}
