--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -88,7 +88,7 @@
 		g.refuse(r, refusal.New(fasthttp.StatusBadRequest, refusal.CodeBadRequest, "%s", err.Error()))
 		return
 	}
-	if g.leaving.Load() && r.arrived.UnixNano()-g.leavingSince.Load() > int64(refuseAfter) {
+	if g.stopsTaking(r.arrived) {
 		g.refuse(r, refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeLeaving, "this VM is stopping").
 			After(leavingRetry))
 		return
@@ -118,6 +118,11 @@
 	return crashguard.Fingerprint(workspace, string(r.x.Request.Header.RequestURI()), body)
 }
 
+// stopsTaking reports whether this VM is stopping and takes no more new requests.
+func (g *Gateway) stopsTaking(arrived time.Time) bool {
+	return g.leaving.Load() && arrived.UnixNano()-g.leavingSince.Load() > int64(refuseAfter)
+}
+
 // timeLimit returns the time for the final answer.
 func (g *Gateway) timeLimit(r *request) time.Duration {
 	limit := r.call.Budget
