--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -21,14 +21,14 @@
 const (
 	// maxAnswerBytes bounds an answer that is held before it is passed on.
 	maxAnswerBytes = 8 << 20
-	// patience bounds the wait for the first byte of an idempotent request before another endpoint is tried; it is at
-	// least patienceLeast and patienceFactor times the prediction.
-	patienceLeast  = 900 * time.Millisecond
-	patienceFactor = 4
+	// silenceLeast and silenceFactor times the prediction are the least wait for the first byte of an idempotent request
+	// before another endpoint is tried.
+	silenceLeast  = 900 * time.Millisecond
+	silenceFactor = 4
 )
 
-// errImpatient cancels an attempt at a silent endpoint.
-var errImpatient = errors.New("gateway: endpoint is silent")
+// errSilent cancels an attempt at a silent endpoint.
+var errSilent = errors.New("gateway: endpoint is silent")
 
 // errTimeLimit cancels an attempt at the end of the request's time.
 var errTimeLimit = errors.New("gateway: time limit reached")
@@ -49,23 +49,24 @@
 	defer cancel(nil)
 	limit := time.AfterFunc(r.deadline.Sub(steady.Now()), func() { cancel(errTimeLimit) })
 	defer limit.Stop()
-	patience := g.impatience(r, t, cancel)
-	defer patience.Stop()
+	answering := g.limitSilence(r, t, cancel)
+	defer answering()
 
 	started := steady.Now()
-	res := g.exchange(ctx, r, t, patience)
+	res := g.exchange(ctx, r, t, answering)
 	g.finish(r, t, res, started)
 	return res
 }
 
-// impatience cancels an attempt at an endpoint that stays silent, where the request may be tried elsewhere.
-func (g *Gateway) impatience(r *request, t *target, cancel context.CancelCauseFunc) *time.Timer {
+// limitSilence cancels an attempt at an endpoint that stays silent, where the request may be tried elsewhere. The
+// function that it returns ends the limit, once the endpoint answers.
+func (g *Gateway) limitSilence(r *request, t *target, cancel context.CancelCauseFunc) (answering func()) {
 	if !r.route.Idempotent() || r.sends+1 >= r.route.Attempts {
-		// A timer that never fires keeps the callers simple.
-		return time.AfterFunc(time.Hour, func() {})
+		return func() {}
 	}
-	wait := max(patienceLeast, patienceFactor*t.choice.Expected)
-	return time.AfterFunc(wait, func() { cancel(errImpatient) })
+	wait := max(silenceLeast, silenceFactor*t.choice.Expected)
+	timer := time.AfterFunc(wait, func() { cancel(errSilent) })
+	return func() { timer.Stop() }
 }
 
 // finish records the end of an attempt.
@@ -117,7 +118,7 @@
 }
 
 // exchange sends the request and reads the answer.
-func (g *Gateway) exchange(ctx context.Context, r *request, t *target, patience *time.Timer) result {
+func (g *Gateway) exchange(ctx context.Context, r *request, t *target, answering func()) result {
 	a := Attempt{
 		Endpoint:    t.choice.Endpoint,
 		Remaining:   r.deadline.Sub(steady.Now()),
@@ -137,13 +138,16 @@
 		}
 	}
 	body := r.x.Request.Body()
-	head := g.platform.Wire.Head(&r.x.Request.Header, a, len(body))
-	stream, err := g.http.OpenRaw(ctx, t.choice.Endpoint.Address, head, body)
+	stream, err := g.http.OpenRaw(ctx, t.choice.Endpoint.Address, httpcall.Raw{
+		Head:           g.platform.Wire.Head(&r.x.Request.Header, a, len(body)),
+		Body:           body,
+		NoResponseBody: r.x.Request.Header.IsHead(),
+	})
 	if err != nil {
 		return g.callFailed(ctx, err)
 	}
 	defer stream.Close()
-	return g.readAnswer(ctx, r, t, stream, patience)
+	return g.readAnswer(ctx, r, t, stream, answering)
 }
 
 // callFailed classifies a call without a readable answer.
@@ -166,7 +170,7 @@
 var errBadAnswer = errors.New("gateway: the answer does not belong to the request")
 
 func (g *Gateway) readAnswer(
-	ctx context.Context, r *request, t *target, stream *httpcall.Stream, patience *time.Timer,
+	ctx context.Context, r *request, t *target, stream *httpcall.Stream, answering func(),
 ) result {
 	header := &stream.Response.Header
 	answer := g.platform.Wire.ReadAnswer(header)
@@ -180,25 +184,25 @@
 		return g.refusedByEndpoint(t, stream, answer)
 	}
 	if success && r.route.Kind == traffic.Streaming && isEventStream(header) {
-		return g.pump(ctx, r, t, stream, patience)
+		return g.pump(ctx, r, t, stream, answering)
 	}
-	patience.Stop()
+	answering()
 	g.firstByte(r)
 	resp, err := g.buffer(stream)
 	if err != nil {
 		return g.callFailed(ctx, err)
 	}
-	if !success && r.route.Idempotent() {
+	failed := status >= fasthttp.StatusInternalServerError
+	if failed && r.route.Idempotent() {
 		// Another endpoint may do better; the answer is kept in case none does.
 		r.failure = resp
-		return result{outcome: place.Failed, err: errEndpointStatus}
 	}
-	if r.begun {
+	if r.begun || failed && r.route.Idempotent() {
 		return result{outcome: place.Failed, err: errEndpointStatus}
 	}
 	r.x.Respond(resp)
 	outcome := place.Answered
-	if status >= fasthttp.StatusInternalServerError {
+	if failed {
 		outcome = place.Failed
 	}
 	g.answered(r, status)
@@ -252,6 +256,12 @@
 func (g *Gateway) buffer(stream *httpcall.Stream) (*fasthttp.Response, error) {
 	resp := &fasthttp.Response{}
 	g.platform.Wire.Forward(&stream.Response.Header, &resp.Header)
+	if stream.Response.SkipBody {
+		// The length is that of the body which a GET would get.
+		resp.SkipBody = true
+		resp.Header.SetContentLength(stream.Response.Header.ContentLength())
+		return resp, nil
+	}
 	body, err := io.ReadAll(io.LimitReader(stream, maxAnswerBytes+1))
 	if err != nil {
 		return nil, err
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -300,34 +301,26 @@
 	}
 }
 
-// Limits implements ingress.Handler.
-func (g *Gateway) Limits() ingress.Limits {
-	limits := ingress.Limits{
-		HeaderBytes:   settings.DefaultMaxHeaderBytes,
-		BodyBytes:     settings.DefaultMaxBodyBytes,
-		HeaderTimeout: defaultHeaderTimeout,
-		IdleTimeout:   defaultIdleTimeout,
-	}
-	if c := g.config.Load(); c != nil {
-		limits.HeaderBytes = positive(c.Limits.HeaderBytes, limits.HeaderBytes)
-		limits.BodyBytes = positive(c.Limits.BodyBytes, limits.BodyBytes)
-		limits.HeaderTimeout = positive(c.Limits.HeaderTimeout, limits.HeaderTimeout)
-		limits.IdleTimeout = positive(c.Limits.IdleTimeout, limits.IdleTimeout)
-	}
-	return limits
+// defaultLimits hold until a configuration names others.
+var defaultLimits = traffic.Limits{
+	HeaderBytes:   settings.DefaultMaxHeaderBytes,
+	BodyBytes:     settings.DefaultMaxBodyBytes,
+	HeaderTimeout: 3 * time.Second,
+	IdleTimeout:   15 * time.Second,
 }
 
-// Limits until a configuration is known.
-const (
-	defaultHeaderTimeout = 3 * time.Second
-	defaultIdleTimeout   = 15 * time.Second
-)
-
-func positive[T int | time.Duration](value, otherwise T) T {
-	if value > 0 {
-		return value
+// Limits implements ingress.Handler.
+func (g *Gateway) Limits() traffic.Limits {
+	c := g.config.Load()
+	if c == nil {
+		return defaultLimits
+	}
+	return traffic.Limits{
+		HeaderBytes:   cmp.Or(c.Limits.HeaderBytes, defaultLimits.HeaderBytes),
+		BodyBytes:     cmp.Or(c.Limits.BodyBytes, defaultLimits.BodyBytes),
+		HeaderTimeout: cmp.Or(c.Limits.HeaderTimeout, defaultLimits.HeaderTimeout),
+		IdleTimeout:   cmp.Or(c.Limits.IdleTimeout, defaultLimits.IdleTimeout),
 	}
-	return otherwise
 }
 
 // Malformed implements ingress.Handler.
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -49,14 +49,15 @@
 	x    *ingress.Exchange
 	call Call
 	id   uint64
-	// route, workspace and service are what the configuration in force says; they are checked again before each send.
-	route     *traffic.Route
-	workspace *traffic.Workspace
-	version   int64
-	arrived   time.Time
-	deadline  time.Time
-	cost      int64
-	charged   bool
+	// grant is what the configuration in force allowed when it was last asked, before each send.
+	grant
+	// version is the version of the configuration that was asked last.
+	version  int64
+	arrived  time.Time
+	deadline time.Time
+	cost     int64
+	// charged is the name of the workspace that paid the cost, or empty.
+	charged string
 	// level is the stock of the workspace's rate after the charge.
 	level int64
 	// sends counts the endpoints that may have run the request, tries all attempts.
@@ -77,10 +78,18 @@
 	expected time.Duration
 }
 
+// grant is a route and the workspace that may use it.
+type grant struct {
+	// route is nil until one has matched.
+	route *traffic.Route
+	// workspace is nil where the route needs none.
+	workspace *traffic.Workspace
+}
+
 // Serve implements ingress.Handler.
 func (g *Gateway) Serve(x *ingress.Exchange) {
 	g.meters.count("requests_total")
-	r := &request{x: x, id: g.nextID.Add(1), arrived: steady.Now()}
+	r := &request{x: x, id: g.nextID.Add(1), arrived: x.Arrived}
 	call, err := g.platform.Wire.ReadCall(&x.Request.Header)
 	r.call = call
 	r.lastEventID = call.LastEventID
@@ -135,7 +144,8 @@
 	return limit
 }
 
-// authorize finds the route and the workspace under the configuration in force.
+// authorize asks the configuration in force for the route and the workspace. A refusal leaves the grant as it was, since
+// a request that was charged or answered in part is still ended under it.
 func (g *Gateway) authorize(r *request) *refusal.Error {
 	c := g.config.Load()
 	if c == nil {
@@ -144,14 +154,15 @@
 	}
 	r.version = c.Version
 	path, _, _ := bytes.Cut(r.x.Request.Header.RequestURI(), []byte("?"))
-	r.route = c.Match(string(r.x.Request.Header.Host()), string(path))
-	if r.route == nil {
+	route := c.Match(string(r.x.Request.Header.Host()), string(path))
+	if route == nil {
 		return refusal.New(fasthttp.StatusNotFound, refusal.CodeNoRoute, "no route matches")
 	}
-	r.workspace = c.WorkspaceOf(r.call.Key)
-	if r.workspace == nil && c.Keyed() && !r.route.Public {
+	workspace := c.WorkspaceOf(r.call.Key)
+	if workspace == nil && c.Keyed() && !route.Public {
 		return refusal.New(fasthttp.StatusUnauthorized, refusal.CodeUnauthorized, "the key is not known")
 	}
+	r.grant = grant{route: route, workspace: workspace}
 	return nil
 }
 
@@ -172,19 +183,19 @@
 		return refusal.New(fasthttp.StatusTooManyRequests, refusal.CodeRateLimited, "the workspace is over its rate").
 			After(wait)
 	}
-	r.charged = true
+	r.charged = r.workspace.Name
 	return nil
 }
 
 // refund gives the tokens back of a request that did not run.
 func (g *Gateway) refund(r *request) {
-	if !r.charged {
+	if r.charged == "" {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.limiter.Return(r.workspace.Name, r.cost)
-	r.charged = false
+	g.limiter.Return(r.charged, r.cost)
+	r.charged = ""
 }
 
 // refuse answers with a refusal of the gateway's own.
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -29,7 +28,7 @@
 // pump passes the events of a stream on as they arrive. Only whole events reach the caller, so that another endpoint
 // can go on after the last one.
 func (g *Gateway) pump(
-	ctx context.Context, r *request, t *target, stream *httpcall.Stream, patience *time.Timer,
+	ctx context.Context, r *request, t *target, stream *httpcall.Stream, answering func(),
 ) result {
 	buf := make([]byte, 0, readBytes)
 	chunk := make([]byte, readBytes)
@@ -37,7 +36,7 @@
 		n, err := stream.Read(chunk)
 		buf = append(buf, chunk[:n]...)
 		if end := bytes.LastIndex(buf, eventEnd); end >= 0 {
-			patience.Stop()
+			answering()
 			if sendErr := g.sendEvents(r, t, stream, buf[:end+len(eventEnd)]); sendErr != nil {
 				// The caller cannot be reached, so nothing can be answered.
 				r.x.Abort()
--- a/pkg/httpcall/httpcall.go
+++ b/pkg/httpcall/httpcall.go
@@ -276,6 +276,10 @@
 
 // Read implements io.Reader. io.EOF means that the body ended as the headers announced.
 func (s *Stream) Read(p []byte) (int, error) {
+	if s.body == nil {
+		s.ended = true
+		return 0, io.EOF
+	}
 	n, err := s.body.Read(p)
 	if errors.Is(err, io.EOF) {
 		s.ended = true
--- a/pkg/httpcall/raw.go
+++ b/pkg/httpcall/raw.go
@@ -11,9 +11,16 @@
 // a longer one.
 const inlineBody = 4 << 10
 
-// OpenRaw sends a request whose head is already in wire form and returns after the response headers. A cancelled ctx
-// closes the connection at once, also during later reads. Errors are of type *Error.
-func (c *Client) OpenRaw(ctx context.Context, address string, head, body []byte) (*Stream, error) {
+// Raw is a request in wire form.
+type Raw struct {
+	Head, Body []byte
+	// NoResponseBody tells that the response has no body whatever its headers say, as for HEAD.
+	NoResponseBody bool
+}
+
+// OpenRaw sends a request in wire form and returns after the response headers. A cancelled ctx closes the connection at
+// once, also during later reads. Errors are of type *Error.
+func (c *Client) OpenRaw(ctx context.Context, address string, req Raw) (*Stream, error) {
 	cn := c.take(address)
 	if cn == nil {
 		var err error
@@ -21,9 +28,10 @@
 			return nil, err
 		}
 	}
-	s := &Stream{Response: &fasthttp.Response{StreamBody: true}, client: c, address: address, cn: cn}
+	resp := &fasthttp.Response{StreamBody: true, SkipBody: req.NoResponseBody}
+	s := &Stream{Response: resp, client: c, address: address, cn: cn}
 	s.stop = context.AfterFunc(ctx, func() { _ = cn.Close() })
-	err := s.writeRaw(head, body)
+	err := s.writeRaw(req.Head, req.Body)
 	if err == nil {
 		err = s.Response.Read(cn.reader)
 	}
@@ -36,9 +44,6 @@
 		return nil, &Error{Address: address, Written: true, Err: err}
 	}
 	s.body = s.Response.BodyStream()
-	if s.body == nil {
-		s.ended = true
-	}
 	return s, nil
 }
 
--- a/pkg/ingress/connection.go
+++ b/pkg/ingress/connection.go
@@ -6,20 +6,23 @@
 	"errors"
 	"net"
 	"os"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/corneldeal/corneldeal/pkg/steady"
 )
 
 const (
+	// noRoomRetry is told to callers for whose bodies there is no memory.
+	noRoomRetry = 500 * time.Millisecond
 	// drainLimit bounds the unread bytes that are taken off a refused request before its connection is closed, so
 	// that the close does not reset the response.
 	drainLimit = 256 << 10
 	// drainTime bounds the time for it.
 	drainTime = 300 * time.Millisecond
-	// bodyTimeout bounds the time for a request body after its header.
-	bodyTimeout = 20 * time.Second
 	// writeTimeout bounds one write to a caller that does not read.
 	writeTimeout = 20 * time.Second
 	// writeBufferBytes is the size of the write buffer.
@@ -94,46 +97,18 @@
 	if err := req.Header.Read(c.reader); err != nil {
 		return c.unreadable(headerStatus(err), err.Error())
 	}
-	arrived := time.Now()
+	arrived := steady.Now()
 	if problem := framingProblem(&req.Header); problem != "" {
 		return c.unreadable(fasthttp.StatusBadRequest, problem)
 	}
-	length := max(req.Header.ContentLength(), 0)
-	if length > limits.BodyBytes {
-		return c.unreadable(fasthttp.StatusRequestEntityTooLarge, "body too large")
-	}
-	if !c.server.reserve(length) {
-		return c.unreadable(fasthttp.StatusServiceUnavailable, "no memory for the body")
-	}
-	defer c.server.release(length)
-	if status, err := c.readBody(req, limits); err != nil {
+	body := &bodyReader{conn: c, limit: limits.BodyBytes}
+	defer body.release()
+	if status, err := body.read(req); err != nil {
 		return c.unreadable(status, err.Error())
 	}
 	return c.answer(req, arrived)
 }
 
-func (c *connection) readBody(req *fasthttp.Request, limits Limits) (status int, err error) {
-	if req.Header.ContentLength() == 0 {
-		return 0, nil
-	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
-	if req.MayContinue() {
-		if _, err := c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
-			return fasthttp.StatusBadRequest, err
-		}
-	}
-	err = req.ContinueReadBody(c.reader, limits.BodyBytes, false)
-	switch {
-	case err == nil:
-		return 0, nil
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		return fasthttp.StatusRequestEntityTooLarge, err
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return fasthttp.StatusRequestTimeout, err
-	}
-	return fasthttp.StatusBadRequest, err
-}
-
 // answer runs the handler while it watches for the caller's leaving.
 func (c *connection) answer(req *fasthttp.Request, arrived time.Time) bool {
 	ctx, cancel := context.WithCancelCause(context.Background())
@@ -166,7 +141,7 @@
 	resp.SetStatusCode(status)
 	resp.SetConnectionClose()
 	if status == fasthttp.StatusServiceUnavailable {
-		resp.Header.Set(fasthttp.HeaderRetryAfter, "0.5")
+		resp.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(noRoomRetry.Seconds(), 'f', -1, 64))
 	}
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if resp.Write(c.writer) == nil && c.writer.Flush() == nil {
--- a/pkg/ingress/exchange.go
+++ b/pkg/ingress/exchange.go
@@ -15,7 +15,7 @@
 // Exchange is one request and its response. Exactly one of Respond, and Begin followed by Finish or Abort, ends it.
 type Exchange struct {
 	Request *fasthttp.Request
-	// Arrived is when the header was read.
+	// Arrived is when the header was read, by the steady clock.
 	Arrived time.Time
 
 	conn   *connection
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -12,22 +12,17 @@
 	"time"
 
 	"github.com/panjf2000/ants/v2"
-)
 
-// Limits bound what callers may send. They are read anew for each request.
-type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
-}
+	"github.com/corneldeal/corneldeal/pkg/traffic"
+)
 
 // Handler answers requests.
 type Handler interface {
 	// Serve answers one request by the methods of x before it returns.
 	Serve(x *Exchange)
-	// Limits returns the limits in force.
-	Limits() Limits
+	// Limits returns the limits in force. They are read anew for each request, but for the size of the headers, which
+	// holds for a connection from its start.
+	Limits() traffic.Limits
 	// Malformed tells of a request that was answered with status because it cannot be read.
 	Malformed(status int, reason string)
 }
@@ -55,13 +50,18 @@
 
 // New returns a server that is not listening.
 func New(handler Handler, options Options) (*Server, error) {
-	pool, err := ants.NewPool(options.Connections, ants.WithNonblocking(true))
+	pool, err := ants.NewPool(options.Connections, ants.WithNonblocking(true), ants.WithPanicHandler(stop))
 	if err != nil {
 		return nil, err
 	}
 	return &Server{handler: handler, options: options, pool: pool, conns: map[*connection]struct{}{}}, nil
 }
 
+// stop ends the process after a panic. The pool would go on otherwise, perhaps with a table locked for ever.
+func stop(cause any) {
+	panic(cause)
+}
+
 // acceptPause follows a failed accept, for instance without descriptors.
 const acceptPause = 20 * time.Millisecond
 
--- /dev/null
+++ b/pkg/ingress/server_test.go
@@ -0,0 +1,274 @@
+package ingress
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/corneldeal/corneldeal/pkg/traffic"
+)
+
+// patience bounds every wait of the tests.
+const patience = 20 * time.Second
+
+// echo answers each request with its body. Requests for /wait are answered when their caller has left.
+type echo struct {
+	limits    traffic.Limits
+	left      atomic.Int64
+	malformed atomic.Int64
+	cut       atomic.Bool
+}
+
+func (e *echo) Limits() traffic.Limits {
+	return e.limits
+}
+
+func (e *echo) Malformed(int, string) {
+	e.malformed.Add(1)
+}
+
+func (e *echo) Serve(x *Exchange) {
+	switch string(x.Request.Header.RequestURI()) {
+	case "/wait":
+		<-x.Context().Done()
+		e.left.Add(1)
+		x.Abort()
+	case "/stream":
+		header := &fasthttp.ResponseHeader{}
+		if x.Begin(header) != nil || x.Send([]byte("one")) != nil || x.Send([]byte("two")) != nil {
+			return
+		}
+		if e.cut.Load() {
+			x.Abort()
+			return
+		}
+		x.Finish()
+	default:
+		resp := &fasthttp.Response{}
+		resp.SetBody(x.Request.Body())
+		x.Respond(resp)
+	}
+}
+
+// start serves e on loopback and returns the address.
+func start(t *testing.T, e *echo, options Options) (*Server, string) {
+	t.Helper()
+	if e.limits == (traffic.Limits{}) {
+		e.limits = traffic.Limits{
+			HeaderBytes: 2048, BodyBytes: 100_000, HeaderTimeout: patience, IdleTimeout: patience,
+		}
+	}
+	s, err := New(e, options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		if err := s.Serve(l); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(s.Close)
+	return s, l.Addr().String()
+}
+
+var roomy = Options{Connections: 100, BufferedBytes: 10 << 20}
+
+// ask sends text on a connection of its own and reads one response.
+func ask(t *testing.T, address, text string) (status int, body string, err error) {
+	t.Helper()
+	c := dialTo(t, address)
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	return read(c)
+}
+
+func dialTo(t *testing.T, address string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	if err := c.SetDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func read(c net.Conn) (status int, body string, err error) {
+	resp := &fasthttp.Response{}
+	err = resp.Read(bufio.NewReader(c))
+	return resp.StatusCode(), string(resp.Body()), err
+}
+
+func post(n int) string {
+	return fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", n, strings.Repeat("x", n))
+}
+
+func postChunked(n int) string {
+	return fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", n, strings.Repeat("x", n))
+}
+
+// Guards against bodies of unannounced length being held without a bound: they used not to count.
+func TestBodiesCountAgainstMemory(t *testing.T) {
+	s, address := start(t, &echo{}, Options{Connections: 100, BufferedBytes: 50_000})
+	for _, text := range []string{post(40_000), postChunked(40_000)} {
+		if status, body, err := ask(t, address, text); status != 200 || len(body) != 40_000 || err != nil {
+			t.Fatalf("inside the memory: %d, %d bytes, %v", status, len(body), err)
+		}
+	}
+	for _, text := range []string{post(60_000), postChunked(60_000)} {
+		if status, _, err := ask(t, address, text); status != 503 || err != nil {
+			t.Fatalf("beyond the memory: %d, %v", status, err)
+		}
+	}
+	waitFor(t, "all memory is given back", func() bool { return s.buffered.Load() == 0 })
+}
+
+func TestLimitsOfHeaderAndBody(t *testing.T) {
+	e := &echo{}
+	_, address := start(t, e, roomy)
+	for _, c := range []struct {
+		name, text string
+		status     int
+	}{
+		{"announced body", post(100_001), 413},
+		{"unannounced body", postChunked(100_001), 413},
+		{"header", "GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 3000) + "\r\n\r\n", 431},
+		{"broken chunk", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n\r\n", 400},
+	} {
+		if status, _, err := ask(t, address, c.text); status != c.status || err != nil {
+			t.Errorf("%s: %d, %v; want %d", c.name, status, err, c.status)
+		}
+	}
+	if e.malformed.Load() != 4 {
+		t.Errorf("told of %d of 4", e.malformed.Load())
+	}
+}
+
+// Guards against callers that send a header slowly or stay idle for ever.
+func TestSlowCallersAreEnded(t *testing.T) {
+	e := &echo{limits: traffic.Limits{
+		HeaderBytes: 2048, BodyBytes: 1000, HeaderTimeout: 50 * time.Millisecond, IdleTimeout: 50 * time.Millisecond,
+	}}
+	_, address := start(t, e, roomy)
+	if status, _, err := ask(t, address, "GET / HTTP/1.1\r\nHo"); status != 408 || err != nil {
+		t.Errorf("slow header: %d, %v", status, err)
+	}
+	if _, _, err := ask(t, address, ""); !errors.Is(err, io.EOF) {
+		t.Errorf("idle connection: %v", err)
+	}
+}
+
+func TestCallerThatLeavesCancelsItsRequest(t *testing.T) {
+	e := &echo{}
+	s, address := start(t, e, roomy)
+	c := dialTo(t, address)
+	if _, err := io.WriteString(c, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "the connection is open", func() bool { return s.Open() == 1 })
+	if err := c.Close(); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "the request is cancelled", func() bool { return e.left.Load() == 1 && s.Open() == 0 })
+}
+
+// Guards against the byte that the watch for the caller's leaving reads ahead being lost.
+func TestPipelinedRequestsAreAnsweredInOrder(t *testing.T) {
+	_, address := start(t, &echo{}, roomy)
+	c := dialTo(t, address)
+	if _, err := io.WriteString(c, post(3)+post(5)+postChunked(7)); err != nil {
+		t.Fatal(err)
+	}
+	reader := bufio.NewReader(c)
+	for _, want := range []int{3, 5, 7} {
+		resp := &fasthttp.Response{}
+		if err := resp.Read(reader); err != nil || len(resp.Body()) != want {
+			t.Fatalf("%d bytes, %v; want %d", len(resp.Body()), err, want)
+		}
+	}
+}
+
+// Guards against a stream that is broken off looking complete.
+func TestAbortedStreamHasNoEnd(t *testing.T) {
+	e := &echo{}
+	_, address := start(t, e, roomy)
+	if status, body, err := ask(t, address, "GET /stream HTTP/1.1\r\nHost: h\r\n\r\n"); status != 200 || body != "onetwo" || err != nil {
+		t.Fatalf("whole stream: %d %q %v", status, body, err)
+	}
+	e.cut.Store(true)
+	if _, _, err := ask(t, address, "GET /stream HTTP/1.1\r\nHost: h\r\n\r\n"); err == nil {
+		t.Fatal("a broken stream looks complete")
+	}
+}
+
+// Guards against a stop that drops a request in progress or keeps idle connections.
+func TestCloseEndsIdleConnectionsOnly(t *testing.T) {
+	s, address := start(t, &echo{}, roomy)
+	idle, busy := dialTo(t, address), dialTo(t, address)
+	if _, err := io.WriteString(busy, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nx"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(idle, post(1)); err != nil {
+		t.Fatal(err)
+	}
+	if status, _, err := read(idle); status != 200 || err != nil {
+		t.Fatalf("%d, %v", status, err)
+	}
+	waitFor(t, "both are open", func() bool { return s.Open() == 2 && readsBody(s) })
+	s.Close()
+	if _, _, err := read(idle); err == nil {
+		t.Fatal("the idle connection stays open")
+	}
+	if _, err := io.WriteString(busy, "xx"); err != nil {
+		t.Fatal(err)
+	}
+	if status, body, err := read(busy); status != 200 || body != "xxx" || err != nil {
+		t.Fatalf("the request in progress: %d %q %v", status, body, err)
+	}
+	waitFor(t, "all connections are closed", func() bool { return s.Open() == 0 })
+}
+
+// readsBody tells whether a connection has begun to read a body.
+func readsBody(s *Server) bool {
+	return s.buffered.Load() > 0
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	s, address := start(t, &echo{}, Options{Connections: 1, BufferedBytes: 1 << 20})
+	first := dialTo(t, address)
+	if _, err := io.WriteString(first, post(1)); err != nil {
+		t.Fatal(err)
+	}
+	if status, _, err := read(first); status != 200 || err != nil {
+		t.Fatalf("%d, %v", status, err)
+	}
+	if _, _, err := ask(t, address, post(1)); err == nil {
+		t.Fatal("a second connection was served")
+	}
+	waitFor(t, "the refused connection is forgotten", func() bool { return s.Open() == 1 })
+}
+
+func waitFor(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("not within %v: %s", patience, what)
+}
