--- a/pkg/fleet/table.go
+++ b/pkg/fleet/table.go
@@ -24,7 +24,7 @@
 type Endpoint struct {
 	// ID is unique among all endpoints ever registered, but an endpoint may start again under it.
 	ID string
-	// Born is the start of the endpoint, in Unix milliseconds by its own clock. Zero where it is not told.
+	// Born is the start of the endpoint, in Unix milliseconds by its own clock. Zero where it is not reported.
 	Born       int64
 	Service    string
 	Address    string
@@ -205,7 +205,7 @@
 	return gone
 }
 
-// Leave takes a peer's word that an endpoint left by the record at offset. It reports whether the endpoint was usable.
+// Leave applies a peer's report that an endpoint left by the record at offset. It reports whether the endpoint was usable.
 func (t *Table) Leave(id string, offset int64, now time.Time) bool {
 	e, known := t.entries[id]
 	if !known || e.offset > offset || !e.usable() {
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -77,7 +77,7 @@
 	g.noteCrash(r, t, res, now)
 	listAge := now.Sub(g.streams[EndpointStream].readAt)
 	g.mu.Unlock()
-	line := g.book.line(partRequest).Str("request", r.call.ID).Int("try", r.tries).
+	line := g.log.line(partRequest).Str("request", r.call.ID).Int("try", r.tries).
 		Str("endpoint", t.choice.Endpoint.ID).Int64("config", r.version).Int64("weights", t.choice.Version).
 		Int("running", t.choice.Running).Int("missing", t.choice.Missing).Int("candidates", t.choice.Candidates).
 		Str("fetch_from", t.choice.FetchFrom).Dur("list_age_ms", listAge).
@@ -87,7 +87,7 @@
 		line.Err(res.err)
 	}
 	line.Msg("attempt ended")
-	g.meters.count("attempts_" + outcomeNames[res.outcome] + "_total")
+	g.metrics.count("attempts_" + outcomeNames[res.outcome] + "_total")
 }
 
 // noteCrash counts an endpoint that broke off while it ran the request. The caller holds the lock.
@@ -102,7 +102,7 @@
 		e := t.choice.Endpoint
 		name := e.ID + "/" + strconv.FormatInt(e.Born, 10)
 		if g.crashes.Note(crashguard.Crash{Fingerprint: r.fingerprint, Endpoint: name}, now) {
-			g.wake()
+			g.digestSoon()
 		}
 	}
 }
@@ -226,11 +226,11 @@
 	g.placer.Version(t.choice.Endpoint, t.request.Model, answer.Version)
 }
 
-// refusedByEndpoint handles the endpoint's word that it did not run the request.
+// refusedByEndpoint handles the endpoint's statement that it did not run the request.
 func (g *Gateway) refusedByEndpoint(t *target, stream *httpcall.Stream, answer Answer) result {
 	if _, err := g.buffer(stream); err != nil {
 		// The refusal stands; the connection is closed with the stream.
-		g.meters.count("refusals_truncated_total")
+		g.metrics.count("refusals_truncated_total")
 	}
 	if answer.Misdirected {
 		g.mu.Lock()
@@ -279,11 +279,11 @@
 	g.mu.Lock()
 	g.placer.FirstToken(r.id, now)
 	g.mu.Unlock()
-	g.meters.observe("first_byte", now.Sub(r.arrived))
+	g.metrics.observe("first_byte", now.Sub(r.arrived))
 }
 
 func (g *Gateway) answered(r *request, status int) {
-	g.meters.count("answers_total")
-	g.meters.observe("answer", steady.Since(r.arrived))
+	g.metrics.count("answers_total")
+	g.metrics.observe("answer", steady.Since(r.arrived))
 	g.logEnd(r, "answered", status, "")
 }
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -16,10 +16,10 @@
 const (
 	// notRunTries bounds the sends of one request that endpoints refused without running it.
 	notRunTries = 3
-	// crashRetry is told to callers of requests that crash endpoints.
+	// crashRetry is the Retry-After for callers of requests that crash endpoints.
 	crashRetry = 30 * time.Second
-	// leastBudget is the time below which a send is no real offer.
-	leastBudget = 30 * time.Millisecond
+	// minRemaining is the time below which a send is no real offer.
+	minRemaining = 30 * time.Millisecond
 )
 
 // target is the endpoint chosen for an attempt.
@@ -56,7 +56,7 @@
 			g.giveUp(r, g.failureOf(r, res))
 			return
 		}
-		g.meters.count("retries_total")
+		g.metrics.count("retries_total")
 	}
 }
 
@@ -67,7 +67,7 @@
 	}
 	now := steady.Now()
 	left := r.deadline.Sub(now)
-	if left < leastBudget {
+	if left < minRemaining {
 		return nil, refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeDeadline, "no time is left").
 			After(noEndpointRetry)
 	}
@@ -132,13 +132,13 @@
 		return false
 	}
 	now := steady.Now()
-	if r.deadline.Sub(now) < leastBudget {
+	if r.deadline.Sub(now) < minRemaining {
 		return false
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.retryBudget(t.service.Name).Take(now) {
-		g.meters.count("retries_over_budget_total")
+		g.metrics.count("retries_over_budget_total")
 		return false
 	}
 	return true
@@ -160,7 +160,7 @@
 // giveUp ends a request without a success.
 func (g *Gateway) giveUp(r *request, refused *refusal.Error) {
 	if r.begun {
-		g.meters.count("streams_cut_total")
+		g.metrics.count("streams_cut_total")
 		g.logEnd(r, "cut", 0, refused.Message)
 		r.x.Abort()
 		return
@@ -178,13 +178,13 @@
 }
 
 func (g *Gateway) callerLeft(r *request) {
-	g.meters.count("callers_left_total")
+	g.metrics.count("callers_left_total")
 	g.logEnd(r, "caller left", 0, "")
 	r.x.Abort()
 }
 
 func (g *Gateway) logEnd(r *request, outcome string, status int, detail string) {
-	g.book.line(partRequest).Str("request", r.call.ID).Str("outcome", outcome).Int("status", status).
+	g.log.line(partRequest).Str("request", r.call.ID).Str("outcome", outcome).Int("status", status).
 		Str("route", r.route.Name).Int("tries", r.tries).Int("events", r.events).
 		Dur("age_ms", steady.Since(r.arrived)).Str("detail", detail).Msg("request ended")
 }
--- a/pkg/gateway/digest.go
+++ b/pkg/gateway/digest.go
@@ -17,20 +17,24 @@
 	digestPause = 250 * time.Millisecond
 	// digestPausePerPeer stretches the pause so that a large system's digests stay within the bytes for control.
 	digestPausePerPeer = 20 * time.Millisecond
-	// kickPause is the least time between two digests.
-	kickPause = 25 * time.Millisecond
+	// digestMinPause is the least time between two digests.
+	digestMinPause = 25 * time.Millisecond
 	// dropAfter is the age at which digests to a silent address become rare.
 	dropAfter = 30 * time.Second
 	// lastSequence is the number of a process's last digest.
 	lastSequence = 1 << 62
+	// dropPeerAfter is the age at which a silent VM is forgotten with its address.
+	dropPeerAfter = 10 * time.Minute
+	// neverAnswered stands for the age of an answer that never came.
+	neverAnswered = time.Hour
 	// rareDigests is the share of digests that a silent address still gets.
 	rareDigests = 40
-	// departuresFor is the time for which a departure is told to peers.
+	// departuresFor is the time for which a departure is sent to peers.
 	departuresFor = 8 * time.Second
-	// crashesFor is the time for which a crash is told to peers.
+	// crashesFor is the time for which a crash is sent to peers.
 	crashesFor = 3 * time.Second
-	// namingsFor is the time for which peers are told when a version was named.
-	namingsFor = 60 * time.Second
+	// announcementsFor is the time for which peers learn when a version was announced.
+	announcementsFor = 60 * time.Second
 )
 
 // sendDigests tells the peers what this VM knows, regularly and when something changed.
@@ -38,16 +42,16 @@
 	var sequence uint64
 	for {
 		g.mu.Lock()
-		pause := max(digestPause, time.Duration(len(g.contacts))*digestPausePerPeer)
+		pause := max(digestPause, time.Duration(len(g.addresses))*digestPausePerPeer)
 		g.mu.Unlock()
-		if !g.sleep(kickPause) {
+		if !g.sleep(digestMinPause) {
 			return
 		}
 		select {
 		case <-g.ctx.Done():
 			return
-		case <-g.kick:
-		case <-time.After(pause - kickPause):
+		case <-g.digestDue:
+		case <-time.After(pause - digestMinPause):
 		}
 		sequence++
 		g.sendDigest(sequence)
@@ -57,7 +61,7 @@
 func (g *Gateway) sendDigest(sequence uint64) {
 	now := steady.Now()
 	g.mu.Lock()
-	g.tick(now)
+	g.expire(now)
 	digest := g.digest(sequence, now)
 	to := g.recipients(sequence, now)
 	g.mu.Unlock()
@@ -78,29 +82,29 @@
 func (g *Gateway) broadcast(digest *gossip.Digest, to []netip.AddrPort) {
 	datagram, err := gossip.Encode(digest)
 	if err != nil || len(datagram) > gossip.MaxDigestBytes {
-		g.book.warn(partPeer).Int("bytes", len(datagram)).Err(err).Msg("digest not sent")
+		g.log.warn(partPeer).Int("bytes", len(datagram)).Err(err).Msg("digest not sent")
 		return
 	}
 	for _, address := range to {
 		if err := g.socket.Send(address, datagram); err != nil {
-			g.meters.count("digest_send_errors_total")
+			g.metrics.count("digest_send_errors_total")
 		}
 	}
-	g.meters.counters.Add("digest_bytes_total", int64(len(datagram)*len(to)))
+	g.metrics.counters.Add("digest_bytes_total", int64(len(datagram)*len(to)))
 }
 
 // recipients returns the addresses for this digest. Addresses that were silent for long get few. The caller holds
 // the lock.
 func (g *Gateway) recipients(sequence uint64, now time.Time) []netip.AddrPort {
 	var out []netip.AddrPort
-	for vm, ip := range g.contacts {
+	for vm, ip := range g.addresses {
 		p := g.peers[vm]
-		if p != nil && now.Sub(p.heard) > dropAfter && sequence%rareDigests != 0 {
+		if p != nil && now.Sub(p.lastSeen) > dropAfter && sequence%rareDigests != 0 {
 			continue
 		}
 		addr, err := netip.ParseAddr(ip)
 		if err != nil {
-			delete(g.contacts, vm)
+			delete(g.addresses, vm)
 			continue
 		}
 		out = append(out, netip.AddrPortFrom(addr, uint16(g.settings.PeerPort)))
@@ -108,25 +112,34 @@
 	return out
 }
 
-// tick ages what is known. The caller holds the lock.
-func (g *Gateway) tick(now time.Time) {
+// expire ages what is known. The caller holds the lock.
+func (g *Gateway) expire(now time.Time) {
 	g.limiter.Tick(now)
 	for _, id := range g.endpoints.Expire(now) {
 		g.endpointLeft(id, "not back after the store's return", 0)
 	}
 	g.placer.Forget(func(id string) bool { return g.endpoints.Get(id) != nil })
-	loading := slices.Clone(g.loading)
+	loading := g.outOfService()
 	for vm, p := range g.peers {
-		if now.Sub(p.heard) > forgetAfter {
+		silence := now.Sub(p.lastSeen)
+		if silence > dropPeerAfter {
+			delete(g.peers, vm)
+			delete(g.addresses, vm)
+			continue
+		}
+		if silence > forgetAfter {
 			g.placer.SetPeer(vm, nil)
 			continue
 		}
 		loading = append(loading, p.loading...)
 	}
 	g.placer.SetLoading(loading)
+	for _, st := range g.streams {
+		st.dropTombstones()
+	}
 }
 
-// digest builds the word of this VM. The caller holds the lock.
+// digest builds the digest of this VM. The caller holds the lock.
 func (g *Gateway) digest(sequence uint64, now time.Time) *gossip.Digest {
 	op, ep := g.streams[OperatorStream], g.streams[EndpointStream]
 	d := &gossip.Digest{
@@ -140,9 +153,9 @@
 		StoreAgeMs:     g.storeAge(now).Milliseconds(),
 		UptimeMs:       now.Sub(g.started).Milliseconds(),
 		Leaving:        g.leaving.Load(),
-		Loading:        g.loading,
+		Loading:        g.outOfService(),
 	}
-	if last := g.right.LastOrder(); !last.IsZero() {
+	if last := g.lease.LastOrder(); !last.IsZero() {
 		d.LastOrderAgeMs = proto.Int64(now.Sub(last).Milliseconds())
 	}
 	for _, u := range g.limiter.Usage(now) {
@@ -160,7 +173,7 @@
 		d.Accusations = append(d.Accusations, &gossip.Accusation{Fingerprint: c.Fingerprint, Crashed: c.Endpoint})
 	}
 	d.Versions = g.learnedVersions()
-	d.Namings = g.recentNamings(now)
+	d.Announcements = g.recentAnnouncements(now)
 	for _, vm := range slices.Sorted(maps.Keys(g.peers)) {
 		if p := g.peers[vm]; p.live(now) {
 			d.Neighbours = append(d.Neighbours, &gossip.Neighbour{Vm: vm, Address: p.address})
@@ -169,13 +182,13 @@
 	return d
 }
 
-// recentNamings returns the versions whose time matters for placement. The caller holds the lock.
-func (g *Gateway) recentNamings(now time.Time) []*gossip.Naming {
-	var out []*gossip.Naming
-	for model, known := range g.named {
+// recentAnnouncements returns the versions whose time matters for placement. The caller holds the lock.
+func (g *Gateway) recentAnnouncements(now time.Time) []*gossip.Announcement {
+	var out []*gossip.Announcement
+	for model, known := range g.announced {
 		for _, n := range known {
-			if age := now.Sub(n.At); age < namingsFor {
-				out = append(out, &gossip.Naming{Model: model, Version: n.Version, AgeMs: age.Milliseconds()})
+			if age := now.Sub(n.At); age < announcementsFor {
+				out = append(out, &gossip.Announcement{Model: model, Version: n.Version, AgeMs: age.Milliseconds()})
 			}
 		}
 	}
@@ -191,7 +204,7 @@
 	}
 	switch {
 	case newest.IsZero():
-		return time.Hour
+		return neverAnswered
 	case newest.After(g.storeFailedAt):
 		// A waiting read may be under way; nothing shows that it will fail.
 		return 0
@@ -202,7 +215,7 @@
 // learnedVersions returns the weight versions that are newer than the endpoints' own records tell.
 func (g *Gateway) learnedVersions() []*gossip.Version {
 	var out []*gossip.Version
-	for model := range g.named {
+	for model := range g.announced {
 		for _, e := range g.enginesOf(model) {
 			if v := g.placer.KnownVersion(e, model); v > e.Versions[model] && v <= g.newestOf(model) {
 				out = append(out, &gossip.Version{Endpoint: e.ID, Born: e.Born, Model: model, Version: v})
--- a/pkg/gateway/contacts.go
+++ b/pkg/gateway/discovery.go
@@ -8,21 +8,19 @@
 	"time"
 )
 
-const (
-	// announcePause is the pause between two tries to register this VM.
-	announcePause = time.Second
-)
+// registerPause is the pause between two tries to register this VM.
+const registerPause = time.Second
 
 // vmRecord is the registration of a gateway in the store.
 type vmRecord struct {
 	Address string `json:"address"`
 }
 
-// announceVM registers this VM and learns of the others. Later ones make themselves known by their digests.
-func (g *Gateway) announceVM() {
+// registerVM registers this VM and learns of the others. Later ones make themselves known by their digests.
+func (g *Gateway) registerVM() {
 	g.addSeeds()
-	for !g.tryAnnounce() {
-		if !g.sleep(jitter(announcePause)) {
+	for !g.tryRegister() {
+		if !g.sleep(jitter(registerPause)) {
 			return
 		}
 	}
@@ -37,12 +35,12 @@
 			continue
 		}
 		ip := addr.Addr().String()
-		g.contacts["seed "+ip] = ip
+		g.addresses["seed "+ip] = ip
 	}
-	g.wake()
+	g.digestSoon()
 }
 
-func (g *Gateway) tryAnnounce() bool {
+func (g *Gateway) tryRegister() bool {
 	value, err := json.Marshal(vmRecord{Address: g.settings.Address})
 	if err != nil {
 		// The type has no field that JSON cannot hold.
@@ -51,37 +49,37 @@
 	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
 	defer cancel()
 	if _, err := g.platform.Store.Append(ctx, VMStream, g.settings.VM, value, -1); err != nil {
-		g.book.warn(partPeer).Err(err).Msg("registration failed")
+		g.log.warn(partPeer).Err(err).Msg("registration failed")
 		return false
 	}
 	records, _, err := g.platform.Store.Newest(ctx, VMStream)
 	if err != nil {
-		g.book.warn(partPeer).Err(err).Msg("list of gateways not read")
+		g.log.warn(partPeer).Err(err).Msg("list of gateways not read")
 		return false
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, r := range records {
-		if model, found := strings.CutPrefix(r.Key, namingPrefix); found {
-			g.recallNamings(model, r)
+		if model, found := strings.CutPrefix(r.Key, announcementPrefix); found {
+			g.recallAnnouncements(model, r)
 			continue
 		}
 		var vm vmRecord
 		if err := json.Unmarshal(r.Value, &vm); err != nil {
-			g.book.warn(partPeer).Str("key", r.Key).Err(err).Msg("registration is unreadable")
+			g.log.warn(partPeer).Str("key", r.Key).Err(err).Msg("registration is unreadable")
 			continue
 		}
-		g.addContact(r.Key, vm.Address)
+		g.addAddress(r.Key, vm.Address)
 	}
-	g.wake()
+	g.digestSoon()
 	return true
 }
 
-// addContact remembers where a VM is. The caller holds the lock.
-func (g *Gateway) addContact(vm, address string) {
+// addAddress remembers where a VM is. The caller holds the lock.
+func (g *Gateway) addAddress(vm, address string) {
 	if vm == g.settings.VM || address == g.settings.Address || address == "" {
 		return
 	}
-	delete(g.contacts, "seed "+address)
-	g.contacts[vm] = address
+	delete(g.addresses, "seed "+address)
+	g.addresses[vm] = address
 }
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -27,11 +27,11 @@
 	// retryFirst and retryMost bound the pause after a failed call.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 1200 * time.Millisecond
-	// readers is the number of VMs that read the endpoints' records; the others ask them.
-	readers = 2
-	// keptNamings bounds the remembered versions of a model; older ones are run by no engine any more.
-	keptNamings = 32
-	// learnedAge is the age that a version named before this process started is taken to have.
+	// endpointReaders is the number of VMs that read the endpoints' records; the others ask them.
+	endpointReaders = 2
+	// maxAnnouncements bounds the remembered versions of a model; older ones are run by no engine any more.
+	maxAnnouncements = 32
+	// learnedAge is the age that a version announced before this process started is taken to have.
 	learnedAge = 8 * time.Second
 )
 
@@ -57,11 +57,24 @@
 	return &streamState{records: map[string]Record{}, changed: map[string]int64{}}
 }
 
-// followOperator keeps the configuration and the named versions current.
+// maxTombstones is the number of newer records after which a removal is no longer sent to peers.
+const maxTombstones = 20_000
+
+// dropTombstones forgets old removals.
+func (st *streamState) dropTombstones() {
+	for key, r := range st.records {
+		if len(r.Value) == 0 && r.Offset < st.next-maxTombstones {
+			delete(st.records, key)
+			delete(st.changed, key)
+		}
+	}
+}
+
+// followOperator keeps the configuration and the announced versions current.
 func (g *Gateway) followOperator() {
 	pause := retryFirst
 	for g.ctx.Err() == nil {
-		err := g.readOperator()
+		err := g.readStream(OperatorStream, operatorWait)
 		if err == nil {
 			pause = retryFirst
 			continue
@@ -78,10 +91,6 @@
 	return d/2 + rand.N(d)
 }
 
-func (g *Gateway) readOperator() error {
-	return g.readStream(OperatorStream, operatorWait)
-}
-
 // readStream reads what is new in a stream, or all of it where that is not known.
 func (g *Gateway) readStream(s Stream, wait time.Duration) error {
 	g.mu.Lock()
@@ -94,7 +103,7 @@
 	defer cancel()
 	records, end, err := g.platform.Store.Read(ctx, s, next, wait)
 	if errors.Is(err, ErrGap) {
-		g.book.line(partStore).Str("stream", s.String()).Int64("from", next).Msg("records expired, reading all")
+		g.log.line(partStore).Str("stream", s.String()).Int64("from", next).Msg("records expired, reading all")
 		return g.readNewest(s)
 	}
 	g.noteStore(s, err)
@@ -153,17 +162,17 @@
 	defer g.mu.Unlock()
 	st := g.streams[s]
 	if err != nil {
-		g.meters.count("store_errors_total")
+		g.metrics.count("store_errors_total")
 		g.storeFailedAt = now
 		if !st.failing {
 			st.failing = true
 			st.failedAt = now
-			g.book.warn(partStore).Str("stream", s.String()).Err(err).Msg("store lost")
+			g.log.warn(partStore).Str("stream", s.String()).Err(err).Msg("store lost")
 		}
 		return
 	}
 	if st.failing {
-		g.book.line(partStore).Str("stream", s.String()).Dur("down_ms", now.Sub(st.failedAt)).Msg("store back")
+		g.log.line(partStore).Str("stream", s.String()).Dur("down_ms", now.Sub(st.failedAt)).Msg("store back")
 		if s == EndpointStream {
 			g.endpoints.Returned(now)
 		}
@@ -204,16 +213,16 @@
 	st.changed[r.Key] = r.Offset
 	change, err := g.platform.Decoder.Operator(r.Key, r.Value)
 	if err != nil {
-		g.book.warn(partConfig).Str("key", r.Key).Int64("offset", r.Offset).Err(err).Msg("record is unreadable")
+		g.log.warn(partConfig).Str("key", r.Key).Int64("offset", r.Offset).Err(err).Msg("record is unreadable")
 		return
 	}
 	if change.Config != nil {
 		g.putInForce(change.Config, r.Offset)
 	}
 	if change.Weights != nil {
-		g.nameVersion(change.Weights)
+		g.announceVersion(change.Weights)
 	}
-	g.wake()
+	g.digestSoon()
 }
 
 // putInForce applies a configuration unless a newer one is in force.
@@ -228,8 +237,8 @@
 	g.limiter.Configure(limits, steady.Now())
 	g.config.Store(c)
 	g.configAt = steady.Now()
-	g.meters.count("configurations_total")
-	g.book.line(partConfig).Int64("version", c.Version).Int64("offset", offset).Int("routes", len(c.Routes)).
+	g.metrics.count("configurations_total")
+	g.log.line(partConfig).Int64("version", c.Version).Int64("offset", offset).Int("routes", len(c.Routes)).
 		Int("workspaces", len(c.Workspaces)).Msg("configuration in force")
 }
 
@@ -248,12 +257,12 @@
 	}
 	e, err := g.platform.Decoder.Endpoint(r.Key, r.Value)
 	if err != nil {
-		g.meters.count("endpoint_records_unreadable_total")
-		g.book.warn(partEndpoint).Str("endpoint", r.Key).Int64("offset", r.Offset).Err(err).Msg("record is unreadable")
+		g.metrics.count("endpoint_records_unreadable_total")
+		g.log.warn(partEndpoint).Str("endpoint", r.Key).Int64("offset", r.Offset).Err(err).Msg("record is unreadable")
 	}
 	before := g.endpoints.Get(r.Key)
 	change := g.endpoints.Apply(r.Key, r.Offset, e, now)
-	if change == fleet.Updated && sameBut(before, e) {
+	if change == fleet.Updated && heartbeatOnly(before, e) {
 		return
 	}
 	st.changed[r.Key] = r.Offset
@@ -261,13 +270,13 @@
 	case fleet.Left:
 		g.endpointLeft(r.Key, "leaving", r.Offset)
 	case fleet.Joined:
-		g.book.line(partEndpoint).Str("endpoint", r.Key).Str("service", e.Service).Str("address", e.Address).
+		g.log.line(partEndpoint).Str("endpoint", r.Key).Str("service", e.Service).Str("address", e.Address).
 			Int64("offset", r.Offset).Msg("endpoint joined")
 	}
 }
 
-// sameBut reports whether two states differ at most as heartbeats do.
-func sameBut(a, b *fleet.Endpoint) bool {
+// heartbeatOnly reports whether two records of an endpoint differ at most as its heartbeats do.
+func heartbeatOnly(a, b *fleet.Endpoint) bool {
 	if a == nil || b == nil || len(a.Versions) != len(b.Versions) {
 		return false
 	}
@@ -280,8 +289,8 @@
 }
 
 func (g *Gateway) endpointLeft(id, why string, offset int64) {
-	g.book.line(partEndpoint).Str("endpoint", id).Str("why", why).Int64("offset", offset).Msg("endpoint left")
-	g.wake()
+	g.log.line(partEndpoint).Str("endpoint", id).Str("why", why).Int64("offset", offset).Msg("endpoint left")
+	g.digestSoon()
 }
 
 // followEndpoints keeps the list of endpoints current: from the store on a few VMs, from those on the others.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -58,8 +59,8 @@
 	platform Platform
 	boot     uint64
 	started  time.Time
-	book     *logBook
-	meters   *meters
+	log      *budgetLogger
+	metrics  *metrics
 	http     *httpcall.Client
 	ingress  *ingress.Server
 	control  *fasthttp.Server
@@ -71,12 +72,11 @@
 	// leavingSince is the time of SIGTERM, in nanoseconds of the steady clock.
 	leavingSince atomic.Int64
 	nextID       atomic.Uint64
-	kick         chan struct{}
+	digestDue    chan struct{}
 
 	listeners []net.Listener
 	ctx       context.Context
 	cancel    context.CancelFunc
-	loops     sync.WaitGroup
 
 	// mu guards the tables. It is the only lock that covers more than one of them and is never held during I/O; the
 	// locks inside other types are taken after it.
@@ -91,21 +91,19 @@
 	limiter   *share.Limiter
 	retries   map[string]*admit.RetryBudget
 	crashes   *crashguard.Tally
-	right     *issuer.Right
+	lease     *issuer.Lease
 	peers     map[string]*peerState
-	// contacts are the addresses to which digests are sent, by VM.
-	contacts map[string]string
-	streams  map[Stream]*streamState
-	// named are the weight versions of each model, oldest first. The slices are never modified in place.
-	named map[string][]place.Naming
-	claim issuer.Claim
-	loads map[string]*loadState
+	// addresses are the addresses to which digests are sent, by VM.
+	addresses map[string]string
+	streams   map[Stream]*streamState
+	// announced are the weight versions of each model, oldest first. The slices are never modified in place.
+	announced map[string][]place.Announcement
+	claim     issuer.Claim
+	loads     map[string]*loadState
 	// configAt is when the configuration in force was applied.
 	configAt time.Time
 	// storeFailedAt is when a call to the store last failed, or zero.
 	storeFailedAt time.Time
-	// loading is what this VM, as the holder, is emptying or loading.
-	loading []string
 }
 
 // New returns a gateway that holds no resources yet.
@@ -114,28 +112,28 @@
 	boot := rand.Uint64()
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Gateway{
-		settings: s,
-		platform: platform(client),
-		boot:     boot,
-		started:  steady.Now(),
-		book:     newLogBook(s.VM, boot, s.LogLevel, standardOutput),
-		meters:   newMeters(),
-		http:     client,
-		relays:   gossip.NewRelays(),
-		kick:     make(chan struct{}, 1),
-		ctx:      ctx,
-		cancel:   cancel,
+		settings:  s,
+		platform:  platform(client),
+		boot:      boot,
+		started:   steady.Now(),
+		log:       newBudgetLogger(s.VM, boot, s.LogLevel, standardOutput),
+		metrics:   newMetrics(),
+		http:      client,
+		relays:    gossip.NewRelays(),
+		digestDue: make(chan struct{}, 1),
+		ctx:       ctx,
+		cancel:    cancel,
 		tables: tables{
 			endpoints: fleet.NewTable(),
 			placer:    place.New(),
 			limiter:   share.New(!s.FirstStart),
 			retries:   map[string]*admit.RetryBudget{},
 			crashes:   crashguard.NewTally(),
-			right:     issuer.NewRight(s.Lease()),
+			lease:     issuer.NewLease(s.Lease()),
 			peers:     map[string]*peerState{},
-			contacts:  map[string]string{},
+			addresses: map[string]string{},
 			streams:   map[Stream]*streamState{OperatorStream: newStreamState(), EndpointStream: newStreamState()},
-			named:     map[string][]place.Naming{},
+			announced: map[string][]place.Announcement{},
 			claim:     issuer.Claim{Token: -1},
 			loads:     map[string]*loadState{},
 		},
@@ -160,7 +158,7 @@
 		return fmt.Errorf("peer datagrams: %w", err)
 	}
 	g.relay = gossip.NewServer(relayService{g})
-	g.control = &fasthttp.Server{Handler: g.serveControl, DisableKeepalive: false, ReadBufferSize: 4 << 10}
+	g.control = &fasthttp.Server{Handler: g.serveControl, ReadBufferSize: 4 << 10}
 	return nil
 }
 
@@ -179,7 +177,7 @@
 
 // Start begins to serve. It returns once every listener accepts.
 func (g *Gateway) Start() error {
-	g.book.line(partProcess).Str("data_centre", g.settings.DataCentre).Bool("first_start", g.settings.FirstStart).
+	g.log.line(partProcess).Str("data_centre", g.settings.DataCentre).Bool("first_start", g.settings.FirstStart).
 		Msg("started")
 	callers, err := g.listen(g.settings.CallerAddress)
 	if err != nil {
@@ -189,50 +187,42 @@
 	if err != nil {
 		return err
 	}
-	metrics, err := g.listen(fmt.Sprintf("%s:%d", g.settings.Address, g.settings.MetricsPort))
+	metricsPage, err := g.listen(fmt.Sprintf("%s:%d", g.settings.Address, g.settings.MetricsPort))
 	if err != nil {
 		// Callers can be served without the metrics page.
-		g.book.warn(partProcess).Err(err).Msg("no metrics page")
+		g.log.warn(partProcess).Err(err).Msg("no metrics page")
 	}
 	peers, err := g.listen(g.peerAddress(g.settings.Address))
 	if err != nil {
 		return err
 	}
-	g.run(func() { g.serveOn("callers", func() error { return g.ingress.Serve(callers) }) })
-	g.run(func() { g.serveOn("ready", func() error { return g.control.Serve(ready) }) })
-	if metrics != nil {
-		g.run(func() { g.serveOn("metrics", func() error { return g.control.Serve(metrics) }) })
+	go g.serveOn("callers", func() error { return g.ingress.Serve(callers) })
+	go g.serveOn("ready", func() error { return g.control.Serve(ready) })
+	if metricsPage != nil {
+		go g.serveOn("metrics", func() error { return g.control.Serve(metricsPage) })
 	}
-	g.run(func() { g.serveOn("peers", func() error { return g.relay.Serve(peers) }) })
-	g.run(g.followOperator)
-	g.run(g.followEndpoints)
-	g.run(g.announceVM)
-	g.run(g.sendDigests)
-	g.run(g.receiveDigests)
-	g.run(g.giveOrders)
-	g.run(g.watchCaches)
+	go g.serveOn("peers", func() error { return g.relay.Serve(peers) })
+	go g.followOperator()
+	go g.followEndpoints()
+	go g.registerVM()
+	go g.sendDigests()
+	go g.receiveDigests()
+	go g.giveOrders()
+	go g.watchCaches()
 	return nil
 }
 
-func (g *Gateway) run(loop func()) {
-	g.loops.Add(1)
-	go func() {
-		defer g.loops.Done()
-		loop()
-	}()
-}
-
 // serveOn serves one listener and logs an end that nobody asked for.
 func (g *Gateway) serveOn(name string, serve func() error) {
 	if err := serve(); err != nil && g.ctx.Err() == nil && !g.leaving.Load() {
-		g.book.warn(partProcess).Str("listener", name).Err(err).Msg("listener ended")
+		g.log.warn(partProcess).Str("listener", name).Err(err).Msg("listener ended")
 	}
 }
 
 // Reload takes settings that changed. Only the log level can change while the process runs.
 func (g *Gateway) Reload(s settings.Gateway) {
-	g.book.line(partProcess).Str("log_level", s.LogLevel).Msg("settings reloaded")
-	g.book.setLevel(s.LogLevel)
+	g.log.line(partProcess).Str("log_level", s.LogLevel).Msg("settings reloaded")
+	g.log.setLevel(s.LogLevel)
 }
 
 // Shutdown fails readiness, lets running requests finish and returns when they have, or before the grace ends.
@@ -241,15 +231,15 @@
 	g.leavingSince.Store(started.UnixNano())
 	g.leaving.Store(true)
 	g.ingress.Leave()
-	g.wake()
-	g.book.line(partProcess).Int("connections", g.ingress.Open()).Msg("stopping")
+	g.digestSoon()
+	g.log.line(partProcess).Int("connections", g.ingress.Open()).Msg("stopping")
 	time.Sleep(leaveAfter)
 	g.ingress.Close()
 	for g.ingress.Open() > 0 && steady.Since(started) < g.settings.Grace()-leaveMargin {
 		time.Sleep(leavePoll)
 	}
 	g.sendLeaving()
-	g.book.line(partProcess).Int("connections", g.ingress.Open()).Msg("stopped")
+	g.log.line(partProcess).Int("connections", g.ingress.Open()).Msg("stopped")
 	g.Close()
 }
 
@@ -263,16 +253,16 @@
 	g.ingress.Close()
 	err := errors.Join(g.socket.Close(), g.relay.Close(), g.control.Shutdown())
 	if err != nil {
-		g.book.warn(partProcess).Err(err).Msg("listeners not closed cleanly")
+		g.log.warn(partProcess).Err(err).Msg("listeners not closed cleanly")
 	}
 	for _, l := range g.listeners {
 		// Most are closed by their servers already.
 		_ = l.Close()
 	}
 	g.http.Close()
-	if err := g.book.close(); err != nil {
+	if err := g.log.close(); err != nil {
 		// The log itself failed, so standard error is all that is left.
-		println("log writer:", err.Error())
+		_, _ = fmt.Fprintln(os.Stderr, "corneldeal: log writer:", err)
 	}
 }
 
@@ -295,7 +285,7 @@
 		}
 	case "/metrics":
 		ctx.SetContentType("text/plain; charset=utf-8")
-		g.meters.write(ctx)
+		g.metrics.write(ctx)
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
@@ -325,14 +315,14 @@
 
 // Malformed implements ingress.Handler.
 func (g *Gateway) Malformed(status int, reason string) {
-	g.meters.count("malformed_requests_total")
-	g.book.line(partRequest).Int("status", status).Str("reason", reason).Msg("unreadable request refused")
+	g.metrics.count("malformed_requests_total")
+	g.log.line(partRequest).Int("status", status).Str("reason", reason).Msg("unreadable request refused")
 }
 
-// wake sends a digest at once.
-func (g *Gateway) wake() {
+// digestSoon sends a digest at once.
+func (g *Gateway) digestSoon() {
 	select {
-	case g.kick <- struct{}{}:
+	case g.digestDue <- struct{}{}:
 	default:
 	}
 }
--- a/pkg/gateway/loads.go
+++ b/pkg/gateway/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -11,8 +12,8 @@
 )
 
 const (
-	// emptyFor is the longest time for which an engine is emptied before its order.
-	emptyFor = 600 * time.Millisecond
+	// drainFor is the longest time for which an engine is drained before its order.
+	drainFor = 600 * time.Millisecond
 	// firstReport is the time after an order at which its end is first asked for, and reportPause the pause between
 	// two questions.
 	firstReport = 1950 * time.Millisecond
@@ -22,6 +23,8 @@
 	loadTime = 2 * time.Second
 	// loadLimit is the time after which a load that shows no result is ordered again.
 	loadLimit = 9 * time.Second
+	// callTimeout bounds a report and the order behind it. An engine is not asked again within it.
+	callTimeout = 3 * orderTimeout
 	// failedPause is the pause after an engine did not answer.
 	failedPause = time.Second
 	// claimRetry is the pause after a claim that could not be confirmed.
@@ -30,14 +33,23 @@
 
 // loadState is what the holder does with one engine.
 type loadState struct {
+	model string
 	phase issuer.Phase
 	since time.Time
-	// target is the ordered version.
+	// target is the ordered version, once an order was given.
 	target int64
 	// nextAsk is the earliest time of the next call.
 	nextAsk time.Time
 }
 
+// currentPhase returns the phase of an engine, which serves where nothing is planned with it.
+func (st *loadState) currentPhase() issuer.Phase {
+	if st == nil {
+		return issuer.Serving
+	}
+	return st.phase
+}
+
 // due is one engine that needs a call now.
 type due struct {
 	endpoint *fleet.Endpoint
@@ -50,79 +62,105 @@
 func (g *Gateway) advanceLoads() {
 	now := steady.Now()
 	g.mu.Lock()
-	calls := g.planLoads(now)
+	g.dropFinishedLoads(now)
+	g.startDrains(now)
+	calls := g.dueCalls(now)
 	g.mu.Unlock()
 	for _, d := range calls {
-		g.run(func() { g.callEngine(d) })
+		go g.callEngine(d)
 	}
 }
 
-// planLoads chooses the engines to empty and returns the calls that are due. The caller holds the lock.
-func (g *Gateway) planLoads(now time.Time) []due {
-	var calls []due
-	var loading []string
-	for model := range g.named {
-		newest := g.newestOf(model)
+// dropFinishedLoads forgets the engines that run the ordered version or have left. The caller holds the lock.
+func (g *Gateway) dropFinishedLoads(now time.Time) {
+	for id, st := range g.loads {
+		e := g.endpoints.Get(id)
+		if e == nil {
+			g.endLoad(id)
+			continue
+		}
+		version := g.placer.KnownVersion(e, st.model)
+		if st.phase == issuer.Loading && version >= st.target {
+			g.log.line(partOrder).Str("endpoint", id).Int64("version", version).Dur("took_ms", now.Sub(st.since)).
+				Msg("weights loaded")
+			g.endLoad(id)
+		}
+	}
+}
+
+// endLoad puts an engine back into service and tells the peers. The caller holds the lock.
+func (g *Gateway) endLoad(id string) {
+	delete(g.loads, id)
+	g.digestSoon()
+}
+
+// startDrains chooses the engines to load next and keeps new work from them. The caller holds the lock.
+func (g *Gateway) startDrains(now time.Time) {
+	for model := range g.announced {
 		engines := g.enginesOf(model)
 		view := make([]issuer.Engine, 0, len(engines))
-		inLoad := 0
 		for _, e := range engines {
-			st := g.loads[e.ID]
-			version := g.placer.KnownVersion(e, model)
-			if st != nil && st.phase != issuer.Serving && version >= max(st.target, 1) && st.target > 0 {
-				g.book.line(partOrder).Str("endpoint", e.ID).Int64("version", version).
-					Dur("took_ms", now.Sub(st.since)).Msg("weights loaded")
-				delete(g.loads, e.ID)
-				st = nil
-			}
-			phase := issuer.Serving
-			if st != nil {
-				phase = st.phase
-			}
-			if phase == issuer.Loading && now.Sub(st.since) < loadTime {
-				inLoad++
-			}
 			view = append(view, issuer.Engine{
-				ID: e.ID, DataCentre: e.DataCentre, Version: version, Load: g.placer.Running(e.ID), Phase: phase,
+				ID:         e.ID,
+				DataCentre: e.DataCentre,
+				Version:    g.placer.KnownVersion(e, model),
+				Load:       g.placer.Running(e.ID),
+				Phase:      g.loads[e.ID].currentPhase(),
 			})
 		}
-		limits := issuer.LoadsFor(len(engines))
-		for _, id := range issuer.Choose(view, newest, limits) {
-			g.loads[id] = &loadState{phase: issuer.Emptying, since: now}
+		for _, id := range issuer.Choose(view, g.newestOf(model), issuer.LoadsFor(len(engines))) {
+			g.loads[id] = &loadState{model: model, phase: issuer.Draining, since: now}
+			g.digestSoon()
 		}
+	}
+}
+
+// dueCalls returns the engines that are to be asked now: those that are drained, as far as loads may begin, and those
+// whose load should have ended. The caller holds the lock.
+func (g *Gateway) dueCalls(now time.Time) []due {
+	var calls []due
+	for model := range g.announced {
+		engines := g.enginesOf(model)
+		free := issuer.LoadsFor(len(engines)).AtOnce - g.loadsUnderWay(engines, now)
 		for _, e := range engines {
 			st := g.loads[e.ID]
-			if st == nil {
-				continue
-			}
-			loading = append(loading, e.ID)
-			if now.Before(st.nextAsk) {
+			if st == nil || now.Before(st.nextAsk) {
 				continue
 			}
-			d := due{endpoint: e, model: model, target: newest, phase: st.phase}
 			switch {
-			case st.phase == issuer.Emptying && inLoad < limits.AtOnce && g.empty(e, st, now):
-				inLoad++
+			case st.phase == issuer.Draining && free > 0 && g.drained(e, st, now):
+				free--
 			case st.phase == issuer.Loading && now.Sub(st.since) > firstReport:
 			default:
 				continue
 			}
-			st.nextAsk = now.Add(orderTimeout * 3)
-			calls = append(calls, d)
+			st.nextAsk = now.Add(callTimeout)
+			calls = append(calls, due{endpoint: e, model: model, target: g.newestOf(model), phase: st.phase})
 		}
 	}
-	slices.Sort(loading)
-	if !slices.Equal(loading, g.loading) {
-		g.loading = loading
-		g.wake()
-	}
 	return calls
 }
 
-// empty reports whether an engine has been emptied long enough.
-func (g *Gateway) empty(e *fleet.Endpoint, st *loadState, now time.Time) bool {
+// loadsUnderWay returns the number of loads that should not have ended yet. The caller holds the lock.
+func (g *Gateway) loadsUnderWay(engines []*fleet.Endpoint, now time.Time) int {
+	n := 0
+	for _, e := range engines {
+		if st := g.loads[e.ID]; st.currentPhase() == issuer.Loading && now.Sub(st.since) < loadTime {
+			n++
+		}
+	}
+	return n
+}
+
+// outOfService returns the engines that this VM, as the holder, drains or loads. The caller holds the lock.
+func (g *Gateway) outOfService() []string {
+	return slices.Sorted(maps.Keys(g.loads))
+}
+
+// drained reports whether an engine got no new work for long enough.
+func (g *Gateway) drained(e *fleet.Endpoint, st *loadState, now time.Time) bool {
 	age := now.Sub(st.since)
-	return age > emptyFor || age > digestPause && g.placer.Running(e.ID) == 0
+	return age > drainFor || age > digestPause && g.placer.Running(e.ID) == 0
 }
 
 // callEngine asks an engine for its state and gives the order where one is due.
@@ -132,7 +170,7 @@
 	report, err := g.platform.Engines.Report(ctx, d.endpoint)
 	now := steady.Now()
 	if err != nil {
-		g.book.line(partOrder).Str("endpoint", d.endpoint.ID).Err(err).Msg("engine did not report")
+		g.log.line(partOrder).Str("endpoint", d.endpoint.ID).Err(err).Msg("engine did not report")
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.postpone(d.endpoint.ID, now.Add(failedPause))
@@ -142,7 +180,7 @@
 	g.placer.Version(d.endpoint, d.model, report.Versions[d.model])
 	st := g.loads[d.endpoint.ID]
 	again := d.phase == issuer.Loading && !report.Busy && st != nil && now.Sub(st.since) > loadLimit
-	wanted := d.phase == issuer.Emptying && !report.Busy || again
+	wanted := d.phase == issuer.Draining && !report.Busy || again
 	wanted = wanted && report.Versions[d.model] < d.target
 	if !wanted {
 		g.postpone(d.endpoint.ID, now.Add(reportPause))
@@ -160,15 +198,15 @@
 	}
 }
 
-// order tells an engine to load the named version, if this VM still holds the right at this moment.
+// order tells an engine to load the announced version, if this VM still holds the lease at this moment.
 func (g *Gateway) order(d due, sequence int64) {
 	confirmed := g.confirmClaim()
 	g.mu.Lock()
 	now := steady.Now()
-	token := g.right.Token()
-	may := confirmed && g.right.MayOrder(now) && !g.leaving.Load()
+	token := g.lease.Token()
+	may := confirmed && g.lease.MayOrder(now) && !g.leaving.Load()
 	if may {
-		g.right.Ordered(now)
+		g.lease.Ordered(now)
 	} else {
 		g.postpone(d.endpoint.ID, now.Add(claimRetry))
 	}
@@ -182,8 +220,8 @@
 		Model: d.model, Version: d.target, Holder: g.settings.VM, Token: token, Expected: sequence,
 	})
 	now = steady.Now()
-	g.meters.count("orders_total")
-	g.book.line(partOrder).Str("endpoint", d.endpoint.ID).Str("model", d.model).Int64("version", d.target).
+	g.metrics.count("orders_total")
+	g.log.line(partOrder).Str("endpoint", d.endpoint.ID).Str("model", d.model).Int64("version", d.target).
 		Int64("token", token).Int64("expected", sequence).Str("result", result.String()).Msg("order given")
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -206,12 +244,12 @@
 		st.nextAsk = now
 	case OrderHolds:
 		g.placer.Version(d.endpoint, d.model, d.target)
-		delete(g.loads, d.endpoint.ID)
+		g.endLoad(d.endpoint.ID)
 	case OrderConflict:
 		st.nextAsk = now.Add(reportPause)
 	case OrderRefused:
 		st.nextAsk = now.Add(failedPause)
 	case OrderFenced:
-		g.right.Fenced()
+		g.lease.Fenced()
 	}
 }
--- a/pkg/gateway/observe.go
+++ b/pkg/gateway/observe.go
@@ -36,8 +36,8 @@
 	lineQueue = 4096
 )
 
-// logBook writes structured lines within a budget per part, and never blocks on the reader.
-type logBook struct {
+// budgetLogger writes structured lines within a budget per part, and never blocks on the reader.
+type budgetLogger struct {
 	logger *log.Logger
 
 	mu      sync.Mutex
@@ -46,9 +46,9 @@
 	left    map[string]int
 }
 
-func newLogBook(vm string, boot uint64, level string, out io.Writer) *logBook {
+func newBudgetLogger(vm string, boot uint64, level string, out io.Writer) *budgetLogger {
 	writer := &log.AsyncWriter{ChannelSize: lineQueue, DiscardOnFull: true, Writer: &log.IOWriter{Writer: out}}
-	return &logBook{
+	return &budgetLogger{
 		logger: &log.Logger{
 			Level:      log.ParseLevel(level),
 			TimeFormat: "2006-01-02T15:04:05.000Z07:00",
@@ -61,7 +61,7 @@
 }
 
 // line starts a line of a part. It is nil, which is safe to use, where the budget is spent.
-func (l *logBook) line(part string) *log.Entry {
+func (l *budgetLogger) line(part string) *log.Entry {
 	if !l.allowed(part) {
 		return nil
 	}
@@ -69,14 +69,14 @@
 }
 
 // warn starts a line on something that an operator should know.
-func (l *logBook) warn(part string) *log.Entry {
+func (l *budgetLogger) warn(part string) *log.Entry {
 	if !l.allowed(part) {
 		return nil
 	}
 	return l.logger.Warn().Str("part", part)
 }
 
-func (l *logBook) allowed(part string) bool {
+func (l *budgetLogger) allowed(part string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	second := steady.Now().Unix()
@@ -94,14 +94,14 @@
 }
 
 // report tells how many lines the budget left out in the second before.
-func (l *logBook) report() {
+func (l *budgetLogger) report() {
 	for _, part := range slices.Sorted(maps.Keys(l.left)) {
 		l.logger.Warn().Str("part", partLog).Str("of", part).Int("count", l.left[part]).Msg("lines left out")
 	}
 	clear(l.left)
 }
 
-func (l *logBook) close() error {
+func (l *budgetLogger) close() error {
 	if closer, ok := l.logger.Writer.(io.Closer); ok {
 		return closer.Close()
 	}
@@ -115,25 +115,25 @@
 	histogramDigits  = 2
 )
 
-// meters are the counters and histograms of the process.
-type meters struct {
+// metrics are the counters and histograms of the process.
+type metrics struct {
 	counters *expvar.Map
 
 	mu         sync.Mutex
 	histograms map[string]*hdrhistogram.Histogram
 }
 
-func newMeters() *meters {
-	return &meters{counters: new(expvar.Map).Init(), histograms: map[string]*hdrhistogram.Histogram{}}
+func newMetrics() *metrics {
+	return &metrics{counters: new(expvar.Map).Init(), histograms: map[string]*hdrhistogram.Histogram{}}
 }
 
 // count adds one to a counter.
-func (m *meters) count(name string) {
+func (m *metrics) count(name string) {
 	m.counters.Add(name, 1)
 }
 
 // observe adds a duration to a histogram.
-func (m *meters) observe(name string, d time.Duration) {
+func (m *metrics) observe(name string, d time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	h := m.histograms[name]
@@ -151,7 +151,7 @@
 var quantiles = []float64{50, 95, 99}
 
 // write prints all metrics as text, one a line.
-func (m *meters) write(w io.Writer) {
+func (m *metrics) write(w io.Writer) {
 	m.counters.Do(func(kv expvar.KeyValue) {
 		_, _ = fmt.Fprintf(w, "corneldeal_%s %s\n", kv.Key, kv.Value)
 	})
@@ -169,6 +169,6 @@
 // standardOutput is where logs go.
 var standardOutput io.Writer = os.Stdout
 
-func (l *logBook) setLevel(level string) {
+func (l *budgetLogger) setLevel(level string) {
 	l.logger.SetLevel(log.ParseLevel(level))
 }
--- a/pkg/gateway/observe_test.go
+++ b/pkg/gateway/observe_test.go
@@ -20,7 +20,7 @@
 // Guards against requests that wait for the reader of the log.
 func TestLogNeverBlocks(t *testing.T) {
 	w := &stuckWriter{release: make(chan struct{})}
-	book := newLogBook("vm", 1, "info", w)
+	book := newBudgetLogger("vm", 1, "info", w)
 	for i := range 2 * lineQueue {
 		book.mu.Lock()
 		clear(book.written)
@@ -48,7 +48,7 @@
 // Guards against an unbounded log under load, and against lines that are left out without a word.
 func TestLogKeepsItsBudget(t *testing.T) {
 	out := &safeBuffer{}
-	book := newLogBook("vm", 1, "info", out)
+	book := newBudgetLogger("vm", 1, "info", out)
 	const seconds = 3
 	for range seconds {
 		for range 5 * linesPerSecond {
@@ -75,7 +75,7 @@
 
 // Guards against a reload of the settings that changes nothing.
 func TestLevelFollowsReload(t *testing.T) {
-	book := newLogBook("vm", 1, "error", &safeBuffer{})
+	book := newBudgetLogger("vm", 1, "error", &safeBuffer{})
 	if book.line(partProcess) != nil {
 		t.Error("an info line at level error")
 	}
--- a/pkg/gateway/orders.go
+++ b/pkg/gateway/orders.go
@@ -21,7 +21,7 @@
 	holderSilence = 1100 * time.Millisecond
 	// sameStart is the difference of two start times up to which the VMs count as started together.
 	sameStart = 2 * time.Second
-	// settledAfter is the uptime from which a VM may hold the right to give orders before older ones.
+	// settledAfter is the uptime from which a VM may hold the lease before older ones.
 	settledAfter = 2 * time.Second
 	// holderKey is the key of the claims.
 	holderKey = "orders"
@@ -33,16 +33,16 @@
 	Boot uint64 `json:"boot"`
 }
 
-// giveOrders brings the engines to the named versions while this VM holds the right to do so.
+// giveOrders brings the engines to the announced versions while this VM holds the lease on it.
 func (g *Gateway) giveOrders() {
 	for g.sleep(orderPause) {
 		now := steady.Now()
 		g.mu.Lock()
-		step := g.right.Next(g.situation(now), now)
+		step := g.lease.Next(g.situation(now), now)
 		g.mu.Unlock()
 		switch step {
 		case issuer.Idle:
-		case issuer.ClaimIt:
+		case issuer.Acquire:
 			g.claimOrders()
 		case issuer.Act:
 			g.advanceLoads()
@@ -50,35 +50,32 @@
 	}
 }
 
-// situation returns what the right to give orders depends on. The caller holds the lock.
+// situation returns what the lease depends on. The caller holds the lock.
 func (g *Gateway) situation(now time.Time) issuer.Situation {
 	s := issuer.Situation{
-		Self:      g.settings.VM,
-		Boot:      g.boot,
 		Pending:   g.ordersDue() && !g.leaving.Load(),
 		Reachable: g.storeAge(now) < storeFresh,
 		Holder:    g.claim,
 		First:     g.comesFirst(now),
 	}
 	if p := g.peers[g.claim.Holder]; p != nil {
-		s.HolderAble = p.holds(g.claim, now)
+		s.HolderActive = p.holdsLease(g.claim, now)
 	}
 	if !s.Pending {
 		clear(g.loads)
-		g.loading = nil
 	}
 	return s
 }
 
-// holds reports whether the peer made a claim and is able to use it.
-func (p *peerState) holds(claim issuer.Claim, now time.Time) bool {
-	return p.boot == claim.Boot && p.able(now) && now.Sub(p.heard) < holderSilence
+// holdsLease reports whether the peer made a claim and is able to use it.
+func (p *peerState) holdsLease(claim issuer.Claim, now time.Time) bool {
+	return p.boot == claim.Boot && p.reachesStore(now) && now.Sub(p.lastSeen) < holderSilence
 }
 
 // comesFirst reports whether this VM is the one that acts where one has to. The caller holds the lock.
 func (g *Gateway) comesFirst(now time.Time) bool {
 	for _, p := range g.peers {
-		if p.able(now) && g.before(p, now) {
+		if p.reachesStore(now) && g.before(p, now) {
 			return false
 		}
 	}
@@ -99,9 +96,9 @@
 	return p.vm < g.settings.VM
 }
 
-// ordersDue reports whether an engine runs an older version than the one named. The caller holds the lock.
+// ordersDue reports whether an engine runs an older version than the one announced. The caller holds the lock.
 func (g *Gateway) ordersDue() bool {
-	for model := range g.named {
+	for model := range g.announced {
 		for _, e := range g.enginesOf(model) {
 			if g.placer.KnownVersion(e, model) < g.newestOf(model) {
 				return true
@@ -141,7 +138,7 @@
 			continue
 		}
 		if err := json.Unmarshal(r.Value, &value); err != nil {
-			g.book.warn(partOrder).Int64("offset", r.Offset).Err(err).Msg("claim is unreadable")
+			g.log.warn(partOrder).Int64("offset", r.Offset).Err(err).Msg("claim is unreadable")
 		}
 		claim = issuer.Claim{Holder: value.VM, Boot: value.Boot, Token: r.Offset}
 	}
@@ -152,7 +149,7 @@
 func (g *Gateway) confirmClaim() bool {
 	started := steady.Now()
 	g.mu.Lock()
-	fresh := g.right.MayOrder(started)
+	fresh := g.lease.MayOrder(started)
 	g.mu.Unlock()
 	if fresh {
 		return true
@@ -162,18 +159,18 @@
 	defer g.mu.Unlock()
 	if err != nil {
 		g.storeFailedAt = steady.Now()
-		g.book.warn(partOrder).Err(err).Msg("claim not confirmed")
+		g.log.warn(partOrder).Err(err).Msg("claim not confirmed")
 		return false
 	}
 	g.claim = claim
-	g.right.Confirmed(claim, started)
-	if claim.Token != g.right.Token() {
-		g.book.line(partOrder).Str("holder", claim.Holder).Int64("token", claim.Token).Msg("right to give orders lost")
+	g.lease.Confirmed(claim, started)
+	if claim.Token != g.lease.Token() {
+		g.log.line(partOrder).Str("holder", claim.Holder).Int64("token", claim.Token).Msg("order lease lost")
 	}
-	return g.right.MayOrder(steady.Now())
+	return g.lease.MayOrder(steady.Now())
 }
 
-// claimOrders claims the right to give orders, unless its holder is able to use it.
+// claimOrders claims the lease, unless its holder is able to use it.
 func (g *Gateway) claimOrders() {
 	claim, end, err := g.newestClaim()
 	now := steady.Now()
@@ -191,37 +188,37 @@
 	defer g.mu.Unlock()
 	now = steady.Now()
 	if err != nil {
-		g.right.Failed(now)
-		g.book.line(partOrder).Err(err).Msg("right to give orders not claimed")
+		g.lease.Failed(now)
+		g.log.line(partOrder).Err(err).Msg("order lease not acquired")
 		return
 	}
-	before, lastOrder := g.holderBefore(claim, now)
-	g.right.Claimed(token, before, lastOrder, now)
+	predecessor, lastOrder := g.predecessor(claim, now)
+	g.lease.Claimed(token, predecessor, lastOrder, now)
 	g.claim = issuer.Claim{Holder: g.settings.VM, Boot: g.boot, Token: token}
-	g.book.line(partOrder).Int64("token", token).Str("before", claim.Holder).Int("known", int(before)).
-		Msg("right to give orders claimed")
+	g.log.line(partOrder).Int64("token", token).Str("after", claim.Holder).Str("predecessor", predecessor.String()).
+		Msg("order lease acquired")
 }
 
-// holderBefore returns what is known of the holder of an older claim. The caller holds the lock.
-func (g *Gateway) holderBefore(claim issuer.Claim, now time.Time) (issuer.Before, time.Time) {
+// predecessor returns what is known of the holder of an older claim. The caller holds the lock.
+func (g *Gateway) predecessor(claim issuer.Claim, now time.Time) (issuer.Predecessor, time.Time) {
 	if claim.Token < 0 {
-		return issuer.Nobody, now
+		return issuer.NoPredecessor, now
 	}
 	p := g.peers[claim.Holder]
 	if p != nil && p.boot == claim.Boot && p.leaving {
-		return issuer.Stopped, p.lastOrder
+		return issuer.StoppedPredecessor, p.lastOrder
 	}
-	return issuer.Unsure, now
+	return issuer.UnknownPredecessor, now
 }
 
-// errHolderAble means that the holder of the newest claim can use it.
-var errHolderAble = errors.New("gateway: the holder is able to give orders")
+// errLeaseHeld means that the holder of the newest claim can use it.
+var errLeaseHeld = errors.New("gateway: the holder is able to give orders")
 
 // mayClaim checks the newest claim as just read. The caller holds the lock.
 func (g *Gateway) mayClaim(claim issuer.Claim, now time.Time) error {
 	p := g.peers[claim.Holder]
-	if p != nil && p.holds(claim, now) {
-		return errHolderAble
+	if p != nil && p.holdsLease(claim, now) {
+		return errLeaseHeld
 	}
 	return nil
 }
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -27,12 +27,12 @@
 	sequence   uint64
 	address    string
 	dataCentre string
-	heard      time.Time
+	lastSeen   time.Time
 	// storeAt is when the store last answered the peer.
 	storeAt        time.Time
 	operatorOffset int64
 	endpointOffset int64
-	// aheadSince is when the peer first told of an operator's record that this VM lacks.
+	// aheadSince is when the peer first reported an operator's record that this VM lacks.
 	aheadSince time.Time
 	leaving    bool
 	loading    []string
@@ -44,50 +44,50 @@
 }
 
 func (p *peerState) live(now time.Time) bool {
-	return !p.leaving && now.Sub(p.heard) < silentAfter
+	return !p.leaving && now.Sub(p.lastSeen) < silentAfter
 }
 
-func (p *peerState) able(now time.Time) bool {
+func (p *peerState) reachesStore(now time.Time) bool {
 	return p.live(now) && now.Sub(p.storeAt) < storeFresh
 }
 
-// receiveDigests takes the words of peers.
+// receiveDigests applies the digests of peers.
 func (g *Gateway) receiveDigests() {
 	for {
 		d, dropped, err := g.socket.Receive()
 		if dropped > 0 {
-			g.meters.counters.Add("digests_unreadable_total", int64(dropped))
+			g.metrics.counters.Add("digests_unreadable_total", int64(dropped))
 		}
 		if err != nil {
 			return
 		}
 		if d.GetVm() != g.settings.VM {
 			g.mu.Lock()
-			g.hear(d, steady.Now())
+			g.applyDigest(d, steady.Now())
 			g.mu.Unlock()
 		}
 	}
 }
 
-// hear takes the word of a peer. The caller holds the lock.
-func (g *Gateway) hear(d *gossip.Digest, now time.Time) {
+// applyDigest applies the digest of a peer. The caller holds the lock.
+func (g *Gateway) applyDigest(d *gossip.Digest, now time.Time) {
 	p := g.peers[d.GetVm()]
 	if p != nil && p.boot == d.GetBoot() && d.GetSequence() <= p.sequence {
 		return
 	}
 	if p == nil || p.boot != d.GetBoot() {
-		g.book.line(partPeer).Str("peer", d.GetVm()).Str("peer_boot", fmt.Sprintf("%x", d.GetBoot())).
-			Str("address", d.GetAddress()).Msg("peer heard")
+		g.log.line(partPeer).Str("peer", d.GetVm()).Str("peer_boot", fmt.Sprintf("%x", d.GetBoot())).
+			Str("address", d.GetAddress()).Msg("peer discovered")
 		p = &peerState{vm: d.GetVm(), boot: d.GetBoot()}
 		g.peers[d.GetVm()] = p
-		g.wake()
-	} else if now.Sub(p.heard) >= silentAfter {
-		g.book.line(partPeer).Str("peer", p.vm).Dur("silent_ms", now.Sub(p.heard)).Msg("peer is back")
+		g.digestSoon()
+	} else if now.Sub(p.lastSeen) >= silentAfter {
+		g.log.line(partPeer).Str("peer", p.vm).Dur("silent_ms", now.Sub(p.lastSeen)).Msg("peer is back")
 	}
 	p.sequence = d.GetSequence()
 	p.address = d.GetAddress()
 	p.dataCentre = d.GetDataCentre()
-	p.heard = now
+	p.lastSeen = now
 	p.storeAt = now.Add(-time.Duration(d.GetStoreAgeMs()) * time.Millisecond)
 	p.operatorOffset = d.GetOperatorOffset()
 	p.endpointOffset = d.GetEndpointOffset()
@@ -98,23 +98,23 @@
 	if d.LastOrderAgeMs != nil {
 		p.lastOrder = now.Add(-time.Duration(d.GetLastOrderAgeMs()) * time.Millisecond)
 	}
-	g.addContact(p.vm, p.address)
+	g.addAddress(p.vm, p.address)
 	for _, n := range d.GetNeighbours() {
-		if g.contacts[n.GetVm()] == "" {
-			g.addContact(n.GetVm(), n.GetAddress())
+		if g.addresses[n.GetVm()] == "" {
+			g.addAddress(n.GetVm(), n.GetAddress())
 		}
 	}
-	g.hearTables(p, d, now)
+	g.applyToTables(p, d, now)
 	g.checkLag(p, now)
 }
 
-// hearTables hands the parts of a digest to the tables. The caller holds the lock.
-func (g *Gateway) hearTables(p *peerState, d *gossip.Digest, now time.Time) {
+// applyToTables hands the parts of a digest to the tables. The caller holds the lock.
+func (g *Gateway) applyToTables(p *peerState, d *gossip.Digest, now time.Time) {
 	usage := make([]share.Usage, 0, len(d.GetUsage()))
 	for _, u := range d.GetUsage() {
 		usage = append(usage, share.Usage{Workspace: u.GetWorkspace(), Admitted: u.GetAdmitted(), Level: u.GetLevel()})
 	}
-	g.limiter.Heard(p.vm, p.boot, usage, now)
+	g.limiter.Report(p.vm, p.boot, usage, now)
 	if p.leaving && d.GetSequence() == lastSequence {
 		g.limiter.Left(p.vm)
 	}
@@ -133,9 +133,9 @@
 	for _, a := range d.GetAccusations() {
 		g.crashes.Note(crashguard.Crash{Fingerprint: a.GetFingerprint(), Endpoint: a.GetCrashed()}, now)
 	}
-	for _, n := range d.GetNamings() {
+	for _, n := range d.GetAnnouncements() {
 		at := now.Add(-time.Duration(n.GetAgeMs()) * time.Millisecond)
-		g.noteNaming(n.GetModel(), place.Naming{Version: n.GetVersion(), At: at})
+		g.noteAnnouncement(n.GetModel(), place.Announcement{Version: n.GetVersion(), At: at})
 	}
 	for _, v := range d.GetVersions() {
 		if e := g.endpoints.Get(v.GetEndpoint()); e != nil && e.Born == v.GetBorn() {
@@ -160,5 +160,5 @@
 	}
 	p.aheadSince = now
 	address := p.address
-	g.run(func() { g.fetchFrom(p.vm, address) })
+	go g.fetchFrom(p.vm, address)
 }
--- a/pkg/gateway/ports.go
+++ b/pkg/gateway/ports.go
@@ -90,9 +90,9 @@
 	// ID is the caller's id of this attempt.
 	ID  string
 	Key string
-	// Budget is how long the caller waits. Zero where it does not tell.
-	Budget time.Duration
-	Model  string
+	// Timeout is how long the caller waits. Zero where it does not tell.
+	Timeout time.Duration
+	Model   string
 	// PromptTokens and OutputTokens are the size of the prompt and the most tokens to generate.
 	PromptTokens, OutputTokens int
 	// Sized tells that the token counts were given.
@@ -125,13 +125,13 @@
 // Answer is what an endpoint's headers say.
 type Answer struct {
 	ID string
-	// NotRun is the endpoint's word that it did not run the request.
+	// NotRun is the endpoint's statement that it did not run the request.
 	NotRun bool
 	// Misdirected tells that another endpoint answered, or one with other weights.
 	Misdirected bool
 	// Signed tells that the answer carries the endpoint's signature.
 	Signed bool
-	// Instance is the endpoint's id where it is told.
+	// Instance is the endpoint's id, or empty.
 	Instance string
 	// Version is the weight version that ran, or 0.
 	Version int64
@@ -156,7 +156,7 @@
 	ReadyPath() string
 }
 
-// Report is an engine's word on itself, some hundred milliseconds old.
+// Report is an engine's report on itself, some hundred milliseconds old.
 type Report struct {
 	Busy     bool
 	Sequence int64
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -10,10 +10,8 @@
 	"github.com/corneldeal/corneldeal/pkg/steady"
 )
 
-const (
-	// relayLag is the time for which peers may know more than this VM before it asks one.
-	relayLag = 300 * time.Millisecond
-)
+// relayLag is the time for which peers may know more than this VM before it asks one.
+const relayLag = 300 * time.Millisecond
 
 // relayWhileFailing asks a peer for records while the store fails.
 func (g *Gateway) relayWhileFailing(s Stream) {
@@ -48,8 +46,8 @@
 	g.mu.Unlock()
 	resp, err := g.relays.State(g.ctx, g.peerAddress(address), req)
 	if err != nil {
-		g.meters.count("relay_errors_total")
-		g.book.warn(partPeer).Str("peer", vm).Err(err).Msg("relay failed")
+		g.metrics.count("relay_errors_total")
+		g.log.warn(partPeer).Str("peer", vm).Err(err).Msg("relay failed")
 		return false
 	}
 	g.mu.Lock()
@@ -85,12 +83,12 @@
 	}
 	able := []string{g.settings.VM}
 	for vm, p := range g.peers {
-		if p.able(now) {
+		if p.reachesStore(now) {
 			able = append(able, vm)
 		}
 	}
 	slices.Sort(able)
-	able = able[:min(len(able), readers)]
+	able = able[:min(len(able), endpointReaders)]
 	if slices.Contains(able, g.settings.VM) {
 		g.mu.Unlock()
 		return false
@@ -104,7 +102,7 @@
 	behind := reader.endpointOffset > g.streams[EndpointStream].next
 	vm, address := reader.vm, reader.address
 	if !behind {
-		g.streams[EndpointStream].readAt = reader.heard
+		g.streams[EndpointStream].readAt = reader.lastSeen
 	}
 	g.mu.Unlock()
 	if !behind {
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -24,11 +24,11 @@
 const (
 	// defaultTimeout bounds a request whose caller and route name no time.
 	defaultTimeout = 30 * time.Second
-	// noConfigRetry is told to callers of a process that knows no configuration yet.
+	// noConfigRetry is the Retry-After for callers of a process that knows no configuration yet.
 	noConfigRetry = 500 * time.Millisecond
-	// noEndpointRetry is told where no endpoint is known or all failed.
+	// noEndpointRetry is the Retry-After where no endpoint is known or all failed.
 	noEndpointRetry = 400 * time.Millisecond
-	// leavingRetry is told by a VM that is stopping. Another VM takes the request at once.
+	// leavingRetry is the Retry-After of a VM that is stopping. Another VM takes the request at once.
 	leavingRetry = 50 * time.Millisecond
 	// retrySpread spreads the times at which callers come back.
 	retrySpread = 0.4
@@ -88,7 +88,7 @@
 
 // Serve implements ingress.Handler.
 func (g *Gateway) Serve(x *ingress.Exchange) {
-	g.meters.count("requests_total")
+	g.metrics.count("requests_total")
 	r := &request{x: x, id: g.nextID.Add(1), arrived: x.Arrived}
 	call, err := g.platform.Wire.ReadCall(&x.Request.Header)
 	r.call = call
@@ -134,7 +134,7 @@
 
 // timeLimit returns the time for the final answer.
 func (g *Gateway) timeLimit(r *request) time.Duration {
-	limit := r.call.Budget
+	limit := r.call.Timeout
 	if t := r.route.Timeout; t > 0 && (limit == 0 || t < limit) {
 		limit = t
 	}
@@ -203,9 +203,9 @@
 	if e.RunState == refusal.NotRun {
 		g.refund(r)
 	}
-	g.meters.counters.Add("refusals_total", 1)
-	g.meters.counters.Add("refusals_"+string(e.Code)+"_total", 1)
-	line := g.book.line(partRequest).Str("request", r.call.ID).Str("outcome", "refused").Int("status", e.Status).
+	g.metrics.counters.Add("refusals_total", 1)
+	g.metrics.counters.Add("refusals_"+string(e.Code)+"_total", 1)
+	line := g.log.line(partRequest).Str("request", r.call.ID).Str("outcome", "refused").Int("status", e.Status).
 		Str("code", string(e.Code)).Str("run_state", string(e.RunState)).Int64("config", r.version).
 		Int("tries", r.tries).Dur("age_ms", steady.Since(r.arrived)).Dur("expected_ms", r.expected)
 	g.logInputs(line, r)
@@ -265,25 +265,33 @@
 	if p.Output == 0 {
 		p.Output = unsizedOutput
 	}
-	wall := wallOf(r.workspace)
-	p.Salt = func(version int64) string { return salt(p.Model, version, wall) }
-	p.Named = g.named[p.Model]
+	p.Salt = salts(p.Model, isolationOf(r.workspace))
+	p.Announced = g.announced[p.Model]
 	return p
 }
 
-// wallOf returns what separates the cached material of an isolated workspace.
-func wallOf(w *traffic.Workspace) string {
+// isolationOf returns what separates the cached material of an isolated workspace.
+func isolationOf(w *traffic.Workspace) string {
 	if w == nil || !w.Isolated {
 		return ""
 	}
 	return w.Name
 }
 
-// salt separates cached material by model, weight version and, where the workspace is isolated, workspace.
-func salt(model string, version int64, wall string) string {
-	h := fnv.New64a()
-	_, _ = fmt.Fprintf(h, "%q %d %q", model, version, wall)
-	return strconv.FormatUint(h.Sum64(), 36)
+// salts returns what separates cached material by model, weight version and, where the workspace is isolated, workspace.
+// Placement asks for the same few versions many times.
+func salts(model, isolation string) func(version int64) string {
+	known := map[int64]string{}
+	return func(version int64) string {
+		salt, ok := known[version]
+		if !ok {
+			h := fnv.New64a()
+			_, _ = fmt.Fprintf(h, "%q %d %q", model, version, isolation)
+			salt = strconv.FormatUint(h.Sum64(), 36)
+			known[version] = salt
+		}
+		return salt
+	}
 }
 
 // facts returns the properties of a service for placement. The caller holds the lock.
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -65,22 +65,16 @@
 		}
 		r.begun = true
 	}
-	g.firstByteOnce(r, t)
+	if !t.firstSeen {
+		t.firstSeen = true
+		g.firstByte(r)
+	}
 	for event := range bytes.SplitSeq(bytes.TrimSuffix(events, eventEnd), eventEnd) {
 		g.noteEvent(r, t, event)
 	}
 	return r.x.Send(events)
 }
 
-// firstByteOnce records the first event of an attempt.
-func (g *Gateway) firstByteOnce(r *request, t *target) {
-	if t.firstSeen {
-		return
-	}
-	t.firstSeen = true
-	g.firstByte(r)
-}
-
 // noteEvent remembers the id of an event and the weights that it names.
 func (g *Gateway) noteEvent(r *request, t *target, event []byte) {
 	r.events++
--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"fmt"
-	"hash/fnv"
 	"time"
 
 	"github.com/corneldeal/corneldeal/pkg/place"
+	"github.com/corneldeal/corneldeal/pkg/rendezvous"
 	"github.com/corneldeal/corneldeal/pkg/steady"
 )
 
@@ -43,13 +42,13 @@
 			}
 			ctx, stop := context.WithCancel(g.ctx)
 			running[address] = stop
-			g.run(func() { g.watchSource(ctx, address) })
+			go g.watchSource(ctx, address)
 		}
 	}
 }
 
 // sourcesToWatch returns the addresses of the sources that this VM watches. A source that takes fewer watches than
-// there are VMs is watched by those that come first by a hash.
+// there are VMs is watched by those of the highest rendezvous weight.
 func (g *Gateway) sourcesToWatch() map[string]bool {
 	out := map[string]bool{}
 	c := g.config.Load()
@@ -77,67 +76,73 @@
 
 // watches reports whether this VM is among those that watch a source. The caller holds the lock.
 func (g *Gateway) watches(address string, most int, now time.Time) bool {
-	own := watchRank(g.settings.VM, address)
+	key := rendezvous.Key(address)
+	own := rendezvous.Weight(key, g.settings.VM)
 	before := 0
 	for vm, p := range g.peers {
-		if p.live(now) && watchRank(vm, address) < own {
+		if p.live(now) && rendezvous.Weight(key, vm) > own {
 			before++
 		}
 	}
 	return before < most-watchSpare
 }
 
-func watchRank(vm, address string) uint64 {
-	h := fnv.New64a()
-	_, _ = fmt.Fprint(h, address, vm)
-	return h.Sum64()
-}
-
 // watchSource follows one source until ctx ends.
 func (g *Gateway) watchSource(ctx context.Context, address string) {
-	defer func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.placer.CacheLost(address)
-	}()
-	var since int64
-	var epoch int64
-	failing := false
+	w := &watch{address: address}
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, watchWait+watchTimeout)
-		events, err := g.platform.Engines.CacheEvents(call, address, since, watchWait)
+		events, err := g.platform.Engines.CacheEvents(call, address, w.since, watchWait)
 		cancel()
 		if ctx.Err() != nil {
-			return
+			break
 		}
 		if err != nil {
-			g.meters.count("cache_watch_errors_total")
-			if !failing {
-				failing = true
-				g.book.warn(partCache).Str("source", address).Err(err).Msg("cache events lost")
-			}
-			g.mu.Lock()
-			g.placer.CacheLost(address)
-			g.mu.Unlock()
-			since = 0
+			g.watchFailed(w, err)
 			pause(ctx, watchRetry)
 			continue
 		}
-		if failing {
-			failing = false
-			g.book.line(partCache).Str("source", address).Int64("epoch", events.Epoch).Msg("cache events back")
-		}
-		gap := events.Lost && since > 0
-		if epoch != 0 && epoch != events.Epoch {
-			g.book.line(partCache).Str("source", address).Int64("epoch", events.Epoch).Msg("cache restarted")
-			gap = true
-		}
-		epoch, since = events.Epoch, events.Next
-		g.mu.Lock()
-		g.placer.CacheEvents(address, events.Epoch, gap, events.Events)
-		g.mu.Unlock()
+		g.watched(w, events)
 		pause(ctx, watchPause)
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.placer.CacheLost(address)
+}
+
+// watch is how far this VM knows the events of one source.
+type watch struct {
+	address string
+	// since is where the next call goes on, and epoch the source's start, both zero before the first answer.
+	since, epoch int64
+	failing      bool
+}
+
+func (g *Gateway) watchFailed(w *watch, err error) {
+	g.metrics.count("cache_watch_errors_total")
+	if !w.failing {
+		g.log.warn(partCache).Str("source", w.address).Err(err).Msg("cache events lost")
+	}
+	w.failing = true
+	w.since = 0
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.placer.CacheLost(w.address)
+}
+
+func (g *Gateway) watched(w *watch, events CacheEvents) {
+	if w.failing {
+		g.log.line(partCache).Str("source", w.address).Int64("epoch", events.Epoch).Msg("cache events back")
+	}
+	if w.epoch != 0 && w.epoch != events.Epoch {
+		g.log.line(partCache).Str("source", w.address).Int64("epoch", events.Epoch).Msg("cache restarted")
+	}
+	gap := events.Lost && w.since > 0
+	w.failing = false
+	w.epoch, w.since = events.Epoch, events.Next
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.placer.CacheEvents(w.address, events.Epoch, gap, events.Events)
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/pkg/ingress/connection.go
+++ b/pkg/ingress/connection.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// noRoomRetry is told to callers for whose bodies there is no memory.
+	// noRoomRetry is the Retry-After for callers for whose bodies there is no memory.
 	noRoomRetry = 500 * time.Millisecond
 	// drainLimit bounds the unread bytes that are taken off a refused request before its connection is closed, so
 	// that the close does not reset the response.
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -23,7 +23,7 @@
 	// Limits returns the limits in force. They are read anew for each request, but for the size of the headers, which
 	// holds for a connection from its start.
 	Limits() traffic.Limits
-	// Malformed tells of a request that was answered with status because it cannot be read.
+	// Malformed reports a request that was answered with status because it cannot be read.
 	Malformed(status int, reason string)
 }
 
--- a/pkg/issuer/issuer.go
+++ b/pkg/issuer/issuer.go
@@ -1,6 +1,6 @@
 // Package issuer decides who gives orders to engines, and which engine loads new weights next.
 //
-// One VM at a time holds the right to give orders. The holder is the author of the newest claim in the platform's
+// One VM at a time holds the lease on giving orders. The holder is the author of the newest claim in the platform's
 // log; the claim's offset is its fencing token. A holder reads the end of the log before it gives orders and may
 // give them for HoldFor after that read began. A VM with a newer claim waits until the older holder's last order
 // must have arrived. The package holds no I/O; time is an argument and must come from a clock that counts
@@ -33,16 +33,14 @@
 
 // Situation is what the decision rests on.
 type Situation struct {
-	Self string
-	Boot uint64
 	// Pending tells that orders are due.
 	Pending bool
 	// Reachable tells that this VM reached the store lately.
 	Reachable bool
 	// Holder is the newest claim known. Its Token is -1 where there is none.
 	Holder Claim
-	// HolderAble tells that the holder's process is heard and reaches the store.
-	HolderAble bool
+	// HolderActive tells that the holder's process is seen and reaches the store.
+	HolderActive bool
 	// First tells that this VM comes first among the live VMs that reach the store.
 	First bool
 }
@@ -53,16 +51,16 @@
 const (
 	// Idle means nothing.
 	Idle Step = iota
-	// ClaimIt means to append a claim behind the newest one.
-	ClaimIt
+	// Acquire means to append a claim behind the newest one.
+	Acquire
 	// Act means that loads may be planned. Each order needs MayOrder besides.
 	Act
 )
 
-// Right keeps this VM's right to give orders. It is safe for one goroutine.
-type Right struct {
-	// leaseTime is the time within which two VMs must not take turns.
-	leaseTime time.Duration
+// Lease is this VM's part in the lease on giving orders. It is safe for one goroutine.
+type Lease struct {
+	// handover is the time within which two VMs must not take turns.
+	handover time.Duration
 	// token is the own claim, or -1.
 	token int64
 	// actFrom is when the own claim permits the first order.
@@ -77,18 +75,18 @@
 	fenced bool
 }
 
-// NewRight returns a VM without the right. LeaseTime is the platform's bound on holders that take turns.
-func NewRight(leaseTime time.Duration) *Right {
-	return &Right{leaseTime: leaseTime, token: -1}
+// NewLease returns the part of a VM that holds nothing. Orders of two VMs are at least handover apart.
+func NewLease(handover time.Duration) *Lease {
+	return &Lease{handover: handover, token: -1}
 }
 
 // Token returns the fencing token of the own claim, or -1.
-func (r *Right) Token() int64 {
+func (r *Lease) Token() int64 {
 	return r.token
 }
 
 // Next returns the next step.
-func (r *Right) Next(s Situation, now time.Time) Step {
+func (r *Lease) Next(s Situation, now time.Time) Step {
 	if !s.Pending || !s.Reachable {
 		return Idle
 	}
@@ -98,73 +96,78 @@
 		}
 		return Act
 	}
-	if now.Before(r.nextTry) || s.HolderAble || !s.First {
+	if now.Before(r.nextTry) || s.HolderActive || !s.First {
 		return Idle
 	}
-	return ClaimIt
+	return Acquire
 }
 
 // MayOrder reports whether an order may be sent now. It is asked again right before each send.
-func (r *Right) MayOrder(now time.Time) bool {
+func (r *Lease) MayOrder(now time.Time) bool {
 	return r.token >= 0 && !r.fenced && !now.Before(r.actFrom) && now.Sub(r.readAt) < HoldFor
 }
 
-// Before is what is known of the holder before an own claim.
-type Before int
+// Predecessor is what is known of the holder before an own claim.
+type Predecessor int
 
 const (
-	// Nobody means that there was no claim before. An older claim of this VM is none that can be passed over: its
+	// NoPredecessor means that there was no claim before. An older claim of this VM is none that can be passed over: its
 	// process may have ended while it waited for the holder before.
-	Nobody Before = iota
-	// Stopped means that the holder said that it gives no more orders.
-	Stopped
-	// Unsure means that the holder may give orders until its last read ends.
-	Unsure
+	NoPredecessor Predecessor = iota
+	// StoppedPredecessor means that the holder has announced that it gives no more orders.
+	StoppedPredecessor
+	// UnknownPredecessor means that the holder may give orders until its last read ends.
+	UnknownPredecessor
 )
 
+// String returns the name in logs.
+func (p Predecessor) String() string {
+	return [...]string{"none", "stopped", "unknown"}[p]
+}
+
 // Claimed records that the own claim was appended at token. LastOrder is the LastOrder of the holder before, which
 // matters where it has stopped.
-func (r *Right) Claimed(token int64, before Before, lastOrder, now time.Time) {
+func (r *Lease) Claimed(token int64, predecessor Predecessor, lastOrder, now time.Time) {
 	r.token = token
 	r.fenced = false
 	r.readAt = now
-	switch before {
-	case Nobody:
+	switch predecessor {
+	case NoPredecessor:
 		r.actFrom = now
-	case Stopped:
+	case StoppedPredecessor:
 		r.lastOrder = lastOrder
-		r.actFrom = lastOrder.Add(orderFlight + r.leaseTime)
-	case Unsure:
+		r.actFrom = lastOrder.Add(orderFlight + r.handover)
+	case UnknownPredecessor:
 		r.lastOrder = now.Add(HoldFor)
-		r.actFrom = now.Add(HoldFor + orderFlight + r.leaseTime)
+		r.actFrom = now.Add(HoldFor + orderFlight + r.handover)
 	}
 }
 
 // Ordered records that an order is sent now.
-func (r *Right) Ordered(now time.Time) {
+func (r *Lease) Ordered(now time.Time) {
 	r.lastOrder = now
 }
 
 // LastOrder returns the latest time at which this VM or a holder before it may have given an order, or zero. It may
 // lie in the future.
-func (r *Right) LastOrder() time.Time {
+func (r *Lease) LastOrder() time.Time {
 	return r.lastOrder
 }
 
 // Failed records a claim that failed or was late.
-func (r *Right) Failed(now time.Time) {
+func (r *Lease) Failed(now time.Time) {
 	r.nextTry = now.Add(claimPause)
 }
 
 // Confirmed records a read that began at started and showed newest as the newest claim.
-func (r *Right) Confirmed(newest Claim, started time.Time) {
+func (r *Lease) Confirmed(newest Claim, started time.Time) {
 	if newest.Token == r.token {
 		r.readAt = started
 	}
 }
 
-// Fenced records that an engine refused an order because of a higher token. The right has ended.
-func (r *Right) Fenced() {
+// Fenced records that an engine refused an order because of a higher token. The lease has ended.
+func (r *Lease) Fenced() {
 	r.fenced = true
 	r.token = -1
 }
@@ -187,8 +190,8 @@
 const (
 	// Serving means that no load is planned.
 	Serving Phase = iota
-	// Emptying means that the VMs send no new work there, so that the load disturbs few requests.
-	Emptying
+	// Draining means that the VMs send no new work there, so that the load disturbs few requests.
+	Draining
 	// Loading means that the order was given.
 	Loading
 )
@@ -197,7 +200,7 @@
 type Loads struct {
 	// AtOnce is the number of loads in progress at once.
 	AtOnce int
-	// Ahead is the number of engines that are emptied ahead of their load.
+	// Ahead is the number of engines that drain ahead of their load.
 	Ahead int
 }
 
--- a/pkg/issuer/issuer_test.go
+++ b/pkg/issuer/issuer_test.go
@@ -40,16 +40,16 @@
 func TestSuccessorWaitsForOlderHolder(t *testing.T) {
 	for _, c := range []struct {
 		name   string
-		before Before
+		before Predecessor
 		last   time.Time
 		from   time.Time
 	}{
-		{"nobody before", Nobody, time.Time{}, start},
-		{"holder stopped", Stopped, start.Add(-time.Second), start.Add(-time.Second + orderFlight + lease)},
-		{"holder unsure", Unsure, time.Time{}, start.Add(HoldFor + orderFlight + lease)},
+		{"nobody before", NoPredecessor, time.Time{}, start},
+		{"holder stopped", StoppedPredecessor, start.Add(-time.Second), start.Add(-time.Second + orderFlight + lease)},
+		{"holder unsure", UnknownPredecessor, time.Time{}, start.Add(HoldFor + orderFlight + lease)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			r := NewRight(lease)
+			r := NewLease(lease)
 			r.Claimed(7, c.before, c.last, start)
 			held := Situation{Pending: true, Reachable: true, Holder: Claim{Holder: "v", Token: 7}}
 			if c.from.After(start) && r.Next(held, c.from.Add(-time.Millisecond)) != Idle {
@@ -64,8 +64,8 @@
 
 // Guards against a holder that goes on after a newer claim, or on an old read after a suspension.
 func TestOldReadPermitsNoOrder(t *testing.T) {
-	r := NewRight(lease)
-	r.Claimed(7, Nobody, time.Time{}, start)
+	r := NewLease(lease)
+	r.Claimed(7, NoPredecessor, time.Time{}, start)
 	if !r.MayOrder(start) {
 		t.Fatal("a fresh claim permits orders")
 	}
@@ -94,16 +94,16 @@
 		change func(*Situation)
 		want   Step
 	}{
-		{"first", func(*Situation) {}, ClaimIt},
+		{"first", func(*Situation) {}, Acquire},
 		{"nothing due", func(s *Situation) { s.Pending = false }, Idle},
 		{"store away", func(s *Situation) { s.Reachable = false }, Idle},
 		{"another is first", func(s *Situation) { s.First = false }, Idle},
-		{"holder able", func(s *Situation) { s.HolderAble = true }, Idle},
+		{"holder able", func(s *Situation) { s.HolderActive = true }, Idle},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := base
 			c.change(&s)
-			if got := NewRight(lease).Next(s, start); got != c.want {
+			if got := NewLease(lease).Next(s, start); got != c.want {
 				t.Fatalf("step %d, want %d", got, c.want)
 			}
 		})
@@ -113,7 +113,7 @@
 // vm is one simulated gateway in TestOrdersNeverOverlap. One that is not alive has stopped and said so, or was killed,
 // which leaves a right without a claim.
 type vm struct {
-	right *Right
+	right *Lease
 	alive bool
 }
 
@@ -125,7 +125,7 @@
 		newest := Claim{Token: -1}
 		vms := []*vm{}
 		for range 3 {
-			vms = append(vms, &vm{right: NewRight(lease), alive: true})
+			vms = append(vms, &vm{right: NewLease(lease), alive: true})
 		}
 		lastBy, lastToken, lastAt := -1, int64(-1), time.Time{}
 		for range rapid.IntRange(20, 200).Draw(t, "steps") {
@@ -135,11 +135,11 @@
 			name := string(rune('a' + i))
 			switch rapid.IntRange(0, 3).Draw(t, "action") {
 			case 0:
-				before, last := Unsure, time.Time{}
+				before, last := UnknownPredecessor, time.Time{}
 				if newest.Token < 0 {
-					before = Nobody
+					before = NoPredecessor
 				} else if h := int(newest.Holder[0] - 'a'); !vms[h].alive && vms[h].right.Token() == newest.Token {
-					before, last = Stopped, vms[h].right.LastOrder()
+					before, last = StoppedPredecessor, vms[h].right.LastOrder()
 				}
 				newest = Claim{Holder: name, Token: newest.Token + 1}
 				v.right.Claimed(newest.Token, before, last, now)
@@ -150,7 +150,7 @@
 				v.right.Confirmed(newest, began)
 			case 2:
 				if rapid.Bool().Draw(t, "killed") {
-					v.right = NewRight(lease)
+					v.right = NewLease(lease)
 				}
 				v.alive = false
 			case 3:
--- a/pkg/place/holdings.go
+++ b/pkg/place/holdings.go
@@ -53,7 +53,8 @@
 	return &holdings{sources: map[string]*sourceState{}, sent: map[sentKey]time.Time{}}
 }
 
-// SourceOf returns the name of an engine as a source of cached parts. A new start of it is another source.
+// SourceOf returns the name of an engine as a source of cached parts, which is its address. A new start there shows by
+// the epoch of its events.
 func SourceOf(e *fleet.Endpoint) string {
 	return e.Address
 }
@@ -83,11 +84,11 @@
 // drop forgets what a source held.
 func (h *holdings) drop(source string) {
 	delete(h.sources, source)
-	h.unsend(source)
+	h.forgetSent(source)
 }
 
-// unsend forgets what was sent to a source, whose requests may not have run.
-func (h *holdings) unsend(source string) {
+// forgetSent forgets what was sent to a source, whose requests may not have run.
+func (h *holdings) forgetSent(source string) {
 	for k := range h.sent {
 		if k.source == source {
 			delete(h.sent, k)
@@ -97,19 +98,10 @@
 
 // held returns the tokens of the leading shared parts that a source should hold.
 func (h *holdings) held(source, salt string, r *Request, now time.Time) int {
-	tokens := 0
 	s := h.sources[source]
-	for i, part := range r.Chain {
-		if i == len(r.Chain)-1 {
-			break
-		}
-		have := h.part(s, source, partKey{salt: salt, part: part.ID}, part.Tokens, now)
-		tokens += have
-		if have < part.Tokens-blockTokens {
-			break
-		}
-	}
-	return tokens
+	return leading(r, func(part Part) int {
+		return h.expected(s, sentKey{source: source, partKey: partKey{salt: salt, part: part.ID}}, part, now)
+	})
 }
 
 // stored returns the tokens of the leading shared parts that a source holds by its events. What was sent there may
@@ -119,12 +111,19 @@
 	if s == nil {
 		return 0
 	}
+	return leading(r, func(part Part) int {
+		return s.parts[partKey{salt: salt, part: part.ID}]
+	})
+}
+
+// blockTokens is the granularity in which engines store parts; the rest of a part may be missing.
+const blockTokens = 16
+
+// leading adds up the shared parts from the first on, as far as they are held without a gap.
+func leading(r *Request, held func(Part) int) int {
 	tokens := 0
-	for i, part := range r.Chain {
-		if i == len(r.Chain)-1 {
-			break
-		}
-		have := min(s.parts[partKey{salt: salt, part: part.ID}], part.Tokens)
+	for _, part := range r.shared() {
+		have := min(held(part), part.Tokens)
 		tokens += have
 		if have < part.Tokens-blockTokens {
 			break
@@ -133,18 +132,17 @@
 	return tokens
 }
 
-// blockTokens is the granularity in which engines store parts; the rest of a part may be missing.
-const blockTokens = 16
-
-func (h *holdings) part(s *sourceState, source string, k partKey, whole int, now time.Time) int {
+// expected returns the tokens of a part that a source should hold: by its events, or all of it where it was sent there
+// lately.
+func (h *holdings) expected(s *sourceState, k sentKey, part Part, now time.Time) int {
 	limit := unwatchedFor
 	have := 0
 	if s != nil {
 		limit = sentFor
-		have = min(s.parts[k], whole)
+		have = s.parts[k.partKey]
 	}
-	if at, ok := h.sent[sentKey{source: source, partKey: k}]; ok && now.Sub(at) < limit {
-		return whole
+	if at, ok := h.sent[k]; ok && now.Sub(at) < limit {
+		return part.Tokens
 	}
 	return have
 }
@@ -153,10 +151,7 @@
 	if len(h.sent) > maxSent {
 		h.expire(now)
 	}
-	for i, part := range r.Chain {
-		if i == len(r.Chain)-1 {
-			break
-		}
+	for _, part := range r.shared() {
 		h.sent[sentKey{source: source, partKey: partKey{salt: salt, part: part.ID}}] = now
 	}
 }
--- a/pkg/place/outcome.go
+++ b/pkg/place/outcome.go
@@ -86,21 +86,21 @@
 	s.load.Unread -= x.unread
 	switch outcome {
 	case Answered:
-		s.judge(0, now)
+		s.recordResult(0, now)
 		s.ejections = 0
 	case Failed:
-		s.judge(1, now)
+		s.recordResult(1, now)
 	case Broken, Silent:
-		s.judge(1, now)
+		s.recordResult(1, now)
 		s.consecutiveUnhealthy++
-		p.cache.unsend(x.source)
+		p.cache.forgetSent(x.source)
 		if s.consecutiveUnhealthy >= ejectAfter {
 			s.eject(now)
 		}
 	case Unreachable:
-		s.judge(1, now)
+		s.recordResult(1, now)
 		s.eject(now)
-		p.cache.unsend(x.source)
+		p.cache.forgetSent(x.source)
 	case Full:
 		s.busyUntil = now.Add(busyFor)
 	case Neutral:
@@ -113,7 +113,7 @@
 // ejectAfter is the number of broken answers in a row after which an endpoint is left out for a while.
 const ejectAfter = 3
 
-// Version records the weight version that an endpoint named in an answer, a report or a peer's word.
+// Version records the weight version that an endpoint reported in an answer, a report or a peer's digest.
 func (p *Placer) Version(e *fleet.Endpoint, model string, version int64) {
 	s := p.stateOf(e)
 	if version > s.versions[model] {
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -6,7 +6,6 @@
 package place
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -35,19 +34,19 @@
 	Prompt, Output int
 	// Exclude names endpoints on which an attempt failed.
 	Exclude []string
-	// Named are the weight versions that were named, oldest first.
-	Named []Naming
+	// Announced are the weight versions that were announced, oldest first.
+	Announced []Announcement
 }
 
-// Naming is one weight version with the time at which this VM learned of it.
-type Naming struct {
+// Announcement is one weight version with the time at which this VM learned of it.
+type Announcement struct {
 	Version int64
 	At      time.Time
 }
 
 // superseded returns when a version was first superseded. It reports false for the newest.
 func (r *Request) superseded(version int64) (time.Time, bool) {
-	for _, n := range r.Named {
+	for _, n := range r.Announced {
 		if n.Version > version {
 			return n.At, true
 		}
@@ -148,7 +147,7 @@
 	sent   map[uint64]*sent
 	peers  map[string]map[string]Load
 	cache  *holdings
-	// loading names the engines that are being emptied or loaded.
+	// loading names the engines that drain or load new weights.
 	loading map[string]bool
 }
 
@@ -173,7 +172,7 @@
 			candidates = append(candidates, c)
 		}
 	}
-	candidates = keepSound(candidates, now)
+	candidates = healthy(candidates, now)
 	if len(candidates) == 0 {
 		return Choice{}
 	}
@@ -181,7 +180,7 @@
 	for i := range candidates {
 		p.score(&candidates[i], r, f, now)
 	}
-	p.gather(r, candidates, endpoints, f, now)
+	p.addTransfers(r, candidates, endpoints, f, now)
 	for i := range candidates {
 		if candidates[i].Score < candidates[best].Score {
 			best = i
@@ -197,8 +196,8 @@
 		Candidates: len(candidates),
 		FetchFrom:  c.from,
 	}
-	if r.Engine && sharedTokens(r) >= leastTransfer && f.Store != "" {
-		choice.Save = p.cache.held(f.Store, r.Salt(c.Version), r, now) < sharedTokens(r)-leastTransfer
+	if r.Engine && r.sharedTokens() >= leastTransfer && f.Store != "" {
+		choice.Save = p.cache.held(f.Store, r.Salt(c.Version), r, now) < r.sharedTokens()-leastTransfer
 	}
 	return choice
 }
@@ -230,18 +229,21 @@
 	return sum
 }
 
+// shared returns the parts that other requests may share.
+func (r *Request) shared() []Part {
+	return r.Chain[:max(len(r.Chain)-1, 0)]
+}
+
 // sharedTokens returns the tokens of the parts that other requests may share.
-func sharedTokens(r *Request) int {
+func (r *Request) sharedTokens() int {
 	n := 0
-	for i, part := range r.Chain {
-		if i < len(r.Chain)-1 {
-			n += part.Tokens
-		}
+	for _, part := range r.shared() {
+		n += part.Tokens
 	}
 	return n
 }
 
-// SetLoading names the engines that are emptied or loaded with new weights.
+// SetLoading sets the engines that drain or load new weights.
 func (p *Placer) SetLoading(ids []string) {
 	clear(p.loading)
 	for _, id := range ids {
@@ -282,14 +284,3 @@
 		}
 	}
 }
-
-// Spare returns the free share of the least loaded endpoint's slots, for the time to come back.
-func (p *Placer) Spare(endpoints []*fleet.Endpoint, f Facts) float64 {
-	best := 0.0
-	for _, e := range endpoints {
-		slots := max(f.Slots, 1)
-		free := 1 - float64(p.total(e.ID).Running)/float64(slots)
-		best = math.Max(best, free)
-	}
-	return best
-}
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -48,7 +48,7 @@
 func TestLimitCountsFromFirstSuccessor(t *testing.T) {
 	p := New()
 	r := prompt(1, 2)
-	r.Named = []Naming{{Version: 2, At: start}, {Version: 3, At: start.Add(6 * time.Second)}}
+	r.Announced = []Announcement{{Version: 2, At: start}, {Version: 3, At: start.Add(6 * time.Second)}}
 	both := []*fleet.Endpoint{engine(0, 1), engine(1, 2)}
 	if c := p.Place(r, both[:1], facts, start.Add(12*time.Second)); c.Endpoint == nil {
 		t.Fatal("old weights are refused before the limit")
--- a/pkg/place/score.go
+++ b/pkg/place/score.go
@@ -6,7 +6,7 @@
 const (
 	// crossDataCentreMs stands for the delay and the price of bytes between data centres.
 	crossDataCentreMs = 8.0
-	// loadingMs keeps new work from an engine that is emptied or loads new weights.
+	// loadingMs keeps new work from an engine that drains or loads new weights.
 	loadingMs = 2000.0
 	// oldVersionMs is the loss of an answer on replaced weights.
 	oldVersionMs = 200.0
@@ -48,9 +48,9 @@
 }
 
 // engineMs predicts the time to the first token on an engine from the prompts before it, its own part of the prompt and
-// the running batch. The shared parts are added by gather.
+// the running batch. The shared parts are added by addTransfers.
 func (p *Placer) engineMs(c *Candidate, r *Request, f Facts, now time.Time) float64 {
-	shared := sharedTokens(r)
+	shared := r.sharedTokens()
 	c.Held = min(p.cache.held(SourceOf(c.Endpoint), r.Salt(c.Version), r, now), shared)
 	own := max(r.Prompt-shared, 0)
 	t := firstTokenMs + float64(c.Load.Unread+own)/prefillTokensPerMs
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -83,7 +83,7 @@
 	s.slowAt = now
 }
 
-func (s *state) judge(failed float64, now time.Time) {
+func (s *state) recordResult(failed float64, now time.Time) {
 	s.failing = s.failureRate(now)*(1-learnShare) + failed*learnShare
 	s.failAt = now
 }
@@ -100,16 +100,16 @@
 		if x.answered {
 			continue
 		}
-		patience := max(silentAfter, time.Duration(silentFactor*x.expected*float64(time.Millisecond)))
-		if now.Sub(x.at) > patience && s.lastAnswer.Before(x.at.Add(patience)) {
+		limit := max(silentAfter, time.Duration(silentFactor*x.expected*float64(time.Millisecond)))
+		if now.Sub(x.at) > limit && s.lastAnswer.Before(x.at.Add(limit)) {
 			return true
 		}
 	}
 	return false
 }
 
-// keepSound drops endpoints that cannot be reached or are silent, unless nothing would be left.
-func keepSound(candidates []Candidate, now time.Time) []Candidate {
+// healthy drops endpoints that cannot be reached or are silent, unless nothing would be left.
+func healthy(candidates []Candidate, now time.Time) []Candidate {
 	sound := make([]Candidate, 0, len(candidates))
 	for _, c := range candidates {
 		if now.Before(c.state.ejectUntil) || c.state.silent(now) {
--- a/pkg/place/transfer.go
+++ b/pkg/place/transfer.go
@@ -1,11 +1,11 @@
 package place
 
 import (
-	"hash/fnv"
 	"math"
 	"time"
 
 	"github.com/corneldeal/corneldeal/pkg/fleet"
+	"github.com/corneldeal/corneldeal/pkg/rendezvous"
 )
 
 const (
@@ -20,11 +20,11 @@
 // leastTransfer is the number of shared tokens below which reading them is cheaper than a transfer.
 const leastTransfer = 800
 
-// gather adds the cost of the shared parts that each candidate lacks: a transfer where another source holds them, and
+// addTransfers adds the cost of the shared parts that each candidate lacks: a transfer where another source holds them, and
 // reading them where none does. Parts that nobody holds are read at one home per version, so that the VMs do not have
 // several engines read the same.
-func (p *Placer) gather(r *Request, candidates []Candidate, endpoints []*fleet.Endpoint, f Facts, now time.Time) {
-	shared := sharedTokens(r)
+func (p *Placer) addTransfers(r *Request, candidates []Candidate, endpoints []*fleet.Endpoint, f Facts, now time.Time) {
+	shared := r.sharedTokens()
 	if !r.Engine || shared < leastTransfer {
 		for i := range candidates {
 			candidates[i].addMs(float64(shared-candidates[i].Held) / prefillTokensPerMs)
@@ -116,31 +116,21 @@
 	return name, tokens, ms
 }
 
-// home returns the index of the candidate of a group that all VMs prefer for the request's shared parts, by rendezvous
-// hash.
+// home returns the index of the candidate of a group that all VMs prefer for the request's shared parts.
 func (p *Placer) home(r *Request, candidates []Candidate, group []int) int {
-	if len(r.Chain) < 2 {
+	shared := r.shared()
+	if len(shared) == 0 {
 		return -1
 	}
-	subject := r.Chain[len(r.Chain)-2].ID
+	subject := shared[len(shared)-1].ID
 	best, bestWeight := -1, uint64(0)
 	for _, i := range group {
 		if p.loading[candidates[i].Endpoint.ID] {
 			continue
 		}
-		if w := weight(subject, candidates[i].Endpoint.ID); best < 0 || w > bestWeight {
+		if w := rendezvous.Weight(subject, candidates[i].Endpoint.ID); best < 0 || w > bestWeight {
 			best, bestWeight = i, w
 		}
 	}
 	return best
 }
-
-func weight(subject uint64, endpoint string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(endpoint))
-	// The finaliser of splitmix64 spreads the bits, which FNV alone does not for short inputs.
-	x := h.Sum64() ^ subject
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -2,11 +2,10 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"math/rand/v2"
 	"slices"
 
-	"github.com/zeebo/xxh3"
+	"github.com/corneldeal/corneldeal/pkg/rendezvous"
 )
 
 // Picker chooses one of the candidates that passed the filters.
@@ -72,7 +71,7 @@
 	}
 	key := r.Hashes[matched]
 	return slices.MaxFunc(near, func(a, b int) int {
-		return cmp.Compare(rendezvous(key, candidates[a].Name), rendezvous(key, candidates[b].Name))
+		return cmp.Compare(rendezvous.Weight(key, candidates[a].Name), rendezvous.Weight(key, candidates[b].Name))
 	})
 }
 
@@ -130,17 +129,9 @@
 	key := r.Hashes[min(p.blocks, len(r.Hashes))-1]
 	best := 0
 	for i := range candidates {
-		if rendezvous(key, candidates[i].Name) > rendezvous(key, candidates[best].Name) {
+		if rendezvous.Weight(key, candidates[i].Name) > rendezvous.Weight(key, candidates[best].Name) {
 			best = i
 		}
 	}
 	return best
 }
-
-// rendezvous returns the weight of a name for a key. The highest weight wins; a name that goes away moves only
-// its own keys.
-func rendezvous(key uint64, name string) uint64 {
-	var data [8]byte
-	binary.LittleEndian.PutUint64(data[:], key)
-	return xxh3.HashSeed(data[:], xxh3.HashString(name))
-}
--- a/pkg/route/spread.go
+++ b/pkg/route/spread.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/corneldeal/corneldeal/pkg/rendezvous"
 )
 
 // Constants of the spreading of hot prefixes.
@@ -164,7 +166,7 @@
 func rank(key uint64, candidates []Candidate) {
 	order := make([]weighted, len(candidates))
 	for i := range candidates {
-		order[i] = weighted{rendezvous(key, candidates[i].Name), i}
+		order[i] = weighted{rendezvous.Weight(key, candidates[i].Name), i}
 	}
 	slices.SortFunc(order, func(a, b weighted) int { return cmp.Compare(b.weight, a.weight) })
 	for i, w := range order {
--- a/pkg/share/limiter.go
+++ b/pkg/share/limiter.go
@@ -3,7 +3,7 @@
 // Each VM holds one bucket per workspace that stands for the whole system. It deducts what the VM itself admits at
 // once, and what the peers admitted as soon as they tell, so the sum exceeds the limit at most by what is admitted
 // within one exchange. A peer that falls silent may go on admitting: its equal share of stock and refill is set
-// aside until it is heard again, so parts of a partitioned system together stay within the limit. The package holds
+// aside until it is seen again, so parts of a partitioned system together stay within the limit. The package holds
 // no I/O; time is an argument.
 package share
 
@@ -13,15 +13,15 @@
 )
 
 const (
-	// SilenceAfter is the age of a peer's last word at which its share is set aside. It spans several lost datagrams.
+	// SilenceAfter is the age of a peer's last report at which its share is set aside. It spans several lost datagrams.
 	SilenceAfter = 1200 * time.Millisecond
 	// ForgetAfter is the age at which a peer no longer counts. Its share is free again.
 	ForgetAfter = 20 * time.Second
-	// startShare is the part of the burst with which a restarted VM begins before it has heard a peer.
+	// startShare is the part of the burst with which a restarted VM begins before the first report of a peer.
 	startShare = 0.1
 	// rateShare is the weight of the newest exchange in a peer's rate.
 	rateShare = 0.5
-	// maxWait bounds the time to come back that is told to callers.
+	// maxWait bounds the Retry-After of a refusal.
 	maxWait = 30 * time.Second
 )
 
@@ -32,7 +32,7 @@
 	Rate, Burst int64
 }
 
-// Usage is what a VM tells of one workspace.
+// Usage is what a VM reports of one workspace.
 type Usage struct {
 	Workspace string
 	// Admitted is the number of tokens admitted since the VM started.
@@ -46,17 +46,17 @@
 	level       float64
 	at          time.Time
 	admitted    int64
-	// fresh is set until the first word of a peer corrects the level of a VM that started into a running system.
+	// fresh is set until the first report of a peer corrects the level of a VM that started into a running system.
 	fresh bool
 }
 
 type peer struct {
 	boot     uint64
-	heard    time.Time
+	lastSeen time.Time
 	admitted map[string]int64
 	// rate is what the peer admitted lately, in tokens per second by workspace.
 	rate map[string]float64
-	// aside is the stock that was set aside for the silent peer, by workspace. Nil while the peer is heard.
+	// aside is the stock that was set aside for the silent peer, by workspace. Nil while the peer reports.
 	aside map[string]float64
 }
 
@@ -147,15 +147,15 @@
 	}
 	l.refill(b, now)
 	need := math.Min(float64(cost), b.burst)
-	unheard := l.unheard(workspace, now)
-	if b.level-unheard >= need {
+	unreported := l.unreported(workspace, now)
+	if b.level-unreported >= need {
 		b.level -= float64(cost)
 		b.admitted += cost
 		return true, 0
 	}
 	quiet, total := l.silent()
 	rate := b.rate * float64(total-quiet) / float64(total)
-	wait = time.Duration((need + unheard - b.level) / rate * float64(time.Second))
+	wait = time.Duration((need + unreported - b.level) / rate * float64(time.Second))
 	return false, min(wait, maxWait)
 }
 
@@ -165,15 +165,15 @@
 	if b == nil {
 		return 0
 	}
-	return int64(b.level - l.unheard(workspace, now))
+	return int64(b.level - l.unreported(workspace, now))
 }
 
-// unheard returns what the peers should have admitted since their last words, at the rate of those.
-func (l *Limiter) unheard(workspace string, now time.Time) float64 {
+// unreported returns what the peers should have admitted since their last words, at the rate of those.
+func (l *Limiter) unreported(workspace string, now time.Time) float64 {
 	sum := 0.0
 	for _, p := range l.peers {
 		if p.aside == nil {
-			sum += p.rate[workspace] * math.Max(now.Sub(p.heard).Seconds(), 0)
+			sum += p.rate[workspace] * math.Max(now.Sub(p.lastSeen).Seconds(), 0)
 		}
 	}
 	return sum
@@ -199,13 +199,13 @@
 	return out
 }
 
-// Heard takes the word of a peer. Boot identifies the peer's process.
-func (l *Limiter) Heard(vm string, boot uint64, usage []Usage, now time.Time) {
+// Report applies what a peer has admitted. Boot identifies the peer's process.
+func (l *Limiter) Report(vm string, boot uint64, usage []Usage, now time.Time) {
 	p := l.peers[vm]
 	if p == nil {
-		p = &peer{boot: boot, admitted: map[string]int64{}, rate: map[string]float64{}, heard: now}
+		p = &peer{boot: boot, admitted: map[string]int64{}, rate: map[string]float64{}, lastSeen: now}
 		l.peers[vm] = p
-		// What a peer admitted before this VM first heard it is no debt of the present stock.
+		// What a peer admitted before its first report is no debt of the present stock.
 		for _, u := range usage {
 			p.admitted[u.Workspace] = u.Admitted
 		}
@@ -216,10 +216,10 @@
 		clear(p.admitted)
 		clear(p.rate)
 	}
-	elapsed := now.Sub(p.heard).Seconds()
+	elapsed := now.Sub(p.lastSeen).Seconds()
 	aside := p.aside
 	p.aside = nil
-	p.heard = now
+	p.lastSeen = now
 	for _, u := range usage {
 		if elapsed > 0 {
 			lately := math.Max(float64(u.Admitted-p.admitted[u.Workspace])/elapsed, 0)
@@ -248,7 +248,7 @@
 // Tick finds peers that fell silent or are gone.
 func (l *Limiter) Tick(now time.Time) {
 	for vm, p := range l.peers {
-		age := now.Sub(p.heard)
+		age := now.Sub(p.lastSeen)
 		if age > ForgetAfter {
 			delete(l.peers, vm)
 			continue
@@ -269,8 +269,8 @@
 	p.aside = make(map[string]float64, len(l.buckets))
 	for name, b := range l.buckets {
 		l.refill(b, now)
-		unheard := p.rate[name] * now.Sub(p.heard).Seconds()
-		part := unheard + math.Max(b.level-unheard, 0)/float64(total)
+		unreported := p.rate[name] * now.Sub(p.lastSeen).Seconds()
+		part := unreported + math.Max(b.level-unreported, 0)/float64(total)
 		b.level -= part
 		p.aside[name] = part
 	}
--- a/pkg/share/limiter_test.go
+++ b/pkg/share/limiter_test.go
@@ -94,7 +94,7 @@
 			if to == from || to.down || to.group != from.group || w.rng.IntN(10) == 0 {
 				continue
 			}
-			to.limiter.Heard(from.name, from.boot, usage, w.now)
+			to.limiter.Report(from.name, from.boot, usage, w.now)
 		}
 	}
 }
@@ -192,8 +192,8 @@
 func TestLateFirstWordIsNoDebt(t *testing.T) {
 	l := New(false)
 	l.Configure([]Limit{{Workspace: "w", Rate: rate, Burst: burst}}, start)
-	l.Heard("peer", 1, []Usage{{Workspace: "w", Admitted: 50 * rate}}, start)
+	l.Report("peer", 1, []Usage{{Workspace: "w", Admitted: 50 * rate}}, start)
 	if ok, _ := l.Take("w", burst, start); !ok {
-		t.Fatal("the first word of a peer was charged")
+		t.Fatal("the first report of a peer was charged")
 	}
 }
