--- a/lab/cmd/corneldeal-lab/tools.go
+++ b/lab/cmd/corneldeal-lab/tools.go
@@ -80,7 +80,7 @@
 }
 
 func profileFlag() cli.Flag {
-	return &cli.StringFlag{Name: "profile", Value: "naktsgaisma", Usage: "profile `NAME`: naktsgaisma or stitchdesk"}
+	return &cli.StringFlag{Name: "profile", Value: "retail", Usage: "profile `NAME`: retail or workshop"}
 }
 
 func noteCommand() *cli.Command {
--- a/lab/load/load_test.go
+++ b/lab/load/load_test.go
@@ -158,7 +158,7 @@
 
 // The file is read by others; a renamed or missing key, or a wrong figure, would go unnoticed there.
 func TestReportHoldsExactlyTheAgreedKeys(t *testing.T) {
-	p := Profile{Name: "naktsgaisma", RequestsPerSecond: 1e6, RateHeadroom: 1, BurstTime: time.Second, Workspaces: []Workspace{
+	p := Profile{Name: "retail", RequestsPerSecond: 1e6, RateHeadroom: 1, BurstTime: time.Second, Workspaces: []Workspace{
 		{Name: "a", Share: 1}, {Name: "b", Share: 1}, {Name: "c", Share: 1}, {Name: "d", Share: 1, Overload: 9},
 	}}
 	ms := time.Millisecond
--- a/lab/load/profile.go
+++ b/lab/load/profile.go
@@ -92,12 +92,13 @@
 
 // Profiles returns the measured profiles.
 func Profiles() []Profile {
-	return []Profile{naktsgaisma(), stitchdesk()}
+	return []Profile{retail(), workshop()}
 }
 
-func naktsgaisma() Profile {
+// retail has late-evening questions on long shared catalogues, with a few large workspaces.
+func retail() Profile {
 	return Profile{
-		Name:              "naktsgaisma",
+		Name:              "retail",
 		Engines:           12,
 		Services:          3,
 		VMs:               9,
@@ -123,9 +124,10 @@
 	}
 }
 
-func stitchdesk() Profile {
+// workshop has fewer and longer answers and more plain calls.
+func workshop() Profile {
 	return Profile{
-		Name:              "stitchdesk",
+		Name:              "workshop",
 		Engines:           9,
 		Services:          3,
 		VMs:               7,
