Show the cause of the known red test by a test that always fails

Cause: TestRestartedVMServesWhileLogIsDown failed once in three runs beside other builds, unexplained. Suspected was a stall of the other VMs of more than 3 s while the log is down. Change: TestStallInLogOutageStopsNobody pauses all three VMs for 5 s in an outage of the log. Conclusion: leases lapse after 3 s without evidence and cannot be renewed in the outage. Own interface only; the gateway has no such leases.

--- a/lab/failure/config_test.go
+++ b/lab/failure/config_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/corneldeal/corneldeal/lab/deploy"
 	"github.com/corneldeal/corneldeal/lab/logservice"
@@ -128,6 +129,23 @@
 	}
 }
 
+// Guards against an outage of the log in which a short stall of the VMs that hold the limit slots stops all of them from
+// serving until the log is back: their leases lapse and nothing renews them. See KNOWN-RED.txt.
+func TestStallInLogOutageStopsNobody(t *testing.T) {
+	// leaseStall is longer than a lease lasts without evidence (3 s).
+	const leaseStall = 5 * time.Second
+	d := start(t, shape{vms: 3, engines: 1})
+	d.log.SetFaults(logservice.Faults{Down: true})
+	for _, v := range d.VMs {
+		d.check(v.Pause())
+	}
+	time.Sleep(leaseStall)
+	for _, v := range d.VMs {
+		d.check(v.Resume())
+	}
+	d.await("a VM serves", func() bool { return d.chat(d.VMs[0], keySmall, "stall", 3).end == "done" })
+}
+
 // All VMs restart at once: they must take the configuration from the log again and serve.
 func TestHerdRestart(t *testing.T) {
 	d := start(t, shape{vms: 3, engines: 1, services: 1})
