Keep a subject's requests at its home by 120 ms of expected first token

Change: a candidate that lacks the shared parts and is not their home scores 120 ms worse. A busy home is still left.

--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -210,3 +210,40 @@
 		t.Fatal("requests are left")
 	}
 }
+
+// Guards against VMs that see different loads spreading a subject over engines, which takes memory for another copy and a
+// transfer each time.
+func TestSubjectStaysHomeUnderLightLoad(t *testing.T) {
+	list := engines(4)
+	place := func(busy int) string {
+		p := New()
+		p.CacheEvents("store", 1, false, held(2))
+		loads := map[string]Load{}
+		for i, e := range list {
+			if i != busy {
+				continue
+			}
+			loads[e.ID] = Load{Running: 4, Unread: 3000, Memory: 28_000}
+		}
+		p.SetPeer("peer", loads)
+		return p.Place(prompt(1, 2), list, facts, start).Endpoint.ID
+	}
+	home := place(-1)
+	for busy := range list {
+		if got := place(busy); got != home {
+			t.Errorf("placed on %s instead of %s, with some work on e%d", got, home, busy)
+		}
+	}
+}
+
+// Guards against a home that gets all requests of its subjects, however busy it is.
+func TestSubjectLeavesItsBusyHome(t *testing.T) {
+	list := engines(4)
+	p := New()
+	p.CacheEvents("store", 1, false, held(2))
+	home := p.Place(prompt(1, 2), list, facts, start).Endpoint.ID
+	p.SetPeer("peer", map[string]Load{home: {Running: 10, Unread: 40_000, Memory: 70_000}})
+	if got := p.Place(prompt(1, 2), list, facts, start).Endpoint.ID; got == home {
+		t.Error("waits half a second at its home")
+	}
+}
--- a/pkg/place/transfer.go
+++ b/pkg/place/transfer.go
@@ -13,6 +13,9 @@
 	fetchFixedMs = 6.0
 	// farTransfer is the factor on a transfer between data centres.
 	farTransfer = 2.0
+	// awayMs is the loss of placing a request away from the engine that holds its shared parts, or from the one that all VMs
+	// prefer for them: a transfer takes links, and another copy takes memory.
+	awayMs = 120.0
 	// readTwiceMs is the loss of having an engine read parts that another VM may have the home read now.
 	readTwiceMs = 150.0
 )
@@ -45,6 +48,9 @@
 			c.from, c.fetched = from, tokens
 			unread := lacks - tokens
 			c.addMs(ms + float64(unread)/prefillTokensPerMs)
+			if i != home {
+				c.Score += awayMs
+			}
 			if unread >= leastTransfer && i != home {
 				c.Score += readTwiceMs
 			}
