Keep the peers of a large system live: short digests, forwarded in other data centres

Cause: with 85 VMs a digest was due each 1.7 s, while a peer counts as silent after 1.5 s, and for the order lease and the quotas after 1.1 s and 1.2 s. Change: a digest names 16 neighbours in turn; from 24 peers on it goes once to a VM of each other data centre, drawn anew each time, which forwards it; the pause is at most 360 ms. Loads of peers are summed when they arrive instead of at each placement. Ruled out: longer limits of silence; quotas and the lease would lag as much.

--- a/pkg/gateway/digest.go
+++ b/pkg/gateway/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -13,12 +14,17 @@
 )
 
 const (
-	// digestPause is the pause between two digests to a peer in a small system.
-	digestPause = 250 * time.Millisecond
-	// digestPausePerPeer stretches the pause so that a large system's digests stay within the bytes for control.
-	digestPausePerPeer = 20 * time.Millisecond
-	// digestMinPause is the least time between two digests.
-	digestMinPause = 25 * time.Millisecond
+	// digestPause is the longest pause between two digests, and digestPauseLarge the same in a large system. Three of
+	// them fit into holderSilence and share.SilenceAfter.
+	digestPause      = 250 * time.Millisecond
+	digestPauseLarge = 360 * time.Millisecond
+	// digestMinPause is the least time between two digests, and digestMinPauseLarge the same in a large system.
+	digestMinPause      = 25 * time.Millisecond
+	digestMinPauseLarge = 120 * time.Millisecond
+	// largeSystem is the number of peers from which digests go to another data centre once and are forwarded there.
+	largeSystem = 24
+	// digestNeighbours is the number of other VMs that a digest names.
+	digestNeighbours = 16
 	// dropAfter is the age at which digests to a silent address become rare.
 	dropAfter = 30 * time.Second
 	// lastSequence is the number of a process's last digest.
@@ -41,23 +47,31 @@
 func (g *Gateway) sendDigests() {
 	var sequence uint64
 	for {
-		g.mu.Lock()
-		pause := max(digestPause, time.Duration(len(g.addresses))*digestPausePerPeer)
-		g.mu.Unlock()
-		if !g.sleep(digestMinPause) {
+		least, most := g.digestPauses()
+		if !g.sleep(least) {
 			return
 		}
 		select {
 		case <-g.ctx.Done():
 			return
 		case <-g.digestDue:
-		case <-time.After(pause - digestMinPause):
+		case <-time.After(most - least):
 		}
 		sequence++
 		g.sendDigest(sequence)
 	}
 }
 
+// digestPauses returns the least and the longest time between two digests.
+func (g *Gateway) digestPauses() (least, most time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.addresses) < largeSystem {
+		return digestMinPause, digestPause
+	}
+	return digestMinPauseLarge, digestPauseLarge
+}
+
 func (g *Gateway) sendDigest(sequence uint64) {
 	now := steady.Now()
 	g.mu.Lock()
@@ -79,24 +93,39 @@
 	g.broadcast(digest, to)
 }
 
-func (g *Gateway) broadcast(digest *gossip.Digest, to []netip.AddrPort) {
+// recipients are the addresses for one digest.
+type recipients struct {
+	// direct get it for themselves, relays forward it within their data centres.
+	direct, relays []netip.AddrPort
+}
+
+func (g *Gateway) broadcast(digest *gossip.Digest, to recipients) {
+	g.sendTo(digest, to.direct)
+	if len(to.relays) > 0 {
+		digest.Forward = true
+		g.sendTo(digest, to.relays)
+	}
+}
+
+func (g *Gateway) sendTo(digest *gossip.Digest, addresses []netip.AddrPort) {
 	datagram, err := gossip.Encode(digest)
 	if err != nil || len(datagram) > gossip.MaxDigestBytes {
 		g.log.warn(partPeer).Int("bytes", len(datagram)).Err(err).Msg("digest not sent")
 		return
 	}
-	for _, address := range to {
+	for _, address := range addresses {
 		if err := g.socket.Send(address, datagram); err != nil {
 			g.metrics.count("digest_send_errors_total")
 		}
 	}
-	g.metrics.counters.Add("digest_bytes_total", int64(len(datagram)*len(to)))
+	g.metrics.counters.Add("digest_bytes_total", int64(len(datagram)*len(addresses)))
 }
 
-// recipients returns the addresses for this digest. Addresses that were silent for long get few. The caller holds
-// the lock.
-func (g *Gateway) recipients(sequence uint64, now time.Time) []netip.AddrPort {
-	var out []netip.AddrPort
+// recipients returns the addresses for this digest. Addresses that were silent for long get few. In a large system one
+// live VM of each other data centre, drawn anew each time, forwards it there. The caller holds the lock.
+func (g *Gateway) recipients(sequence uint64, now time.Time) recipients {
+	var out recipients
+	far := map[string][]netip.AddrPort{}
 	for vm, ip := range g.addresses {
 		p := g.peers[vm]
 		if p != nil && now.Sub(p.lastSeen) > dropAfter && sequence%rareDigests != 0 {
@@ -107,11 +136,36 @@
 			delete(g.addresses, vm)
 			continue
 		}
-		out = append(out, netip.AddrPortFrom(addr, uint16(g.settings.PeerPort)))
+		address := netip.AddrPortFrom(addr, uint16(g.settings.PeerPort))
+		if len(g.addresses) >= largeSystem && p != nil && p.live(now) && p.dataCentre != g.settings.DataCentre {
+			far[p.dataCentre] = append(far[p.dataCentre], address)
+			continue
+		}
+		out.direct = append(out.direct, address)
+	}
+	for _, addresses := range far {
+		out.relays = append(out.relays, addresses[rand.N(len(addresses))])
 	}
 	return out
 }
 
+// forwardDigest sends a peer's digest to the other VMs of this data centre.
+func (g *Gateway) forwardDigest(d *gossip.Digest, now time.Time) {
+	g.mu.Lock()
+	var to []netip.AddrPort
+	for _, p := range g.peers {
+		if p.vm == d.GetVm() || p.dataCentre != g.settings.DataCentre || now.Sub(p.lastSeen) > dropAfter {
+			continue
+		}
+		if addr, err := netip.ParseAddr(p.address); err == nil {
+			to = append(to, netip.AddrPortFrom(addr, uint16(g.settings.PeerPort)))
+		}
+	}
+	g.mu.Unlock()
+	d.Forward = false
+	g.sendTo(d, to)
+}
+
 // expire ages what is known. The caller holds the lock.
 func (g *Gateway) expire(now time.Time) {
 	g.limiter.Tick(now)
@@ -174,12 +228,22 @@
 	}
 	d.Versions = g.learnedVersions()
 	d.Announcements = g.recentAnnouncements(now)
-	for _, vm := range slices.Sorted(maps.Keys(g.peers)) {
-		if p := g.peers[vm]; p.live(now) {
-			d.Neighbours = append(d.Neighbours, &gossip.Neighbour{Vm: vm, Address: p.address})
+	d.Neighbours = g.someNeighbours(sequence, now)
+	return d
+}
+
+// someNeighbours returns live peers, others with each digest. The caller holds the lock.
+func (g *Gateway) someNeighbours(sequence uint64, now time.Time) []*gossip.Neighbour {
+	vms := slices.Sorted(maps.Keys(g.peers))
+	count := min(len(vms), digestNeighbours)
+	out := make([]*gossip.Neighbour, 0, count)
+	for i := range count {
+		p := g.peers[vms[(int(sequence%uint64(len(vms)))*count+i)%len(vms)]]
+		if p.live(now) {
+			out = append(out, &gossip.Neighbour{Vm: p.vm, Address: p.address})
 		}
 	}
-	return d
+	return out
 }
 
 // recentAnnouncements returns the versions whose time matters for placement. The caller holds the lock.
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -61,10 +61,15 @@
 		if err != nil {
 			return
 		}
-		if d.GetVm() != g.settings.VM {
-			g.mu.Lock()
-			g.applyDigest(d, steady.Now())
-			g.mu.Unlock()
+		if d.GetVm() == g.settings.VM {
+			continue
+		}
+		now := steady.Now()
+		g.mu.Lock()
+		g.applyDigest(d, now)
+		g.mu.Unlock()
+		if d.GetForward() {
+			g.forwardDigest(d, now)
 		}
 	}
 }
--- a/pkg/gossip/transport.go
+++ b/pkg/gossip/transport.go
@@ -45,6 +45,11 @@
 	return &Socket{conn: conn, buf: make([]byte, MaxDigestBytes)}, nil
 }
 
+// Port returns the port that the socket is bound to.
+func (s *Socket) Port() int {
+	return int(netip.MustParseAddrPort(s.conn.LocalAddr().String()).Port())
+}
+
 // Close ends Receive.
 func (s *Socket) Close() error {
 	return s.conn.Close()
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -146,7 +146,9 @@
 	states map[string]*state
 	sent   map[uint64]*sent
 	peers  map[string]map[string]Load
-	cache  *holdings
+	// peerSum is the sum over peers, by endpoint.
+	peerSum map[string]Load
+	cache   *holdings
 	// loading names the engines that drain or load new weights.
 	loading map[string]bool
 }
@@ -157,6 +159,7 @@
 		states:  map[string]*state{},
 		sent:    map[uint64]*sent{},
 		peers:   map[string]map[string]Load{},
+		peerSum: map[string]Load{},
 		cache:   newHoldings(),
 		loading: map[string]bool{},
 	}
@@ -223,9 +226,7 @@
 	if s := p.states[id]; s != nil {
 		sum = s.load
 	}
-	for _, loads := range p.peers {
-		sum.add(loads[id])
-	}
+	sum.add(p.peerSum[id])
 	return sum
 }
 
@@ -253,11 +254,27 @@
 
 // SetPeer replaces the loads that a peer reports. Nil forgets the peer.
 func (p *Placer) SetPeer(vm string, loads map[string]Load) {
+	for id, l := range p.peers[vm] {
+		p.addPeerLoad(id, Load{Running: -l.Running, Unread: -l.Unread, Memory: -l.Memory})
+	}
+	delete(p.peers, vm)
 	if loads == nil {
-		delete(p.peers, vm)
 		return
 	}
 	p.peers[vm] = loads
+	for id, l := range loads {
+		p.addPeerLoad(id, l)
+	}
+}
+
+func (p *Placer) addPeerLoad(id string, l Load) {
+	sum := p.peerSum[id]
+	sum.add(l)
+	if sum == (Load{}) {
+		delete(p.peerSum, id)
+		return
+	}
+	p.peerSum[id] = sum
 }
 
 // Own returns this VM's load on each endpoint that has any.
