Tell the VMs of large systems which prompt parts were sent where

Cause: an engine takes 12 watches of its cache events, so with 85 VMs each watches a seventh of the engines, and ten VMs the cache store. Change: from 10 peers on, a digest names the parts that its VM sent to engines or saved to the store since the last one, hashed with their salts. A part counts as held for 5 s in an engine that is not watched and for 15 s in the store, and can be fetched 0.6 s after it was sent. A save is remembered by its own VM as well, so that it is not repeated before the store's event. Ruled out: more watches (engines refuse them), relaying the events themselves (some hundred bytes each, from 140 engines). TestPlacementsOfPeersAreKnown and TestPlacementsOfPeersKeepSalts state it.

--- a/pkg/gateway/digest.go
+++ b/pkg/gateway/digest.go
@@ -23,6 +23,9 @@
 	digestMinPauseLarge = 120 * time.Millisecond
 	// largeSystem is the number of peers from which digests go to another data centre once and are forwarded there.
 	largeSystem = 24
+	// sharePlaced is the number of peers from which VMs tell each other which prompt parts they sent where, since engines
+	// take fewer watches than there are VMs.
+	sharePlaced = 10
 	// digestNeighbours is the number of other VMs that a digest names.
 	digestNeighbours = 16
 	// dropAfter is the age at which digests to a silent address become rare.
@@ -226,6 +229,11 @@
 	for _, c := range g.crashes.Recent(now.Add(-crashesFor)) {
 		d.Accusations = append(d.Accusations, &gossip.Accusation{Fingerprint: c.Fingerprint, Crashed: c.Endpoint})
 	}
+	if placed := g.placer.TakePlaced(); len(g.peers) >= sharePlaced {
+		for _, x := range placed {
+			d.Placed = append(d.Placed, &gossip.Placed{Source: x.Source, Parts: x.Parts})
+		}
+	}
 	d.Versions = g.learnedVersions()
 	d.Announcements = g.recentAnnouncements(now)
 	d.Neighbours = g.someNeighbours(sequence, now)
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -130,6 +130,9 @@
 		}
 	}
 	g.placer.SetPeer(p.vm, loads)
+	for _, x := range d.GetPlaced() {
+		g.placer.PeerPlaced(place.Placed{Source: x.GetSource(), Parts: x.GetParts()}, now)
+	}
 	for _, dep := range d.GetDepartures() {
 		if g.endpoints.Leave(dep.GetEndpoint(), dep.GetOffset(), now) {
 			g.endpointLeft(dep.GetEndpoint(), "peer "+p.vm, dep.GetOffset())
--- a/pkg/place/holdings.go
+++ b/pkg/place/holdings.go
@@ -4,16 +4,21 @@
 	"time"
 
 	"github.com/corneldeal/corneldeal/pkg/fleet"
+	"github.com/corneldeal/corneldeal/pkg/rendezvous"
 )
 
 const (
-	// sentFor is the time for which a part counts as held from the moment this VM sent a request with it. The
+	// sentFor is the time for which a part counts as held from the moment a request with it was sent there. The
 	// engine's event on it arrives within this time.
 	sentFor = 1500 * time.Millisecond
 	// unwatchedFor is the same for an engine whose events are not watched.
 	unwatchedFor = 5 * time.Second
-	// maxSent bounds the remembered sends.
-	maxSent = 8192
+	// savedFor is the same for the cache store, which has room for longer.
+	savedFor = 15 * time.Second
+	// readAfter is the age of a send at which the engine has usually read the parts, or the store has them.
+	readAfter = 600 * time.Millisecond
+	// expirePause is the pause between two looks for sends that are too old.
+	expirePause = time.Second
 )
 
 // CacheEvent tells that a source stores more or less of a part.
@@ -24,10 +29,11 @@
 	Tokens int
 }
 
-// partKey identifies a part. The salt keeps models, weight versions and isolated workspaces apart.
-type partKey struct {
-	salt string
-	part uint64
+// partKey identifies a part by a hash. The salt keeps models, weight versions and isolated workspaces apart.
+type partKey uint64
+
+func keyOf(salt string, part uint64) partKey {
+	return partKey(rendezvous.Weight(part, salt))
 }
 
 // sourceState is what an engine or cache store is known to hold by its events.
@@ -36,21 +42,23 @@
 	parts map[partKey]int
 }
 
-// sentKey identifies a part sent to an engine.
-type sentKey struct {
-	source string
-	partKey
-}
-
-// holdings tells which prompt parts the engines and cache stores hold: by their events, and for what this VM sent
-// there lately.
+// holdings tells which prompt parts the engines and cache stores hold: by their events, and for what this VM or a peer
+// sent there lately.
 type holdings struct {
 	sources map[string]*sourceState
-	sent    map[sentKey]time.Time
+	sent    map[string]map[partKey]time.Time
+	// news are the sends of this VM that the peers were not told of yet.
+	news map[string]map[partKey]struct{}
+	// expiredAt is when old sends were last dropped.
+	expiredAt time.Time
 }
 
 func newHoldings() *holdings {
-	return &holdings{sources: map[string]*sourceState{}, sent: map[sentKey]time.Time{}}
+	return &holdings{
+		sources: map[string]*sourceState{},
+		sent:    map[string]map[partKey]time.Time{},
+		news:    map[string]map[partKey]struct{}{},
+	}
 }
 
 // SourceOf returns the name of an engine as a source of cached parts, which is its address. A new start there shows by
@@ -67,7 +75,7 @@
 		p.cache.sources[source] = s
 	}
 	for _, e := range events {
-		k := partKey{salt: e.Salt, part: e.Part}
+		k := keyOf(e.Salt, e.Part)
 		if e.Tokens <= 0 {
 			delete(s.parts, k)
 			continue
@@ -89,33 +97,53 @@
 
 // forgetSent forgets what was sent to a source, whose requests may not have run.
 func (h *holdings) forgetSent(source string) {
-	for k := range h.sent {
-		if k.source == source {
-			delete(h.sent, k)
-		}
-	}
+	delete(h.sent, source)
+	delete(h.news, source)
 }
 
 // held returns the tokens of the leading shared parts that a source should hold.
 func (h *holdings) held(source, salt string, r *Request, now time.Time) int {
 	s := h.sources[source]
+	sent := h.sent[source]
+	limit := unwatchedFor
+	if s != nil {
+		limit = sentFor
+	}
 	return leading(r, func(part Part) int {
-		return h.expected(s, sentKey{source: source, partKey: partKey{salt: salt, part: part.ID}}, part, now)
+		k := keyOf(salt, part.ID)
+		if at, ok := sent[k]; ok && now.Sub(at) < limit {
+			return part.Tokens
+		}
+		return s.tokens(k)
 	})
 }
 
-// stored returns the tokens of the leading shared parts that a source holds by its events. What was sent there may
-// still be unread and cannot be fetched.
-func (h *holdings) stored(source, salt string, r *Request) int {
+// stored returns the tokens of the leading shared parts that can be fetched from a source: those that it holds by its
+// events or, where these are not watched, those that were sent there between readAfter and limit ago.
+func (h *holdings) stored(source, salt string, r *Request, limit time.Duration, now time.Time) int {
 	s := h.sources[source]
-	if s == nil {
+	sent := h.sent[source]
+	if s == nil && sent == nil {
 		return 0
 	}
 	return leading(r, func(part Part) int {
-		return s.parts[partKey{salt: salt, part: part.ID}]
+		k := keyOf(salt, part.ID)
+		at, ok := sent[k]
+		if age := now.Sub(at); s == nil && ok && age > readAfter && age < limit {
+			return part.Tokens
+		}
+		return s.tokens(k)
 	})
 }
 
+// tokens returns how much of a part a source holds by its events.
+func (s *sourceState) tokens(k partKey) int {
+	if s == nil {
+		return 0
+	}
+	return s.parts[k]
+}
+
 // blockTokens is the granularity in which engines store parts; the rest of a part may be missing.
 const blockTokens = 16
 
@@ -132,34 +160,67 @@
 	return tokens
 }
 
-// expected returns the tokens of a part that a source should hold: by its events, or all of it where it was sent there
-// lately.
-func (h *holdings) expected(s *sourceState, k sentKey, part Part, now time.Time) int {
-	limit := unwatchedFor
-	have := 0
-	if s != nil {
-		limit = sentFor
-		have = s.parts[k.partKey]
+// add records that this VM sends a request with its shared parts to a source.
+func (h *holdings) add(source, salt string, r *Request, now time.Time) {
+	if h.news[source] == nil {
+		h.news[source] = map[partKey]struct{}{}
 	}
-	if at, ok := h.sent[k]; ok && now.Sub(at) < limit {
-		return part.Tokens
+	for _, part := range r.shared() {
+		k := keyOf(salt, part.ID)
+		h.note(source, k, now)
+		h.news[source][k] = struct{}{}
 	}
-	return have
 }
 
-func (h *holdings) add(source, salt string, r *Request, now time.Time) {
-	if len(h.sent) > maxSent {
-		h.expire(now)
-	}
-	for _, part := range r.shared() {
-		h.sent[sentKey{source: source, partKey: partKey{salt: salt, part: part.ID}}] = now
+func (h *holdings) note(source string, k partKey, now time.Time) {
+	h.expire(now)
+	if h.sent[source] == nil {
+		h.sent[source] = map[partKey]time.Time{}
 	}
+	h.sent[source][k] = now
 }
 
+// expire drops the sends that no longer count for any source.
 func (h *holdings) expire(now time.Time) {
-	for k, at := range h.sent {
-		if now.Sub(at) > unwatchedFor || len(h.sent) > maxSent {
-			delete(h.sent, k)
+	if now.Sub(h.expiredAt) < expirePause {
+		return
+	}
+	h.expiredAt = now
+	for source, sent := range h.sent {
+		for k, at := range sent {
+			if now.Sub(at) > savedFor {
+				delete(sent, k)
+			}
+		}
+		if len(sent) == 0 {
+			delete(h.sent, source)
 		}
 	}
 }
+
+// Placed are the shared parts that were sent to a source, hashed with their salts.
+type Placed struct {
+	Source string
+	Parts  []uint64
+}
+
+// TakePlaced returns what this VM sent since the last call.
+func (p *Placer) TakePlaced() []Placed {
+	out := make([]Placed, 0, len(p.cache.news))
+	for source, parts := range p.cache.news {
+		placed := Placed{Source: source, Parts: make([]uint64, 0, len(parts))}
+		for k := range parts {
+			placed.Parts = append(placed.Parts, uint64(k))
+		}
+		out = append(out, placed)
+	}
+	clear(p.cache.news)
+	return out
+}
+
+// PeerPlaced records what a peer sent.
+func (p *Placer) PeerPlaced(placed Placed, now time.Time) {
+	for _, part := range placed.Parts {
+		p.cache.note(placed.Source, partKey(part), now)
+	}
+}
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -123,8 +123,9 @@
 	Candidates int
 	// FetchFrom is the source of shared parts that the chosen endpoint lacks, or empty.
 	FetchFrom string
-	// Save tells that the cache store lacks shared parts that are worth a transfer.
-	Save bool
+	// Save tells that the cache store lacks shared parts that are worth a transfer. SaveTo is its name as a source.
+	Save   bool
+	SaveTo string
 }
 
 // Defaults of what is learned.
@@ -200,7 +201,8 @@
 		FetchFrom:  c.from,
 	}
 	if r.Engine && r.sharedTokens() >= leastTransfer && f.Store != "" {
-		choice.Save = p.cache.held(f.Store, r.Salt(c.Version), r, now) < r.sharedTokens()-leastTransfer
+		choice.Save = p.saved(r, c.Version, f.Store, now) < r.sharedTokens()-leastTransfer
+		choice.SaveTo = f.Store
 	}
 	return choice
 }
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -247,3 +247,60 @@
 		t.Error("waits half a second at its home")
 	}
 }
+
+// Guards against VMs of a large system reading and saving parts again that a peer placed, since each watches the events
+// of few engines.
+func TestPlacementsOfPeersAreKnown(t *testing.T) {
+	list := engines(4)
+	sender, other := New(), New()
+	r := prompt(1, 2)
+	first := sender.Place(r, list, facts, start)
+	if !first.Save {
+		t.Fatal("nothing to save")
+	}
+	sender.Sent(r, first, start)
+	for _, placed := range sender.TakePlaced() {
+		other.PeerPlaced(placed, start)
+	}
+	if again := sender.TakePlaced(); len(again) != 0 {
+		t.Errorf("told twice: %v", again)
+	}
+
+	at := start.Add(100 * time.Millisecond)
+	c := other.Place(prompt(2, 2), list, facts, at)
+	if c.Endpoint != first.Endpoint || c.Missing != 1000 || c.Save {
+		t.Errorf("placed on %s, %d tokens missing, saved again: %v", c.Endpoint.ID, c.Missing, c.Save)
+	}
+	elsewhere := []*fleet.Endpoint{}
+	for _, e := range list {
+		if e != first.Endpoint {
+			elsewhere = append(elsewhere, e)
+		}
+	}
+	if c := other.Place(prompt(3, 2), elsewhere, facts, at); c.FetchFrom != "" {
+		t.Errorf("fetches parts from %s that are just being read", c.FetchFrom)
+	}
+	if c := other.Place(prompt(3, 2), elsewhere, facts, start.Add(time.Second)); c.FetchFrom != "store" || c.Missing != 1000 {
+		t.Errorf("fetches from %q, %d tokens missing", c.FetchFrom, c.Missing)
+	}
+	if c := other.Place(prompt(3, 2), list, facts, start.Add(20*time.Second)); c.FetchFrom != "" || !c.Save {
+		t.Errorf("relies on sends of 20 s ago: fetches from %q", c.FetchFrom)
+	}
+}
+
+// Guards against parts of one weight version, or of an isolated workspace, passing for those of another in what peers
+// tell.
+func TestPlacementsOfPeersKeepSalts(t *testing.T) {
+	list := engines(1)
+	sender, other := New(), New()
+	r := prompt(1, 2)
+	sender.Sent(r, sender.Place(r, list, facts, start), start)
+	for _, placed := range sender.TakePlaced() {
+		other.PeerPlaced(placed, start)
+	}
+	walled := prompt(2, 2)
+	walled.Salt = func(version int64) string { return fmt.Sprint(version, " isolated") }
+	if c := other.Place(walled, list, facts, start); c.Missing != 7000 {
+		t.Errorf("%d of 7000 tokens missing under another salt", c.Missing)
+	}
+}
--- a/pkg/place/transfer.go
+++ b/pkg/place/transfer.go
@@ -91,12 +91,12 @@
 		if s == nil || now.Before(s.ejectUntil) || s.silent(now) {
 			continue
 		}
-		if held := p.cache.stored(SourceOf(e), salt, r); held >= leastTransfer {
+		if held := p.cache.stored(SourceOf(e), salt, r, unwatchedFor, now); held >= leastTransfer {
 			out = append(out, source{name: e.Address, endpoint: e, held: held, tokensPerMs: f.LinkTokensPerMs})
 		}
 	}
 	if f.Store != "" {
-		if held := p.cache.stored(f.Store, salt, r); held >= leastTransfer {
+		if held := p.cache.stored(f.Store, salt, r, savedFor, now); held >= leastTransfer {
 			out = append(out, source{name: f.Store, held: held, tokensPerMs: f.StoreTokensPerMs})
 		}
 	}
@@ -140,3 +140,9 @@
 	}
 	return best
 }
+
+// saved returns the tokens of the leading shared parts that the cache store holds or is getting.
+func (p *Placer) saved(r *Request, version int64, store string, now time.Time) int {
+	salt := r.Salt(version)
+	return max(p.cache.held(store, salt, r, now), p.cache.stored(store, salt, r, savedFor, now))
+}
