Count the first send of a part for when it can be fetched

Cause: the time of a part's send was renewed by each request, so that the parts of a subject asked for more often than each 0.6 s never counted as read, and were not fetched by VMs that do not watch their engine. Change: the first and the last time of sends are kept; a part can be fetched 0.6 s after the first. TestPartsOfBusySubjectsCanBeFetched fails without it.

--- a/pkg/place/holdings.go
+++ b/pkg/place/holdings.go
@@ -42,22 +42,27 @@
 	parts map[partKey]int
 }
 
+// sentTimes are the first and the last time of the sends of a part to a source that count together.
+type sentTimes struct {
+	first, last time.Time
+}
+
 // holdings tells which prompt parts the engines and cache stores hold: by their events, and for what this VM or a peer
 // sent there lately.
 type holdings struct {
 	sources map[string]*sourceState
-	sent    map[string]map[partKey]time.Time
-	// news are the sends of this VM that the peers were not told of yet.
-	news map[string]map[partKey]struct{}
+	sent    map[string]map[partKey]sentTimes
+	// unreported are the sends of this VM that the peers were not told of yet.
+	unreported map[string]map[partKey]struct{}
 	// expiredAt is when old sends were last dropped.
 	expiredAt time.Time
 }
 
 func newHoldings() *holdings {
 	return &holdings{
-		sources: map[string]*sourceState{},
-		sent:    map[string]map[partKey]time.Time{},
-		news:    map[string]map[partKey]struct{}{},
+		sources:    map[string]*sourceState{},
+		sent:       map[string]map[partKey]sentTimes{},
+		unreported: map[string]map[partKey]struct{}{},
 	}
 }
 
@@ -98,7 +103,7 @@
 // forgetSent forgets what was sent to a source, whose requests may not have run.
 func (h *holdings) forgetSent(source string) {
 	delete(h.sent, source)
-	delete(h.news, source)
+	delete(h.unreported, source)
 }
 
 // held returns the tokens of the leading shared parts that a source should hold.
@@ -111,7 +116,7 @@
 	}
 	return leading(r, func(part Part) int {
 		k := keyOf(salt, part.ID)
-		if at, ok := sent[k]; ok && now.Sub(at) < limit {
+		if at, ok := sent[k]; ok && now.Sub(at.last) < limit {
 			return part.Tokens
 		}
 		return s.tokens(k)
@@ -119,7 +124,7 @@
 }
 
 // stored returns the tokens of the leading shared parts that can be fetched from a source: those that it holds by its
-// events or, where these are not watched, those that were sent there between readAfter and limit ago.
+// events or, where these are not watched, those that were sent there first before readAfter and last within limit.
 func (h *holdings) stored(source, salt string, r *Request, limit time.Duration, now time.Time) int {
 	s := h.sources[source]
 	sent := h.sent[source]
@@ -129,7 +134,7 @@
 	return leading(r, func(part Part) int {
 		k := keyOf(salt, part.ID)
 		at, ok := sent[k]
-		if age := now.Sub(at); s == nil && ok && age > readAfter && age < limit {
+		if s == nil && ok && now.Sub(at.first) > readAfter && now.Sub(at.last) < limit {
 			return part.Tokens
 		}
 		return s.tokens(k)
@@ -162,22 +167,27 @@
 
 // add records that this VM sends a request with its shared parts to a source.
 func (h *holdings) add(source, salt string, r *Request, now time.Time) {
-	if h.news[source] == nil {
-		h.news[source] = map[partKey]struct{}{}
+	if h.unreported[source] == nil {
+		h.unreported[source] = map[partKey]struct{}{}
 	}
 	for _, part := range r.shared() {
 		k := keyOf(salt, part.ID)
 		h.note(source, k, now)
-		h.news[source][k] = struct{}{}
+		h.unreported[source][k] = struct{}{}
 	}
 }
 
 func (h *holdings) note(source string, k partKey, now time.Time) {
 	h.expire(now)
 	if h.sent[source] == nil {
-		h.sent[source] = map[partKey]time.Time{}
+		h.sent[source] = map[partKey]sentTimes{}
+	}
+	at, known := h.sent[source][k]
+	if !known || now.Sub(at.last) > unwatchedFor {
+		at.first = now
 	}
-	h.sent[source][k] = now
+	at.last = now
+	h.sent[source][k] = at
 }
 
 // expire drops the sends that no longer count for any source.
@@ -188,7 +198,7 @@
 	h.expiredAt = now
 	for source, sent := range h.sent {
 		for k, at := range sent {
-			if now.Sub(at) > savedFor {
+			if now.Sub(at.last) > savedFor {
 				delete(sent, k)
 			}
 		}
@@ -206,15 +216,15 @@
 
 // TakePlaced returns what this VM sent since the last call.
 func (p *Placer) TakePlaced() []Placed {
-	out := make([]Placed, 0, len(p.cache.news))
-	for source, parts := range p.cache.news {
+	out := make([]Placed, 0, len(p.cache.unreported))
+	for source, parts := range p.cache.unreported {
 		placed := Placed{Source: source, Parts: make([]uint64, 0, len(parts))}
 		for k := range parts {
 			placed.Parts = append(placed.Parts, uint64(k))
 		}
 		out = append(out, placed)
 	}
-	clear(p.cache.news)
+	clear(p.cache.unreported)
 	return out
 }
 
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -288,6 +288,27 @@
 	}
 }
 
+// Guards against the parts of a subject that is asked for all the time counting as just being read for ever.
+func TestPartsOfBusySubjectsCanBeFetched(t *testing.T) {
+	list := engines(2)
+	sender, other := New(), New()
+	alone := facts
+	alone.Store = ""
+	for i := range 10 {
+		now := start.Add(time.Duration(i) * 200 * time.Millisecond)
+		r := prompt(uint64(i), 2)
+		sender.Sent(r, sender.Place(r, list[:1], alone, now), now)
+		for _, placed := range sender.TakePlaced() {
+			other.PeerPlaced(placed, now)
+		}
+	}
+	retry := prompt(20, 2)
+	retry.Exclude = []string{list[0].ID}
+	if c := other.Place(retry, list, alone, start.Add(2*time.Second)); c.FetchFrom != SourceOf(list[0]) {
+		t.Errorf("fetches from %q", c.FetchFrom)
+	}
+}
+
 // Guards against parts of one weight version, or of an isolated workspace, passing for those of another in what peers
 // tell.
 func TestPlacementsOfPeersKeepSalts(t *testing.T) {
