--- a/pkg/router/chat.go
+++ b/pkg/router/chat.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync/atomic"
 	"time"
 
@@ -210,15 +209,6 @@
 	}
 }
 
-// begin marks the first event.
-func (c *chatRun) begin() {
-	select {
-	case <-c.begun:
-	default:
-		close(c.begun)
-	}
-}
-
 // serve charges, queues and runs the request.
 func (c *chatRun) serve() *refusal.Error {
 	estimate := c.promptTokens() + c.outputTokens()
@@ -272,67 +262,6 @@
 	}
 }
 
-// placeWithin chooses an engine. An accused request waits a bounded time for an engine without another accused
-// request, then shares one.
-func (c *chatRun) placeWithin(suspect bool) (route.Placement, *refusal.Error) {
-	if suspect && c.apartUntil.IsZero() {
-		c.apartUntil = time.Now().Add(suspectWait)
-	}
-	for suspect && time.Now().Before(c.apartUntil) {
-		placed, ref := c.place(true)
-		if ref == nil {
-			return placed, nil
-		}
-		select {
-		case <-time.After(suspectPoll):
-		case <-c.ctx.Done():
-			return placed, endCause(c.ctx)
-		}
-	}
-	return c.place(false)
-}
-
-// place chooses an engine. apart keeps the request from engines on which an accused request runs.
-func (c *chatRun) place(apart bool) (route.Placement, *refusal.Error) {
-	now := time.Now()
-	view := c.r.view(c.model, c.route.Adapter, c.version, apart, now)
-	request := c.placeRequest()
-	placed := read(&c.r.placer, func(p *placement) route.Placement { return p.placer.Place(request, view, now) })
-	if !placed.Found() {
-		ref := refusal.New(statusUnavailable, refusal.CodeNoEndpoint, "no engine can serve model %s now", c.model.Name)
-		return placed, ref.After(time.Second)
-	}
-	return placed, nil
-}
-
-func (c *chatRun) placeRequest() route.Request {
-	return route.Request{
-		ID:             c.number,
-		Hashes:         c.hashes,
-		RestBlocks:     float64(len(c.prompt)%c.model.BlockBytes) / float64(c.model.BlockBytes),
-		MicrosPerBlock: c.model.PrefillMicrosPerBlock,
-		Exclude:        c.excluded,
-		Held:           c.held,
-	}
-}
-
-// waitBehind waits for the first token of the request that computes the shared prefix.
-func (c *chatRun) waitBehind(placed route.Placement) {
-	first := read(&c.r.placer, func(p *placement) chan struct{} {
-		return p.first[placed.Behind]
-	})
-	began := time.Now()
-	defer func() { c.held += max(time.Since(began), time.Millisecond) }()
-	if first == nil {
-		return
-	}
-	select {
-	case <-first:
-	case <-time.After(placed.Wait):
-	case <-c.ctx.Done():
-	}
-}
-
 // failed turns a refusal into one that is true for what the caller already has.
 func (c *chatRun) failed(ref *refusal.Error) *refusal.Error {
 	if !c.hasBegun {
@@ -343,43 +272,3 @@
 	}
 	return refusal.New(statusBadGateway, refusal.CodeStreamCut, "the answer broke off: %s", ref.Message).With(refusal.Run)
 }
-
-// emit passes an event to the caller. It returns false when the request was cancelled.
-func (c *chatRun) emit(event caller.Event) bool {
-	if !c.hasBegun {
-		c.hasBegun = true
-		c.created = time.Now()
-		c.begin()
-	}
-	select {
-	case c.events <- event:
-		return true
-	case <-c.ctx.Done():
-		return false
-	}
-}
-
-// fields returns the caller's fields with the ones that the route sets.
-func (c *chatRun) fields() map[string]json.RawMessage {
-	fields := make(map[string]json.RawMessage, len(c.req.Fields)+2)
-	for name, value := range c.req.Fields {
-		fields[name] = value
-	}
-	fields["model"] = mustRaw(c.model.Name)
-	fields["max_tokens"] = mustRaw(c.outputTokens())
-	delete(fields, "max_completion_tokens")
-	delete(fields, "adapter")
-	if c.route.Adapter != "" {
-		fields["adapter"] = mustRaw(c.route.Adapter)
-	}
-	return fields
-}
-
-func mustRaw(value any) json.RawMessage {
-	data, err := json.Marshal(value)
-	if err != nil {
-		// Only strings and integers are passed.
-		panic(err)
-	}
-	return data
-}
