Shed by the wait for others, not by a request's own prompt; replay load patterns against placement

Change: the wait counts without the time for the request's own prompt, and may take nine tenths of the objective; the rest is for the prompt. pkg/place/replay_test.go replays many users at once, overload, one subject, half of the engines gone, slow engines, new weights and callers that leave on a simulated clock, with the target and the floor of 0.9 as bounds.

--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -115,7 +115,7 @@
 		return 0
 	}
 	return admit.Shed(admit.Offer{
-		Age: now.Sub(r.arrived), Expected: c.Expected, Objective: r.route.Objective, Running: c.Running,
+		Age: now.Sub(r.arrived), Expected: c.Expected, Reading: c.Reading, Objective: r.route.Objective, Running: c.Running,
 	})
 }
 
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -98,6 +98,8 @@
 	Held int
 	// Expected is the predicted time to the first token, in milliseconds.
 	Expected float64
+	// Reading is the part of Expected that the request's own prompt takes, in milliseconds.
+	Reading float64
 	// Score is Expected with all preferences added, in milliseconds.
 	Score float64
 
@@ -115,6 +117,8 @@
 	Version int64
 	// Expected is the predicted time to the first token.
 	Expected time.Duration
+	// Reading is the part of Expected that the request's own prompt takes.
+	Reading time.Duration
 	// Missing is the number of prompt tokens that the endpoint has to compute.
 	Missing int
 	// Running is the number of requests there over all VMs.
@@ -194,7 +198,8 @@
 	choice := Choice{
 		Endpoint:   c.Endpoint,
 		Version:    c.Version,
-		Expected:   time.Duration(c.Expected * float64(time.Millisecond)),
+		Expected:   milliseconds(c.Expected),
+		Reading:    milliseconds(c.Reading),
 		Missing:    max(r.Prompt-c.Held-c.fetched, 0),
 		Running:    c.Load.Running,
 		Candidates: len(candidates),
@@ -207,6 +212,10 @@
 	return choice
 }
 
+func milliseconds(ms float64) time.Duration {
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
 // allowed holds the filters that are never relaxed.
 func (p *Placer) allowed(c *Candidate, r *Request, f Facts, now time.Time) bool {
 	if slices.Contains(r.Exclude, c.Endpoint.ID) {
--- /dev/null
+++ b/pkg/place/replay_test.go
@@ -0,0 +1,432 @@
+package place
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/corneldeal/corneldeal/pkg/admit"
+	"github.com/corneldeal/corneldeal/pkg/fleet"
+)
+
+// The tests in this file replay load patterns against placement and shedding alone, on a simulated clock: several VMs
+// that exchange their loads, and engines that read prompts one after the other.
+
+const (
+	// firstTokenTarget is the target for the first token, 95 in 100 within it.
+	firstTokenTarget = 580 * time.Millisecond
+	// servedFloor is the share of the whole that no group of requests may fall below.
+	servedFloor = 0.9
+
+	replayVMs     = 4
+	replayEngines = 12
+	replaySlots   = 12
+	// replayRate is a third of what the engines can serve, in requests per second.
+	replayRate = 160
+	// exchangePause and eventsPause are the delays of what VMs tell each other and of cache events.
+	exchangePause = 250 * time.Millisecond
+	eventsPause   = 320 * time.Millisecond
+	// replayTries bounds the sends of a request that was not run.
+	replayTries = 3
+)
+
+// event is something that happens at a time.
+type event struct {
+	at time.Time
+	do func()
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// simEngine reads prompts one after the other and generates for up to replaySlots requests at once.
+type simEngine struct {
+	endpoint *fleet.Endpoint
+	free     time.Time
+	running  int
+	waiting  []func()
+	parts    map[string]bool
+	unsent   []CacheEvent
+	slow     float64
+	down     bool
+	loading  bool
+}
+
+// outcome of one request of a replay.
+type replayed struct {
+	arrived time.Time
+	first   time.Duration
+	served  bool
+	large   bool
+	version int64
+	engine  string
+}
+
+type replay struct {
+	now      time.Time
+	events   events
+	vms      []*Placer
+	engines  []*simEngine
+	list     []*fleet.Endpoint
+	random   *rand.Rand
+	facts    Facts
+	announce []Announcement
+	results  []*replayed
+	nextID   uint64
+	// leave is the time after which a request's caller leaves, or zero.
+	leave func() time.Duration
+}
+
+func newReplay() *replay {
+	s := &replay{now: start, random: rand.New(rand.NewPCG(1, 2)), facts: facts}
+	s.facts.Slots = replaySlots
+	s.leave = func() time.Duration { return 0 }
+	for range replayVMs {
+		s.vms = append(s.vms, New())
+	}
+	for i := range replayEngines {
+		e := &simEngine{endpoint: engine(i, 1), parts: map[string]bool{}, slow: 1}
+		s.engines = append(s.engines, e)
+		s.list = append(s.list, e.endpoint)
+	}
+	s.every(exchangePause, s.exchange)
+	s.every(eventsPause, s.tellCaches)
+	return s
+}
+
+func (s *replay) after(d time.Duration, do func()) {
+	heap.Push(&s.events, event{at: s.now.Add(d), do: do})
+}
+
+func (s *replay) every(d time.Duration, do func()) {
+	s.after(d, func() {
+		do()
+		s.every(d, do)
+	})
+}
+
+func (s *replay) run(d time.Duration) {
+	end := s.now.Add(d)
+	for len(s.events) > 0 && s.events[0].at.Before(end) {
+		next := heap.Pop(&s.events).(event)
+		s.now = next.at
+		next.do()
+	}
+	s.now = end
+}
+
+// offer sends requests at a rate for a time. The subject of each comes from subject.
+func (s *replay) offer(perSecond float64, d time.Duration, subject func() uint64) {
+	gap := time.Duration(float64(time.Second) / perSecond)
+	for at := time.Duration(0); at < d; at += gap {
+		s.after(at, func() { s.arrive(subject()) })
+	}
+}
+
+// anySubject draws one of 200 subjects.
+func (s *replay) anySubject() uint64 {
+	return 10 + s.random.Uint64N(200)
+}
+
+func (s *replay) arrive(subject uint64) {
+	s.nextID++
+	r := prompt(s.nextID, subject)
+	r.Announced = s.announce
+	x := &replayed{arrived: s.now, large: s.random.IntN(10) == 0}
+	if x.large {
+		r.Prompt += 3000
+		r.Chain[2].Tokens += 3000
+	}
+	s.results = append(s.results, x)
+	s.send(s.vms[s.nextID%replayVMs], r, x, 0)
+}
+
+func (s *replay) send(p *Placer, r *Request, x *replayed, tries int) {
+	c := p.Place(r, s.list, s.facts, s.now)
+	if c.Endpoint == nil || tries == replayTries {
+		return
+	}
+	age := s.now.Sub(x.arrived)
+	offer := admit.Offer{
+		Age: age, Expected: c.Expected, Reading: c.Reading, Objective: firstTokenTarget, Running: c.Running,
+	}
+	if tries == 0 && admit.Shed(offer) > 0 {
+		return
+	}
+	p.Sent(r, c, s.now)
+	e := s.engines[slices.Index(s.list, c.Endpoint)]
+	if e.down || e.loading {
+		outcome := Full
+		if e.down {
+			outcome = Unreachable
+		}
+		s.after(time.Millisecond, func() {
+			p.Done(r.ID, outcome, s.now)
+			r.Exclude = append(r.Exclude, c.Endpoint.ID)
+			s.send(p, r, x, tries+1)
+		})
+		return
+	}
+	x.engine, x.version = c.Endpoint.ID, c.Version
+	begin := func() { s.serve(e, p, r, x, c) }
+	if e.running >= replaySlots {
+		e.waiting = append(e.waiting, begin)
+		return
+	}
+	begin()
+}
+
+// serve reads what the engine lacks and generates.
+func (s *replay) serve(e *simEngine, p *Placer, r *Request, x *replayed, c Choice) {
+	e.running++
+	salt := r.Salt(c.Version)
+	unread := r.Prompt
+	for _, part := range r.shared() {
+		if e.parts[fmt.Sprint(salt, part.ID)] || c.FetchFrom != "" {
+			unread -= part.Tokens
+		}
+	}
+	begin := s.now
+	if e.free.After(begin) {
+		begin = e.free
+	}
+	e.free = begin.Add(time.Duration(float64(unread) / prefillTokensPerMs * e.slow * float64(time.Millisecond)))
+	first := e.free.Add(time.Duration(firstTokenMs * e.slow * float64(time.Millisecond))).Sub(s.now)
+	over := false
+	finish := func(outcome Outcome) {
+		if over {
+			return
+		}
+		over = true
+		p.Done(r.ID, outcome, s.now)
+		e.running--
+		if len(e.waiting) > 0 {
+			next := e.waiting[0]
+			e.waiting = e.waiting[1:]
+			next()
+		}
+	}
+	s.after(first, func() {
+		if over {
+			return
+		}
+		for _, part := range r.shared() {
+			e.parts[fmt.Sprint(salt, part.ID)] = true
+			e.unsent = append(e.unsent, CacheEvent{Salt: salt, Part: part.ID, Tokens: part.Tokens})
+		}
+		x.served, x.first = true, s.now.Sub(x.arrived)
+		p.FirstToken(r.ID, s.now)
+		s.after(time.Duration(float64(r.Output)*generateMs*e.slow*float64(time.Millisecond)), func() { finish(Answered) })
+	})
+	if leave := s.leave(); leave > 0 {
+		s.after(leave, func() { finish(Neutral) })
+	}
+}
+
+func (s *replay) exchange() {
+	for i, from := range s.vms {
+		for j, to := range s.vms {
+			if i != j {
+				to.SetPeer(fmt.Sprint("vm", i), from.Own())
+			}
+		}
+	}
+}
+
+func (s *replay) tellCaches() {
+	for _, e := range s.engines {
+		for _, p := range s.vms {
+			p.CacheEvents(SourceOf(e.endpoint), 1, false, e.unsent)
+		}
+		e.unsent = nil
+	}
+}
+
+// between returns the requests that arrived in a part of the replay.
+func (s *replay) between(from, to time.Duration) []*replayed {
+	var out []*replayed
+	for _, x := range s.results {
+		if at := x.arrived.Sub(start); at >= from && at < to {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// servedShare returns the share of requests that were served, and within what time 95 in 100 of those had their first
+// token.
+func servedShare(requests []*replayed) (share float64, p95 time.Duration) {
+	var times []time.Duration
+	for _, x := range requests {
+		if x.served {
+			times = append(times, x.first)
+		}
+	}
+	if len(times) == 0 {
+		return 0, 0
+	}
+	slices.Sort(times)
+	return float64(len(times)) / float64(len(requests)), times[len(times)*95/100]
+}
+
+// onTime fails where fewer than a share were served, or 95 in 100 of them not in time.
+func onTime(t *testing.T, requests []*replayed, least float64) {
+	t.Helper()
+	share, p95 := servedShare(requests)
+	t.Logf("%d requests, %.3f served, 95 in 100 within %v", len(requests), share, p95)
+	if share < least || p95 > firstTokenTarget {
+		t.Errorf("%.3f served of at least %.3f, 95 in 100 within %v of %v", share, least, p95, firstTokenTarget)
+	}
+}
+
+// largeServed fails where large requests are served clearly less often than all.
+func largeServed(t *testing.T, requests []*replayed) {
+	t.Helper()
+	var large []*replayed
+	for _, x := range requests {
+		if x.large {
+			large = append(large, x)
+		}
+	}
+	all, _ := servedShare(requests)
+	if share, _ := servedShare(large); share < servedFloor*all {
+		t.Errorf("%.3f of the large requests served, %.3f of all", share, all)
+	}
+}
+
+// Guards against late first tokens when many users come at once, three times as many as usual.
+func TestReplayManyUsersAtOnce(t *testing.T) {
+	s := newReplay()
+	s.offer(replayRate, 6*time.Second, s.anySubject)
+	s.run(3 * time.Second)
+	s.offer(2*replayRate, time.Second, s.anySubject)
+	s.run(5 * time.Second)
+	onTime(t, s.between(3*time.Second, 5*time.Second), 0.99)
+	largeServed(t, s.results)
+}
+
+// Guards against queues that make all late when twice as much comes as can be served: the rest is refused at once, and
+// not the large requests only.
+func TestReplayOverload(t *testing.T) {
+	s := newReplay()
+	s.offer(replayRate, 2*time.Second, s.anySubject)
+	s.run(2 * time.Second)
+	const capacity = replayEngines * replaySlots * 1000 / (firstTokenMs + 20*generateMs + 1300/prefillTokensPerMs)
+	s.offer(2*capacity, 3*time.Second, s.anySubject)
+	s.run(6 * time.Second)
+	onTime(t, s.between(3*time.Second, 5*time.Second), servedFloor/2)
+	largeServed(t, s.between(2*time.Second, 5*time.Second))
+}
+
+// Guards against one engine that takes all requests of a subject that most callers ask for.
+func TestReplayOneSubject(t *testing.T) {
+	s := newReplay()
+	s.offer(replayRate, 8*time.Second, func() uint64 {
+		if s.now.Sub(start) > 3*time.Second && s.random.IntN(10) < 7 {
+			return 5
+		}
+		return s.anySubject()
+	})
+	s.run(9 * time.Second)
+	onTime(t, s.between(3*time.Second, 8*time.Second), 0.99)
+}
+
+// Guards against requests that are lost with half of the engines, and against late ones behind them.
+func TestReplayHalfOfTheEnginesGone(t *testing.T) {
+	s := newReplay()
+	s.offer(replayRate, 8*time.Second, s.anySubject)
+	s.run(3 * time.Second)
+	for _, e := range s.engines[:replayEngines/2] {
+		e.down = true
+	}
+	s.run(6 * time.Second)
+	onTime(t, s.between(3*time.Second, 8*time.Second), 0.99)
+}
+
+// Guards against requests that go on to engines which have become slow behind good health.
+func TestReplaySlowEngines(t *testing.T) {
+	s := newReplay()
+	s.offer(replayRate, 10*time.Second, s.anySubject)
+	s.run(3 * time.Second)
+	for _, e := range s.engines[:2] {
+		e.slow = 8
+	}
+	s.run(8 * time.Second)
+	onTime(t, s.between(5*time.Second, 10*time.Second), 0.99)
+}
+
+// Guards against late answers while engines load new weights two at a time, and against old weights that are used beyond
+// their time.
+func TestReplayNewWeights(t *testing.T) {
+	const load = 2 * time.Second
+	s := newReplay()
+	s.offer(replayRate, 18*time.Second, s.anySubject)
+	s.run(2 * time.Second)
+	s.announce = []Announcement{{Version: 1, At: start}, {Version: 2, At: s.now}}
+	announced := s.now
+	for i := 0; i < replayEngines; i += 2 {
+		pair := s.engines[i : i+2]
+		for _, p := range s.vms {
+			p.SetLoading([]string{pair[0].endpoint.ID, pair[1].endpoint.ID})
+		}
+		for _, e := range pair {
+			e.loading = true
+		}
+		s.run(load)
+		for _, e := range pair {
+			e.loading = false
+			e.parts = map[string]bool{}
+			for _, p := range s.vms {
+				p.Version(e.endpoint, "m", 2)
+			}
+		}
+	}
+	for _, p := range s.vms {
+		p.SetLoading(nil)
+	}
+	s.run(5 * time.Second)
+	onTime(t, s.between(2*time.Second, 18*time.Second), 0.99)
+	for _, x := range s.results {
+		if x.version == 1 && x.arrived.Sub(announced) > s.facts.VersionLimit {
+			t.Fatalf("old weights %v after the announcement", x.arrived.Sub(announced))
+		}
+	}
+}
+
+// Guards against engines that count as busy for requests whose callers have left.
+func TestReplayCallersThatLeave(t *testing.T) {
+	s := newReplay()
+	s.offer(replayRate, 3*time.Second, s.anySubject)
+	s.run(3 * time.Second)
+	s.leave = func() time.Duration {
+		if s.random.IntN(3) == 0 {
+			return time.Duration(1+s.random.IntN(200)) * time.Millisecond
+		}
+		return 0
+	}
+	s.offer(2*replayRate, 5*time.Second, s.anySubject)
+	s.run(5 * time.Second)
+	_, p95 := servedShare(s.between(3*time.Second, 8*time.Second))
+	if p95 > firstTokenTarget {
+		t.Errorf("95 in 100 within %v", p95)
+	}
+	s.run(5 * time.Second)
+	for i, p := range s.vms {
+		if own := p.Own(); len(own) != 0 {
+			t.Errorf("VM %d still counts %v", i, own)
+		}
+	}
+}
--- a/pkg/place/score.go
+++ b/pkg/place/score.go
@@ -30,7 +30,9 @@
 	} else {
 		c.Expected = serviceTimeMs(c, f)
 	}
-	c.Expected *= c.state.slowness(now)
+	slowness := c.state.slowness(now)
+	c.Expected *= slowness
+	c.Reading *= slowness
 	c.Score = c.Expected
 	if c.Endpoint.DataCentre != f.DataCentre {
 		c.Score += crossDataCentreMs
@@ -52,8 +54,8 @@
 func (p *Placer) engineMs(c *Candidate, r *Request, f Facts, now time.Time) float64 {
 	shared := r.sharedTokens()
 	c.Held = min(p.cache.held(SourceOf(c.Endpoint), r.Salt(c.Version), r, now), shared)
-	own := max(r.Prompt-shared, 0)
-	t := firstTokenMs + float64(c.Load.Unread+own)/prefillTokensPerMs
+	c.Reading = float64(max(r.Prompt-shared, 0)) / prefillTokensPerMs
+	t := firstTokenMs + float64(c.Load.Unread)/prefillTokensPerMs + c.Reading
 	t += batchMs * float64(c.Load.Running)
 	if over := c.Load.Running + 1 - f.Slots; over > 0 && f.Slots > 0 {
 		t += float64(over) * float64(r.Output) * generateMs / float64(f.Slots)
--- a/pkg/place/transfer.go
+++ b/pkg/place/transfer.go
@@ -58,8 +58,9 @@
 	}
 }
 
-// addMs adds to the expected time and the score.
+// addMs adds a part of the reading to the expected time and the score.
 func (c *Candidate) addMs(ms float64) {
+	c.Reading += ms
 	c.Expected += ms
 	c.Score += ms
 }
