Ask one peer at a time for records that this VM lacks

Cause: each peer that was ahead with operator's records was asked on its own clock, so a VM of a large system asked all of them at once, each for everything that it lacked, and VMs whose store calls failed all asked the same peer. Change: one clock for all peers; relayFor draws among the best live peers, near ones first. Ruled out: removing the question where the store answers; it is what keeps VMs current that the store turns away.

--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -191,6 +191,9 @@
 		g.applyEndpoint(r)
 	}
 	st := g.streams[s]
+	if s == OperatorStream && next > st.next {
+		g.behindSince = time.Time{}
+	}
 	st.next = max(st.next, next)
 	st.readAt = steady.Now()
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -103,6 +103,9 @@
 	loads     map[string]*loadState
 	// configAt is when the configuration in force was applied.
 	configAt time.Time
+	// behindSince is when peers were first ahead of this VM with operator's records, or when one was last asked for them.
+	// Zero while none is.
+	behindSince time.Time
 	// storeFailedAt is when a call to the store last failed, or zero.
 	storeFailedAt time.Time
 }
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -32,10 +32,8 @@
 	storeAt        time.Time
 	operatorOffset int64
 	endpointOffset int64
-	// aheadSince is when the peer first reported an operator's record that this VM lacks.
-	aheadSince time.Time
-	leaving    bool
-	loading    []string
+	leaving        bool
+	loading        []string
 	// started is when the peer's process started.
 	started time.Time
 	// lastOrder is when the peer's process or a holder before it may have given its last order, or the start of the
@@ -47,6 +45,14 @@
 	return !p.leaving && now.Sub(p.lastSeen) < silentAfter
 }
 
+// offset returns up to where the peer knows a stream.
+func (p *peerState) offset(s Stream) int64 {
+	if s == OperatorStream {
+		return p.operatorOffset
+	}
+	return p.endpointOffset
+}
+
 func (p *peerState) reachesStore(now time.Time) bool {
 	return p.live(now) && now.Sub(p.storeAt) < storeFresh
 }
@@ -152,21 +158,28 @@
 	}
 }
 
-// checkLag asks a peer for operator's records that it has known for a while and this VM has not. The caller holds
+// checkLag asks a peer for operator's records that peers have known for a while and this VM has not. The caller holds
 // the lock.
 func (g *Gateway) checkLag(p *peerState, now time.Time) {
+	if g.lagging(p, now) {
+		go g.fetchFrom(p.vm, p.address)
+	}
+}
+
+// lagging reports whether a peer is to be asked now: it is ahead, peers have been for relayLag, and none was asked within
+// it. All peers know a new record at about the same time, so asking each of them would fill the links of a large system.
+// The caller holds the lock.
+func (g *Gateway) lagging(p *peerState, now time.Time) bool {
 	if p.operatorOffset <= g.streams[OperatorStream].next {
-		p.aheadSince = time.Time{}
-		return
+		return false
 	}
-	if p.aheadSince.IsZero() {
-		p.aheadSince = now
-		return
+	if g.behindSince.IsZero() {
+		g.behindSince = now
+		return false
 	}
-	if now.Sub(p.aheadSince) < relayLag {
-		return
+	if now.Sub(g.behindSince) < relayLag {
+		return false
 	}
-	p.aheadSince = now
-	address := p.address
-	go g.fetchFrom(p.vm, address)
+	g.behindSince = now
+	return true
 }
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -15,25 +16,42 @@
 
 // relayWhileFailing asks a peer for records while the store fails.
 func (g *Gateway) relayWhileFailing(s Stream) {
-	now := steady.Now()
 	g.mu.Lock()
-	var best *peerState
+	p := g.relayFor(s, steady.Now())
+	g.mu.Unlock()
+	if p != nil {
+		g.fetchFrom(p.vm, p.address)
+	}
+}
+
+// relayFor returns a live peer that knows more of a stream than this VM, or nil. Peers that reach the store come before
+// others, then those of the own data centre; among equals the choice is random, so that VMs that start together do not
+// all ask the same one. The caller holds the lock.
+func (g *Gateway) relayFor(s Stream, now time.Time) *peerState {
+	var best []*peerState
+	bestRank := 0
 	for _, p := range g.peers {
-		if !p.live(now) {
+		if !p.live(now) || p.offset(s) <= g.streams[s].next {
 			continue
 		}
-		ahead := p.operatorOffset > g.streams[OperatorStream].next
-		if s == EndpointStream {
-			ahead = p.endpointOffset > g.streams[EndpointStream].next
+		rank := 1
+		if p.dataCentre == g.settings.DataCentre {
+			rank++
 		}
-		if ahead && (best == nil || p.storeAt.After(best.storeAt)) {
-			best = p
+		if p.reachesStore(now) {
+			rank += 2
+		}
+		if rank > bestRank {
+			best, bestRank = nil, rank
+		}
+		if rank == bestRank {
+			best = append(best, p)
 		}
 	}
-	g.mu.Unlock()
-	if best != nil {
-		g.fetchFrom(best.vm, best.address)
+	if len(best) == 0 {
+		return nil
 	}
+	return best[rand.N(len(best))]
 }
 
 // fetchFrom asks a peer for what it has read from the store. It reports whether the peer answered.
