Mend what a reading of the change found

Cause: read as a newcomer, the change held logic that stood twice, unused fields, files with several jobs and unusual names. Change: refusals have one JSON body for both front doors (pkg/refusal; the gateway wrote it with Go quoting, which is no JSON for control bytes); orders that get no answer log why; one decoder of engine answers, one way to connect; a placement names the store to save to instead of a flag and a name; live peers are counted in one place; unused fields and fleet.Len are gone; logger, metrics, placement, refusals, records and the control page of pkg/gateway have files of their own; terms of the field replace stock, mint, clamp, door, bed, patience and book. Ruled out: one stand-in for both platforms; they share no protocol. The remaining repeated lines are constants and generated code. TestBodyIsJSONWhateverTheMessage failed on the old form. Conclusion: no behaviour changed but the body of refusals, which gains its type, and the log line of orders.

--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -239,7 +239,7 @@
 			}
 		}
 		if ref := answer.End(); ref != nil {
-			_ = out.write(errorJSON(ref))
+			_ = out.write(ref.Body())
 			return
 		}
 		_ = out.write([]byte("[DONE]"))
--- a/pkg/caller/write.go
+++ b/pkg/caller/write.go
@@ -19,34 +19,6 @@
 	headerRequestID = "X-Request-Id"
 )
 
-type errorBody struct {
-	Error errorDetail `json:"error"`
-}
-
-type errorDetail struct {
-	Message  string           `json:"message"`
-	Type     string           `json:"type"`
-	Code     refusal.Code     `json:"code"`
-	RunState refusal.RunState `json:"run_state"`
-}
-
-func errorJSON(ref *refusal.Error) []byte {
-	kind := "invalid_request_error"
-	if ref.Status >= fasthttp.StatusInternalServerError || ref.Status == fasthttp.StatusTooManyRequests {
-		kind = "server_error"
-	}
-	data, err := json.Marshal(errorBody{Error: errorDetail{
-		Message:  ref.Message,
-		Type:     kind,
-		Code:     ref.Code,
-		RunState: ref.RunState,
-	}})
-	if err != nil {
-		panic(err)
-	}
-	return data
-}
-
 func writeRefusal(ctx *fasthttp.RequestCtx, ref *refusal.Error) {
 	ctx.Response.ResetBody()
 	ctx.SetStatusCode(ref.Status)
@@ -55,7 +27,7 @@
 	if ref.RetryAfter > 0 {
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, retryAfter(ref.RetryAfter))
 	}
-	ctx.SetBody(errorJSON(ref))
+	ctx.SetBody(ref.Body())
 }
 
 // retryAfter returns whole seconds, at least one.
--- a/pkg/fleet/table.go
+++ b/pkg/fleet/table.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// ReturnGrace is the time after the end of an outage of the store within which endpoints that lapsed in it
+	// ReturnGrace is the time after the end of an outage of the store within which endpoints whose registration expired in it
 	// register again. A removal in this time takes effect at its end.
 	ReturnGrace = 2200 * time.Millisecond
 	// keepRemoved is the time for which a removed endpoint's offset is remembered. It is longer than a change can
@@ -34,8 +34,6 @@
 	Ready bool
 	// Versions holds the weight version of each model.
 	Versions map[string]int64
-	// Sequence is the number of orders accepted since Born.
-	Sequence int64
 }
 
 // entry is the newest knowledge on one id.
@@ -255,17 +253,6 @@
 	return t.byService[service]
 }
 
-// Len returns the number of usable endpoints.
-func (t *Table) Len() int {
-	n := 0
-	for _, e := range t.entries {
-		if e.usable() {
-			n++
-		}
-	}
-	return n
-}
-
 func (t *Table) index() {
 	t.byService = map[string][]*Endpoint{}
 	for _, e := range t.entries {
--- a/pkg/fleet/table_test.go
+++ b/pkg/fleet/table_test.go
@@ -40,7 +40,7 @@
 	}
 }
 
-// Guards against dropping workers that lapsed while the store was away and register again.
+// Guards against dropping endpoints whose registration expired while the store was away and register again.
 func TestRemovalAfterOutageWaits(t *testing.T) {
 	table := NewTable()
 	table.Apply("a", 1, ready("a", 1), start)
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -133,9 +133,7 @@
 		a.Version = t.choice.Version
 		a.Urgency = urgency(r)
 		a.FetchFrom = t.choice.FetchFrom
-		if t.choice.Save && t.store != nil {
-			a.SaveTo = t.store.Address
-		}
+		a.SaveTo = t.choice.SaveTo
 	}
 	body := r.x.Request.Body()
 	stream, err := g.http.OpenRaw(ctx, t.choice.Endpoint.Address, httpcall.Raw{
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -27,7 +27,6 @@
 	service *traffic.Service
 	choice  place.Choice
 	request *place.Request
-	store   *traffic.CacheStore
 	// firstSeen is set once the first event of the attempt was seen.
 	firstSeen bool
 }
@@ -103,7 +102,7 @@
 		}
 		r.tries++
 		g.placer.Sent(p, choice, now)
-		return &target{service: s, choice: choice, request: p, store: c.StoreNear(g.settings.DataCentre)}, nil
+		return &target{service: s, choice: choice, request: p}, nil
 	}
 	return nil, refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeNoEndpoint, "no endpoint is available").
 		After(noEndpointRetry)
--- /dev/null
+++ b/pkg/gateway/control.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/corneldeal/corneldeal/pkg/settings"
+	"github.com/corneldeal/corneldeal/pkg/traffic"
+)
+
+// ready reports whether the gateway can serve callers.
+func (g *Gateway) ready() bool {
+	if g.leaving.Load() || g.config.Load() == nil {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.streams[EndpointStream].synced
+}
+
+// serveControl answers the readiness probe and the metrics page.
+func (g *Gateway) serveControl(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case g.platform.Wire.ReadyPath():
+		if !g.ready() {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		}
+	case "/metrics":
+		ctx.SetContentType("text/plain; charset=utf-8")
+		g.metrics.write(ctx)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+// defaultLimits hold until a configuration names others.
+var defaultLimits = traffic.Limits{
+	HeaderBytes:   settings.DefaultMaxHeaderBytes,
+	BodyBytes:     settings.DefaultMaxBodyBytes,
+	HeaderTimeout: 3 * time.Second,
+	IdleTimeout:   15 * time.Second,
+}
+
+// Limits implements ingress.Handler.
+func (g *Gateway) Limits() traffic.Limits {
+	c := g.config.Load()
+	if c == nil {
+		return defaultLimits
+	}
+	return traffic.Limits{
+		HeaderBytes:   cmp.Or(c.Limits.HeaderBytes, defaultLimits.HeaderBytes),
+		BodyBytes:     cmp.Or(c.Limits.BodyBytes, defaultLimits.BodyBytes),
+		HeaderTimeout: cmp.Or(c.Limits.HeaderTimeout, defaultLimits.HeaderTimeout),
+		IdleTimeout:   cmp.Or(c.Limits.IdleTimeout, defaultLimits.IdleTimeout),
+	}
+}
+
+// Malformed implements ingress.Handler.
+func (g *Gateway) Malformed(status int, reason string) {
+	g.metrics.count("malformed_requests_total")
+	g.log.line(partRequest).Int("status", status).Str("reason", reason).Msg("unreadable request refused")
+}
--- a/pkg/gateway/digest.go
+++ b/pkg/gateway/digest.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -103,14 +102,13 @@
 
 // someNeighbours returns live peers, others with each digest. The caller holds the lock.
 func (g *Gateway) someNeighbours(sequence uint64, now time.Time) []*gossip.Neighbour {
-	vms := slices.Sorted(maps.Keys(g.peers))
+	vms := slices.Sorted(slices.Values(g.livePeers(now)))
 	count := min(len(vms), digestNeighbours)
 	out := make([]*gossip.Neighbour, 0, count)
 	for i := range count {
-		p := g.peers[vms[(int(sequence%uint64(len(vms)))*count+i)%len(vms)]]
-		if p.live(now) {
-			out = append(out, &gossip.Neighbour{Vm: p.vm, Address: p.address})
-		}
+		place := (sequence*uint64(count) + uint64(i)) % uint64(len(vms))
+		p := g.peers[vms[place]]
+		out = append(out, &gossip.Neighbour{Vm: p.vm, Address: p.address})
 	}
 	return out
 }
--- a/pkg/gateway/digest_test.go
+++ b/pkg/gateway/digest_test.go
@@ -16,6 +16,9 @@
 	"github.com/corneldeal/corneldeal/pkg/steady"
 )
 
+// receiveLimit bounds the wait for a datagram. It is no bound that the product has to keep.
+const receiveLimit = 20 * time.Second
+
 // system returns the gateway of one VM that hears count others in four data centres.
 func system(count int) *Gateway {
 	g := New(settings.Gateway{VM: "own", Address: "10.0.0.1", DataCentre: "z0", PeerPort: 7000, LogLevel: "error"},
@@ -123,6 +126,8 @@
 		p.Vm, p.Boot, p.Sequence = vm, 1, 1
 		g.applyDigest(p, now)
 	}
+	// Ends the wait below where nothing arrives.
+	time.AfterFunc(receiveLimit, func() { _ = near.Close() })
 	g.forwardDigest(&gossip.Digest{Vm: "far", Boot: 1, Sequence: 2, Forward: true}, now)
 	got, _, err := near.Receive()
 	if err != nil || got.GetVm() != "far" || got.GetSequence() != 2 || got.GetForward() {
--- a/pkg/gateway/loads.go
+++ b/pkg/gateway/loads.go
@@ -216,13 +216,17 @@
 	}
 	ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
 	defer cancel()
-	result := g.platform.Engines.Order(ctx, d.endpoint, Order{
+	result, err := g.platform.Engines.Order(ctx, d.endpoint, Order{
 		Model: d.model, Version: d.target, Holder: g.settings.VM, Token: token, Expected: sequence,
 	})
 	now = steady.Now()
 	g.metrics.count("orders_total")
-	g.log.line(partOrder).Str("endpoint", d.endpoint.ID).Str("model", d.model).Int64("version", d.target).
-		Int64("token", token).Int64("expected", sequence).Str("result", result.String()).Msg("order given")
+	line := g.log.line(partOrder).Str("endpoint", d.endpoint.ID).Str("model", d.model).Int64("version", d.target).
+		Int64("token", token).Int64("expected", sequence).Str("result", result.String())
+	if err != nil {
+		line.Err(err)
+	}
+	line.Msg("order given")
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.noteOrder(d, result, now)
--- a/pkg/gateway/observe.go
+++ b/pkg/gateway/logger.go
@@ -1,16 +1,13 @@
 package gateway
 
 import (
-	"expvar"
 	"fmt"
 	"io"
 	"maps"
 	"os"
 	"slices"
 	"sync"
-	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/phuslu/log"
 
 	"github.com/corneldeal/corneldeal/pkg/steady"
@@ -36,6 +33,9 @@
 	lineQueue = 4096
 )
 
+// standardOutput is where logs go.
+var standardOutput io.Writer = os.Stdout
+
 // budgetLogger writes structured lines within a budget per part, and never blocks on the reader.
 type budgetLogger struct {
 	logger *log.Logger
@@ -108,67 +108,7 @@
 	return nil
 }
 
-// Histogram bounds, in milliseconds.
-const (
-	histogramLowest  = 1
-	histogramHighest = 60_000
-	histogramDigits  = 2
-)
-
-// metrics are the counters and histograms of the process.
-type metrics struct {
-	counters *expvar.Map
-
-	mu         sync.Mutex
-	histograms map[string]*hdrhistogram.Histogram
-}
-
-func newMetrics() *metrics {
-	return &metrics{counters: new(expvar.Map).Init(), histograms: map[string]*hdrhistogram.Histogram{}}
-}
-
-// count adds one to a counter.
-func (m *metrics) count(name string) {
-	m.counters.Add(name, 1)
-}
-
-// observe adds a duration to a histogram.
-func (m *metrics) observe(name string, d time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	h := m.histograms[name]
-	if h == nil {
-		h = hdrhistogram.New(histogramLowest, histogramHighest, histogramDigits)
-		m.histograms[name] = h
-	}
-	// Values outside the bounds are counted at the bound.
-	if err := h.RecordValue(min(max(d.Milliseconds(), histogramLowest), histogramHighest)); err != nil {
-		m.counters.Add("histogram_errors_total", 1)
-	}
-}
-
-// quantiles are those that the metrics page shows.
-var quantiles = []float64{50, 95, 99}
-
-// write prints all metrics as text, one a line.
-func (m *metrics) write(w io.Writer) {
-	m.counters.Do(func(kv expvar.KeyValue) {
-		_, _ = fmt.Fprintf(w, "corneldeal_%s %s\n", kv.Key, kv.Value)
-	})
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, name := range slices.Sorted(maps.Keys(m.histograms)) {
-		h := m.histograms[name]
-		for _, q := range quantiles {
-			_, _ = fmt.Fprintf(w, "corneldeal_%s_ms{quantile=\"%g\"} %d\n", name, q/100, h.ValueAtQuantile(q))
-		}
-		_, _ = fmt.Fprintf(w, "corneldeal_%s_ms_count %d\n", name, h.TotalCount())
-	}
-}
-
-// standardOutput is where logs go.
-var standardOutput io.Writer = os.Stdout
-
+// setLevel changes the level while the process runs.
 func (l *budgetLogger) setLevel(level string) {
 	l.logger.SetLevel(log.ParseLevel(level))
 }
--- a/pkg/gateway/observe_test.go
+++ b/pkg/gateway/logger_test.go
@@ -20,15 +20,15 @@
 // Guards against requests that wait for the reader of the log.
 func TestLogNeverBlocks(t *testing.T) {
 	w := &stuckWriter{release: make(chan struct{})}
-	book := newBudgetLogger("vm", 1, "info", w)
+	logger := newBudgetLogger("vm", 1, "info", w)
 	for i := range 2 * lineQueue {
-		book.mu.Lock()
-		clear(book.written)
-		book.mu.Unlock()
-		book.line(partRequest).Int("i", i).Msg("line")
+		logger.mu.Lock()
+		clear(logger.written)
+		logger.mu.Unlock()
+		logger.line(partRequest).Int("i", i).Msg("line")
 	}
 	close(w.release)
-	if err := book.close(); err != nil {
+	if err := logger.close(); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -48,19 +48,19 @@
 // Guards against an unbounded log under load, and against lines that are left out without a word.
 func TestLogKeepsItsBudget(t *testing.T) {
 	out := &safeBuffer{}
-	book := newBudgetLogger("vm", 1, "info", out)
+	logger := newBudgetLogger("vm", 1, "info", out)
 	const seconds = 3
 	for range seconds {
 		for range 5 * linesPerSecond {
-			book.line(partRequest).Msg("line")
+			logger.line(partRequest).Msg("line")
 		}
 		// The next line belongs to a later second.
-		book.mu.Lock()
-		book.second--
-		book.mu.Unlock()
+		logger.mu.Lock()
+		logger.second--
+		logger.mu.Unlock()
 	}
-	book.line(partProcess).Msg("other part")
-	if err := book.close(); err != nil {
+	logger.line(partProcess).Msg("other part")
+	if err := logger.close(); err != nil {
 		t.Fatal(err)
 	}
 	text := out.String()
@@ -75,12 +75,12 @@
 
 // Guards against a reload of the settings that changes nothing.
 func TestLevelFollowsReload(t *testing.T) {
-	book := newBudgetLogger("vm", 1, "error", &safeBuffer{})
-	if book.line(partProcess) != nil {
+	logger := newBudgetLogger("vm", 1, "error", &safeBuffer{})
+	if logger.line(partProcess) != nil {
 		t.Error("an info line at level error")
 	}
-	book.setLevel("info")
-	if book.line(partProcess) == nil {
+	logger.setLevel("info")
+	if logger.line(partProcess) == nil {
 		t.Error("no info line after the level was lowered")
 	}
 }
--- a/pkg/gateway/orders.go
+++ b/pkg/gateway/orders.go
@@ -17,6 +17,8 @@
 	orderPause = 100 * time.Millisecond
 	// orderTimeout bounds an order or a report.
 	orderTimeout = 400 * time.Millisecond
+	// claimTimeout bounds a read of the claims or a claim.
+	claimTimeout = 2 * orderTimeout
 	// holderSilence is the age of the holder's last digest at which another VM claims.
 	holderSilence = 1100 * time.Millisecond
 	// sameStart is the difference of two start times up to which the VMs count as started together.
@@ -125,7 +127,7 @@
 
 // newestClaim reads the newest claim and the end of the claims.
 func (g *Gateway) newestClaim() (claim issuer.Claim, end int64, err error) {
-	ctx, cancel := context.WithTimeout(g.ctx, orderTimeout*2)
+	ctx, cancel := context.WithTimeout(g.ctx, claimTimeout)
 	defer cancel()
 	records, end, err := g.platform.Store.Newest(ctx, HolderStream)
 	if err != nil {
@@ -229,7 +231,7 @@
 		// The type has no field that JSON cannot hold.
 		panic(err)
 	}
-	ctx, cancel := context.WithTimeout(g.ctx, orderTimeout*2)
+	ctx, cancel := context.WithTimeout(g.ctx, claimTimeout)
 	defer cancel()
 	return g.platform.Store.Append(ctx, HolderStream, holderKey, value, end)
 }
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -57,6 +57,17 @@
 	return p.live(now) && now.Sub(p.storeAt) < storeFresh
 }
 
+// livePeers returns the names of the live peers. The caller holds the lock.
+func (g *Gateway) livePeers(now time.Time) []string {
+	out := make([]string, 0, len(g.peers))
+	for vm, p := range g.peers {
+		if p.live(now) {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
 // receiveDigests applies the digests of peers.
 func (g *Gateway) receiveDigests() {
 	for {
--- a/pkg/gateway/ports.go
+++ b/pkg/gateway/ports.go
@@ -160,8 +160,6 @@
 type Report struct {
 	Busy     bool
 	Sequence int64
-	Running  int
-	Waiting  int
 	Versions map[string]int64
 }
 
@@ -213,7 +211,8 @@
 	// CacheEvents returns the events of the source at address since a number, waiting up to wait for the first.
 	CacheEvents(ctx context.Context, address string, since int64, wait time.Duration) (CacheEvents, error)
 	Report(ctx context.Context, e *fleet.Endpoint) (Report, error)
-	Order(ctx context.Context, e *fleet.Endpoint, o Order) OrderResult
+	// Order gives an order. The error is why the result is OrderUnknown.
+	Order(ctx context.Context, e *fleet.Endpoint, o Order) (OrderResult, error)
 }
 
 // Platform is all that the gateway needs of the platform.
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -2,22 +2,13 @@
 
 import (
 	"bytes"
-	"fmt"
-	"hash/fnv"
-	"math/rand/v2"
-	"strconv"
 	"time"
 
-	"github.com/phuslu/log"
 	"github.com/valyala/fasthttp"
 
-	"github.com/corneldeal/corneldeal/pkg/admit"
 	"github.com/corneldeal/corneldeal/pkg/crashguard"
-	"github.com/corneldeal/corneldeal/pkg/fleet"
 	"github.com/corneldeal/corneldeal/pkg/ingress"
-	"github.com/corneldeal/corneldeal/pkg/place"
 	"github.com/corneldeal/corneldeal/pkg/refusal"
-	"github.com/corneldeal/corneldeal/pkg/steady"
 	"github.com/corneldeal/corneldeal/pkg/traffic"
 )
 
@@ -30,18 +21,6 @@
 	noEndpointRetry = 400 * time.Millisecond
 	// leavingRetry is the Retry-After of a VM that is stopping. Another VM takes the request at once.
 	leavingRetry = 50 * time.Millisecond
-	// retrySpread spreads the times at which callers come back.
-	retrySpread = 0.4
-	// bitsPerByte converts the bandwidth of links.
-	bitsPerByte = 8
-	// urgencyTop is the urgency of priority 0, and urgencyStep what each further priority adds.
-	urgencyTop  = 3
-	urgencyStep = 2
-	urgencyMost = 9
-	// versionMargin keeps the last request on old weights clear of the limit.
-	versionMargin = 1500 * time.Millisecond
-	// unsizedOutput is the output that is assumed where neither hint nor limit is given.
-	unsizedOutput = 64
 )
 
 // request is one caller's attempt on its way through the gateway.
@@ -58,7 +37,7 @@
 	cost     int64
 	// charged is the name of the workspace that paid the cost, or empty.
 	charged string
-	// level is the stock of the workspace's rate after the charge.
+	// level is the number of tokens that the workspace has left after the charge.
 	level int64
 	// sends counts the endpoints that may have run the request, tries all attempts.
 	sends, tries int
@@ -197,144 +176,3 @@
 	g.limiter.Return(r.charged, r.cost)
 	r.charged = ""
 }
-
-// refuse answers with a refusal of the gateway's own.
-func (g *Gateway) refuse(r *request, e *refusal.Error) {
-	if e.RunState == refusal.NotRun {
-		g.refund(r)
-	}
-	g.metrics.counters.Add("refusals_total", 1)
-	g.metrics.counters.Add("refusals_"+string(e.Code)+"_total", 1)
-	line := g.log.line(partRequest).Str("request", r.call.ID).Str("outcome", "refused").Int("status", e.Status).
-		Str("code", string(e.Code)).Str("run_state", string(e.RunState)).Int64("config", r.version).
-		Int("tries", r.tries).Dur("age_ms", steady.Since(r.arrived)).Dur("expected_ms", r.expected)
-	g.logInputs(line, r)
-	resp := &fasthttp.Response{}
-	resp.SetStatusCode(e.Status)
-	g.platform.Wire.Identify(&resp.Header, r.call.ID)
-	resp.Header.SetContentType("application/json")
-	resp.SetBodyString(fmt.Sprintf(`{"error":{"code":%q,"run_state":%q,"message":%q}}`, e.Code, e.RunState, e.Message))
-	if e.RetryAfter > 0 {
-		after := e.RetryAfter + time.Duration(rand.Float64()*retrySpread*float64(e.RetryAfter))
-		line.Dur("retry_after_ms", after)
-		resp.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
-	}
-	line.Msg("request refused")
-	r.x.Respond(resp)
-}
-
-// logInputs adds what a decision rested on and how old it is.
-func (g *Gateway) logInputs(line *log.Entry, r *request) {
-	if line == nil {
-		return
-	}
-	now := steady.Now()
-	g.mu.Lock()
-	listAge := now.Sub(g.streams[EndpointStream].readAt)
-	configAge := now.Sub(g.configAt)
-	peers := 0
-	for _, p := range g.peers {
-		if p.live(now) {
-			peers++
-		}
-	}
-	g.mu.Unlock()
-	line.Dur("config_age_ms", configAge).Dur("list_age_ms", listAge).Int("peers", peers)
-	if r.route != nil {
-		line.Str("route", r.route.Name)
-	}
-	if r.workspace != nil {
-		line.Str("workspace", r.workspace.Name).Int64("cost", r.cost).Int64("level", r.level)
-	}
-}
-
-// placement returns the request as the placer sees it.
-func (g *Gateway) placement(r *request, s *traffic.Service) *place.Request {
-	p := &place.Request{ID: r.id, Exclude: r.excluded}
-	if s.Engine == nil {
-		return p
-	}
-	p.Engine = true
-	p.Model = r.call.Model
-	p.Chain = r.call.Chain
-	p.Prompt = r.call.PromptTokens
-	p.Output = r.call.OutputTokens
-	if hint := r.call.ExpectedOutput; hint > 0 && hint < p.Output {
-		p.Output = hint
-	}
-	if p.Output == 0 {
-		p.Output = unsizedOutput
-	}
-	p.Salt = salts(p.Model, isolationOf(r.workspace))
-	p.Announced = g.announced[p.Model]
-	return p
-}
-
-// isolationOf returns what separates the cached material of an isolated workspace.
-func isolationOf(w *traffic.Workspace) string {
-	if w == nil || !w.Isolated {
-		return ""
-	}
-	return w.Name
-}
-
-// salts returns what separates cached material by model, weight version and, where the workspace is isolated, workspace.
-// Placement asks for the same few versions many times.
-func salts(model, isolation string) func(version int64) string {
-	known := map[int64]string{}
-	return func(version int64) string {
-		salt, ok := known[version]
-		if !ok {
-			h := fnv.New64a()
-			_, _ = fmt.Fprintf(h, "%q %d %q", model, version, isolation)
-			salt = strconv.FormatUint(h.Sum64(), 36)
-			known[version] = salt
-		}
-		return salt
-	}
-}
-
-// facts returns the properties of a service for placement. The caller holds the lock.
-func (g *Gateway) facts(c *traffic.Config, s *traffic.Service, endpoints []*fleet.Endpoint) place.Facts {
-	f := place.Facts{DataCentre: g.settings.DataCentre}
-	if len(endpoints) > 0 {
-		f.Slots = endpoints[0].Slots
-	}
-	if s.Engine == nil {
-		return f
-	}
-	f.Slots = s.Engine.Slots
-	f.CacheTokens = s.Engine.CacheTokens
-	f.VersionLimit = g.settings.VersionLimit() - versionMargin
-	f.LinkTokensPerMs = tokensPerMs(s.Engine.LinkMbps, s.Engine.TokenBytes)
-	if store := c.StoreNear(g.settings.DataCentre); store != nil {
-		f.Store = store.Address
-		f.StoreTokensPerMs = tokensPerMs(store.LinkMbps, s.Engine.TokenBytes)
-	}
-	return f
-}
-
-// tokensPerMs returns the speed of a link in tokens of the given size.
-func tokensPerMs(mbps float64, tokenBytes int) float64 {
-	const bitsPerMs = 1e3 // of one Mbit/s
-	return mbps * bitsPerMs / bitsPerByte / float64(max(tokenBytes, 1))
-}
-
-// urgency returns the rank of a request in an engine's queue.
-func urgency(r *request) int {
-	priority := r.route.Priority
-	if r.workspace != nil && r.workspace.HasPriority {
-		priority = r.workspace.Priority
-	}
-	return min(urgencyTop+urgencyStep*priority, urgencyMost)
-}
-
-// retryBudget returns the budget of a service. The caller holds the lock.
-func (g *Gateway) retryBudget(service string) *admit.RetryBudget {
-	b := g.retries[service]
-	if b == nil {
-		b = &admit.RetryBudget{}
-		g.retries[service] = b
-	}
-	return b
-}
--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -74,17 +74,6 @@
 	return out
 }
 
-// livePeers returns the names of the live peers. The caller holds the lock.
-func (g *Gateway) livePeers(now time.Time) []string {
-	out := make([]string, 0, len(g.peers))
-	for vm, p := range g.peers {
-		if p.live(now) {
-			out = append(out, vm)
-		}
-	}
-	return out
-}
-
 // watches reports whether this VM is among those that watch a source.
 func (g *Gateway) watches(address string, most int, peers []string) bool {
 	key := rendezvous.Key(address)
--- a/pkg/httpcall/httpcall.go
+++ b/pkg/httpcall/httpcall.go
@@ -202,23 +202,27 @@
 	return min(idleLimit, time.Duration(float64(seconds)*keepAliveShare*float64(time.Second)))
 }
 
-// send writes the request on a connection of its own.
-func (c *Client) send(ctx context.Context, address string, req *fasthttp.Request, fresh bool) (*conn, error) {
-	var cn *conn
+// connect returns an idle connection, unless a fresh one is asked for, or a new one.
+func (c *Client) connect(ctx context.Context, address string, fresh bool) (*conn, error) {
 	if !fresh {
-		cn = c.take(address)
-	}
-	if cn == nil {
-		var err error
-		if cn, err = dial(ctx, address); err != nil {
-			return nil, err
+		if cn := c.take(address); cn != nil {
+			return cn, nil
 		}
 	}
+	return dial(ctx, address)
+}
+
+// send writes the request on a connection of its own.
+func (c *Client) send(ctx context.Context, address string, req *fasthttp.Request, fresh bool) (*conn, error) {
+	cn, err := c.connect(ctx, address, fresh)
+	if err != nil {
+		return nil, err
+	}
 	if len(req.Header.Host()) == 0 {
 		req.Header.SetHost(address)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
-	err := req.Write(cn.writer)
+	err = req.Write(cn.writer)
 	if err == nil {
 		err = cn.writer.Flush()
 	}
--- a/pkg/httpcall/raw.go
+++ b/pkg/httpcall/raw.go
@@ -21,17 +21,14 @@
 // OpenRaw sends a request in wire form and returns after the response headers. A cancelled ctx closes the connection at
 // once, also during later reads. Errors are of type *Error.
 func (c *Client) OpenRaw(ctx context.Context, address string, req Raw) (*Stream, error) {
-	cn := c.take(address)
-	if cn == nil {
-		var err error
-		if cn, err = dial(ctx, address); err != nil {
-			return nil, err
-		}
+	cn, err := c.connect(ctx, address, false)
+	if err != nil {
+		return nil, err
 	}
 	resp := &fasthttp.Response{StreamBody: true, SkipBody: req.NoResponseBody}
 	s := &Stream{Response: resp, client: c, address: address, cn: cn}
 	s.stop = context.AfterFunc(ctx, func() { _ = cn.Close() })
-	err := s.writeRaw(req.Head, req.Body)
+	err = s.writeRaw(req.Head, req.Body)
 	if err == nil {
 		err = s.Response.Read(cn.reader)
 	}
--- a/pkg/ingress/server_test.go
+++ b/pkg/ingress/server_test.go
@@ -16,8 +16,8 @@
 	"github.com/corneldeal/corneldeal/pkg/traffic"
 )
 
-// patience bounds every wait of the tests.
-const patience = 20 * time.Second
+// waitLimit bounds every wait of the tests.
+const waitLimit = 20 * time.Second
 
 // echo answers each request with its body. Requests for /wait are answered when their caller has left.
 type echo struct {
@@ -63,7 +63,7 @@
 	t.Helper()
 	if e.limits == (traffic.Limits{}) {
 		e.limits = traffic.Limits{
-			HeaderBytes: 2048, BodyBytes: 100_000, HeaderTimeout: patience, IdleTimeout: patience,
+			HeaderBytes: 2048, BodyBytes: 100_000, HeaderTimeout: waitLimit, IdleTimeout: waitLimit,
 		}
 	}
 	s, err := New(e, options)
@@ -102,7 +102,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = c.Close() })
-	if err := c.SetDeadline(time.Now().Add(patience)); err != nil {
+	if err := c.SetDeadline(time.Now().Add(waitLimit)); err != nil {
 		t.Fatal(err)
 	}
 	return c
@@ -265,10 +265,10 @@
 
 func waitFor(t *testing.T, what string, holds func() bool) {
 	t.Helper()
-	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+	for deadline := time.Now().Add(waitLimit); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
 		if holds() {
 			return
 		}
 	}
-	t.Fatalf("not within %v: %s", patience, what)
+	t.Fatalf("not within %v: %s", waitLimit, what)
 }
--- a/pkg/issuer/issuer.go
+++ b/pkg/issuer/issuer.go
@@ -215,7 +215,7 @@
 	enginesPerLoad = 5
 )
 
-// Choose returns the engines to empty next. Those with the oldest weights go first, since their time to be replaced
+// Choose returns the engines to drain next. Those with the oldest weights go first, since their time to be replaced
 // ends first; then data centres with fewer engines out of service, so that none loses all of its own at once; then
 // the least loaded, so that few requests are disturbed.
 func Choose(engines []Engine, target int64, limits Loads) []string {
--- a/pkg/limit/limiter.go
+++ b/pkg/limit/limiter.go
@@ -172,8 +172,8 @@
 }
 
 func (l *Limiter) configureOne(c Workspace, first bool, now time.Time) {
-	rate := clamp(c.TokensPerSecond)
-	burst := clamp(c.BurstTokens)
+	rate := withinMax(c.TokensPerSecond)
+	burst := withinMax(c.BurstTokens)
 	w, known := l.workspaces[c.Name]
 	if !known {
 		l.workspaces[c.Name] = &workspace{rate: rate, burst: burst}
@@ -198,7 +198,7 @@
 	}
 }
 
-func clamp(tokens int64) int64 {
+func withinMax(tokens int64) int64 {
 	return min(max(tokens, 0), MaxTokens)
 }
 
--- a/pkg/place/outcome.go
+++ b/pkg/place/outcome.go
@@ -55,7 +55,7 @@
 	p.sent[r.ID] = x
 	if r.Engine {
 		p.cache.add(SourceOf(c.Endpoint), r.Salt(c.Version), r, now)
-		if c.Save {
+		if c.SaveTo != "" {
 			p.cache.add(c.SaveTo, r.Salt(c.Version), r, now)
 		}
 	}
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -127,8 +127,7 @@
 	Candidates int
 	// FetchFrom is the source of shared parts that the chosen endpoint lacks, or empty.
 	FetchFrom string
-	// Save tells that the cache store lacks shared parts that are worth a transfer. SaveTo is its name as a source.
-	Save   bool
+	// SaveTo is the cache store where it lacks shared parts that are worth a transfer, or empty.
 	SaveTo string
 }
 
@@ -208,8 +207,7 @@
 		Candidates: len(candidates),
 		FetchFrom:  c.from,
 	}
-	if r.Engine && r.sharedTokens() >= leastTransfer && f.Store != "" {
-		choice.Save = p.saved(r, c.Version, f.Store, now) < r.sharedTokens()-leastTransfer
+	if r.Engine && f.Store != "" && p.saved(r, c.Version, f.Store, now) < r.sharedTokens()-leastTransfer {
 		choice.SaveTo = f.Store
 	}
 	return choice
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -104,13 +104,13 @@
 func TestSourceComesFromEvents(t *testing.T) {
 	p := New()
 	list := engines(3)
-	if c := p.Place(prompt(1, 2), list, facts, start); c.FetchFrom != "" || !c.Save {
-		t.Fatalf("fetches from %q and saves %v though nobody holds the parts", c.FetchFrom, c.Save)
+	if c := p.Place(prompt(1, 2), list, facts, start); c.FetchFrom != "" || c.SaveTo != "store" {
+		t.Fatalf("fetches from %q and saves to %q though nobody holds the parts", c.FetchFrom, c.SaveTo)
 	}
 	p.CacheEvents("store", 1, false, held(2))
 	c := p.Place(prompt(1, 2), list, facts, start)
-	if c.FetchFrom != "store" || c.Save {
-		t.Fatalf("fetches from %q and saves %v though the store holds the parts", c.FetchFrom, c.Save)
+	if c.FetchFrom != "store" || c.SaveTo != "" {
+		t.Fatalf("fetches from %q and saves to %q though the store holds the parts", c.FetchFrom, c.SaveTo)
 	}
 	p.CacheEvents(SourceOf(list[1]), 1, false, held(2))
 	if c := p.Place(prompt(1, 2), list, facts, start); c.Endpoint != list[1] || c.FetchFrom != "" {
@@ -255,7 +255,7 @@
 	sender, other := New(), New()
 	r := prompt(1, 2)
 	first := sender.Place(r, list, facts, start)
-	if !first.Save {
+	if first.SaveTo != "store" {
 		t.Fatal("nothing to save")
 	}
 	sender.Sent(r, first, start)
@@ -268,8 +268,8 @@
 
 	at := start.Add(100 * time.Millisecond)
 	c := other.Place(prompt(2, 2), list, facts, at)
-	if c.Endpoint != first.Endpoint || c.Missing != 1000 || c.Save {
-		t.Errorf("placed on %s, %d tokens missing, saved again: %v", c.Endpoint.ID, c.Missing, c.Save)
+	if c.Endpoint != first.Endpoint || c.Missing != 1000 || c.SaveTo != "" {
+		t.Errorf("placed on %s, %d tokens missing, saved again to %q", c.Endpoint.ID, c.Missing, c.SaveTo)
 	}
 	elsewhere := []*fleet.Endpoint{}
 	for _, e := range list {
@@ -283,7 +283,7 @@
 	if c := other.Place(prompt(3, 2), elsewhere, facts, start.Add(time.Second)); c.FetchFrom != "store" || c.Missing != 1000 {
 		t.Errorf("fetches from %q, %d tokens missing", c.FetchFrom, c.Missing)
 	}
-	if c := other.Place(prompt(3, 2), list, facts, start.Add(20*time.Second)); c.FetchFrom != "" || !c.Save {
+	if c := other.Place(prompt(3, 2), list, facts, start.Add(20*time.Second)); c.FetchFrom != "" || c.SaveTo != "store" {
 		t.Errorf("relies on sends of 20 s ago: fetches from %q", c.FetchFrom)
 	}
 }
--- a/pkg/share/limiter.go
+++ b/pkg/share/limiter.go
@@ -2,7 +2,7 @@
 //
 // Each VM holds one bucket per workspace that stands for the whole system. It deducts what the VM itself admits at
 // once, and what the peers admitted as soon as they tell, so the sum exceeds the limit at most by what is admitted
-// within one exchange. A peer that falls silent may go on admitting: its equal share of stock and refill is set
+// within one exchange. A peer that falls silent may go on admitting: its equal share of tokens and refill is set
 // aside until it is seen again, so parts of a partitioned system together stay within the limit. The package holds
 // no I/O; time is an argument.
 package share
@@ -37,7 +37,7 @@
 	Workspace string
 	// Admitted is the number of tokens admitted since the VM started.
 	Admitted int64
-	// Level is the stock that the VM believes to be left over all VMs.
+	// Level is the number of tokens that the VM believes to be left over all VMs.
 	Level int64
 }
 
@@ -56,7 +56,7 @@
 	admitted map[string]int64
 	// rate is what the peer admitted lately, in tokens per second by workspace.
 	rate map[string]float64
-	// aside is the stock that was set aside for the silent peer, by workspace. Nil while the peer reports.
+	// aside is the number of tokens set aside for the silent peer, by workspace. Nil while the peer reports.
 	aside map[string]float64
 }
 
@@ -70,8 +70,8 @@
 	joining bool
 }
 
-// New returns a limiter. Joining tells that the VM starts into a system that may be running already, whose stock
-// may be spent.
+// New returns a limiter. Joining tells that the VM starts into a system that may be running already, whose
+// tokens may be spent.
 func New(joining bool) *Limiter {
 	return &Limiter{
 		buckets: map[string]*bucket{},
@@ -92,7 +92,7 @@
 			b = l.newBucket(lim, now)
 		}
 		l.refill(b, now)
-		// A raised burst is not handed out at once: the stock grows at the new rate.
+		// A raised burst is not given out at once: the level grows at the new rate.
 		b.rate = float64(lim.Rate)
 		b.burst = float64(lim.Burst)
 		b.level = math.Min(b.level, b.burst)
@@ -128,7 +128,7 @@
 	delete(l.peers, vm)
 }
 
-// refill mints the tokens since the last call, less the share of silent peers.
+// refill adds the tokens since the last call, less the share of silent peers.
 func (l *Limiter) refill(b *bucket, now time.Time) {
 	elapsed := now.Sub(b.at).Seconds()
 	if elapsed <= 0 {
@@ -136,9 +136,9 @@
 	}
 	b.at = now
 	quiet, total := l.silent()
-	mint := elapsed * b.rate
+	refill := elapsed * b.rate
 	share := float64(total-quiet) / float64(total)
-	b.level = math.Min(b.level+mint*share, b.burst)
+	b.level = math.Min(b.level+refill*share, b.burst)
 }
 
 // Take deducts the cost of a request. When there is not enough, wait is the time until there will be.
@@ -162,7 +162,7 @@
 	return false, min(wait, maxWait)
 }
 
-// Level returns the stock that is believed to be left over all VMs, or zero where there is no limit.
+// Level returns the number of tokens that is believed to be left over all VMs, or zero where there is no limit.
 func (l *Limiter) Level(workspace string, now time.Time) int64 {
 	b := l.buckets[workspace]
 	if b == nil {
@@ -171,7 +171,7 @@
 	return int64(b.level - l.unreported(workspace, now))
 }
 
-// unreported returns what the peers should have admitted since their last words, at the rate of those.
+// unreported returns what the peers should have admitted since their last reports, at the rate of those.
 func (l *Limiter) unreported(workspace string, now time.Time) float64 {
 	sum := 0.0
 	for _, p := range l.peers {
@@ -208,7 +208,7 @@
 	if p == nil {
 		p = &peer{boot: boot, admitted: map[string]int64{}, rate: map[string]float64{}, lastSeen: now}
 		l.peers[vm] = p
-		// What a peer admitted before its first report is no debt of the present stock.
+		// What a peer admitted before its first report is no debt of the present level.
 		for _, u := range usage {
 			p.admitted[u.Workspace] = u.Admitted
 		}
--- a/pkg/share/limiter_test.go
+++ b/pkg/share/limiter_test.go
@@ -144,7 +144,7 @@
 	w.checkWindows()
 }
 
-// Guards against restarted processes that start with a full stock, singly and all at once.
+// Guards against restarted processes that start with a full bucket, singly and all at once.
 func TestRestartsKeepLimit(t *testing.T) {
 	w := newWorld(t, 9)
 	for range 6 {
@@ -161,8 +161,8 @@
 	w.checkWindows()
 }
 
-// Guards against a lowered limit that leaves the old stock.
-func TestLoweredLimitTakesStock(t *testing.T) {
+// Guards against a lowered limit that leaves the old level.
+func TestLoweredLimitLowersLevel(t *testing.T) {
 	l := New(false)
 	l.Configure([]Limit{{Workspace: "w", Rate: rate, Burst: burst}}, start)
 	l.Configure([]Limit{{Workspace: "w", Rate: 10, Burst: 100}}, start)
--- a/pkg/traffic/config.go
+++ b/pkg/traffic/config.go
@@ -38,8 +38,6 @@
 	Timeout time.Duration
 	// Objective is the latency within which an answer, or the first event of a stream, is on time.
 	Objective time.Duration
-	// GapObjective is the longest pause between two events of a stream that is on time.
-	GapObjective time.Duration
 	// Priority is the rank of the requests, 0 first.
 	Priority int
 	Targets  []Target
@@ -116,8 +114,6 @@
 // Service is a set of equal endpoints.
 type Service struct {
 	Name string
-	// ConnectionLimit is the number of connections that one endpoint accepts from all VMs.
-	ConnectionLimit int
 	// Engine is nil for plain services.
 	Engine *Engine
 	// Store is set for a cache store, which is no target of routes.
