--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -169,6 +169,8 @@
 	}
 }
 
+// Guards against sends to an endpoint that was just unreachable, however busy the other is, and against endpoints that stay
+// out for good.
 func TestUnreachableEndpointIsTriedAgain(t *testing.T) {
 	p := New()
 	list := engines(2)
@@ -179,11 +181,14 @@
 	if got := p.Place(&Request{ID: 2}, list, facts, start); got.Endpoint != list[1] {
 		t.Fatal("an endpoint that was just unreachable is chosen")
 	}
+	p.SetPeer("peer", map[string]Load{"e1": {Running: 500}})
+	if got := p.Place(&Request{ID: 2}, list, facts, start); got.Endpoint != list[1] {
+		t.Fatal("an endpoint that was just unreachable is chosen since the other is busy")
+	}
 	if got := p.Place(&Request{ID: 2}, list[:1], facts, start); got.Endpoint == nil {
 		t.Fatal("the last endpoint is refused")
 	}
 	later := start.Add(time.Minute)
-	p.SetPeer("peer", map[string]Load{"e1": {Running: 500}})
 	if got := p.Place(&Request{ID: 2}, list, facts, later); got.Endpoint != list[0] {
 		t.Fatal("an endpoint stays out for good")
 	}
--- a/pkg/place/replay_test.go
+++ b/pkg/place/replay_test.go
@@ -85,7 +85,11 @@
 	facts    Facts
 	announce []Announcement
 	results  []*replayed
-	nextID   uint64
+	// refusedLoading is the number of sends to engines that were loading.
+	refusedLoading int
+	// unreachable is the number of sends to engines that were down.
+	unreachable int
+	nextID      uint64
 	// leave is the time after which a request's caller leaves, or zero.
 	leave func() time.Duration
 }
@@ -172,6 +176,9 @@
 		outcome := Full
 		if e.down {
 			outcome = Unreachable
+			s.unreachable++
+		} else {
+			s.refusedLoading++
 		}
 		s.after(time.Millisecond, func() {
 			p.Done(r.ID, outcome, s.now)
@@ -344,22 +351,34 @@
 	onTime(t, s.between(3*time.Second, 8*time.Second), 0.99)
 }
 
-// Guards against requests that are lost with half of the engines, and against late ones behind them.
+// Guards against requests that are lost with half of the engines, against late ones behind them, and against tries at
+// engines that are gone. Each VM may try each of them at once and then after pauses that double.
 func TestReplayHalfOfTheEnginesGone(t *testing.T) {
+	const lost = replayEngines / 2
+	const after = 5 * time.Second
 	s := newReplay()
-	s.offer(replayRate, 8*time.Second, s.anySubject)
+	s.offer(replayRate, 3*time.Second+after, s.anySubject)
 	s.run(3 * time.Second)
-	for _, e := range s.engines[:replayEngines/2] {
+	for _, e := range s.engines[:lost] {
 		e.down = true
 	}
-	s.run(6 * time.Second)
-	onTime(t, s.between(3*time.Second, 8*time.Second), 0.99)
+	s.run(after + time.Second)
+	onTime(t, s.between(3*time.Second, 3*time.Second+after), 0.99)
+	tries := 1
+	for pause, at := ejectFirst, ejectFirst; at < after; at += pause {
+		tries++
+		pause *= 2
+	}
+	if most := replayVMs * lost * tries; s.unreachable > most {
+		t.Errorf("%d tries at engines that are gone, want at most %d", s.unreachable, most)
+	}
 }
 
-// Guards against requests that go on to engines which have become slow behind good health.
+// Guards against requests that go on to engines which have become slow behind good health. The load is light, so that
+// their queues do not show it.
 func TestReplaySlowEngines(t *testing.T) {
 	s := newReplay()
-	s.offer(replayRate, 10*time.Second, s.anySubject)
+	s.offer(replayRate/8, 10*time.Second, s.anySubject)
 	s.run(3 * time.Second)
 	for _, e := range s.engines[:2] {
 		e.slow = 8
@@ -368,8 +387,8 @@
 	onTime(t, s.between(5*time.Second, 10*time.Second), 0.99)
 }
 
-// Guards against late answers while engines load new weights two at a time, and against old weights that are used beyond
-// their time.
+// Guards against late answers while engines load new weights two at a time, against sends to engines that load, and
+// against old weights that are used beyond their time. The last two engines never load.
 func TestReplayNewWeights(t *testing.T) {
 	const load = 2 * time.Second
 	s := newReplay()
@@ -377,7 +396,7 @@
 	s.run(2 * time.Second)
 	s.announce = []Announcement{{Version: 1, At: start}, {Version: 2, At: s.now}}
 	announced := s.now
-	for i := 0; i < replayEngines; i += 2 {
+	for i := 0; i < replayEngines-2; i += 2 {
 		pair := s.engines[i : i+2]
 		for _, p := range s.vms {
 			p.SetLoading([]string{pair[0].endpoint.ID, pair[1].endpoint.ID})
@@ -397,8 +416,16 @@
 	for _, p := range s.vms {
 		p.SetLoading(nil)
 	}
-	s.run(5 * time.Second)
-	onTime(t, s.between(2*time.Second, 18*time.Second), 0.99)
+	s.run(4 * time.Second)
+	// Only the engines with old weights are left, whose time is over.
+	for _, e := range s.engines[:replayEngines-2] {
+		e.down = true
+	}
+	s.run(3 * time.Second)
+	onTime(t, s.between(2*time.Second, 15*time.Second), 0.99)
+	if s.refusedLoading > 0 {
+		t.Errorf("%d sends to engines that were loading", s.refusedLoading)
+	}
 	for _, x := range s.results {
 		if x.version == 1 && x.arrived.Sub(announced) > s.facts.VersionLimit {
 			t.Fatalf("old weights %v after the announcement", x.arrived.Sub(announced))
--- a/pkg/share/limiter_test.go
+++ b/pkg/share/limiter_test.go
@@ -27,8 +27,8 @@
 	down    bool
 }
 
-// world drives several limiters that exchange their usage.
-type world struct {
+// simulation drives several limiters that exchange their usage.
+type simulation struct {
 	t        *testing.T
 	rng      *rand.Rand
 	nodes    []*node
@@ -39,8 +39,8 @@
 	}
 }
 
-func newWorld(t *testing.T, nodes int) *world {
-	w := &world{t: t, rng: rand.New(rand.NewPCG(1, 2)), now: start}
+func newSimulation(t *testing.T, nodes int) *simulation {
+	w := &simulation{t: t, rng: rand.New(rand.NewPCG(1, 2)), now: start}
 	for i := range nodes {
 		n := &node{name: string(rune('a' + i))}
 		w.nodes = append(w.nodes, n)
@@ -49,16 +49,16 @@
 	return w
 }
 
-func (w *world) start(n *node, joining bool) {
+func (w *simulation) start(n *node, joining bool) {
 	n.boot++
 	n.down = false
 	n.limiter = New(joining)
 	n.limiter.Configure([]Limit{{Workspace: "w", Rate: rate, Burst: burst}}, w.now)
 }
 
-// run advances the world. Each VM offers demand tokens a second in requests of cost tokens; digests go between VMs of
+// run advances the simulation. Each VM offers demand tokens a second in requests of cost tokens; digests go between VMs of
 // one group every 250 ms and a tenth is lost.
-func (w *world) run(d time.Duration, demand, cost int64) (admitted int64) {
+func (w *simulation) run(d time.Duration, demand, cost int64) (admitted int64) {
 	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(step) {
 		for _, n := range w.nodes {
 			if n.down {
@@ -84,7 +84,7 @@
 	return admitted
 }
 
-func (w *world) exchange() {
+func (w *simulation) exchange() {
 	for _, from := range w.nodes {
 		if from.down {
 			continue
@@ -100,7 +100,7 @@
 }
 
 // checkWindows fails where some window holds more than the platform allows.
-func (w *world) checkWindows() {
+func (w *simulation) checkWindows() {
 	w.t.Helper()
 	allowed := int64((rate*window.Seconds()+burst)*(1+excessShare)) + excessFixed
 	sum, first := int64(0), 0
@@ -118,7 +118,7 @@
 
 // Guards against a workspace at several times its rate getting its rate on each VM.
 func TestSumKeepsLimitUnderOverload(t *testing.T) {
-	w := newWorld(t, 9)
+	w := newSimulation(t, 9)
 	got := w.run(30*time.Second, rate, 9_000)
 	w.checkWindows()
 	if least := int64(25 * rate); got < least {
@@ -128,7 +128,7 @@
 
 // Guards against the parts of a partitioned system each admitting the whole rate, and against their admitting nothing.
 func TestPartitionKeepsLimit(t *testing.T) {
-	w := newWorld(t, 9)
+	w := newSimulation(t, 9)
 	w.run(5*time.Second, rate, 9_000)
 	for i, n := range w.nodes {
 		n.group = i % 3
@@ -146,7 +146,7 @@
 
 // Guards against restarted processes that start with a full bucket, singly and all at once.
 func TestRestartsKeepLimit(t *testing.T) {
-	w := newWorld(t, 9)
+	w := newSimulation(t, 9)
 	for range 6 {
 		w.run(2*time.Second, rate, 9_000)
 		n := w.nodes[w.rng.IntN(len(w.nodes))]
@@ -200,3 +200,34 @@
 		t.Fatal("the first report of a peer was charged")
 	}
 }
+
+// Guards against tokens that are kept back for peers which report again, were forgotten or have ended.
+func TestRefillIsWholeOnceNobodyIsSilent(t *testing.T) {
+	for name, end := range map[string]func(l *Limiter, now time.Time){
+		"reports again": func(l *Limiter, now time.Time) { l.Report("peer", 1, nil, now) },
+		"has ended":     func(l *Limiter, _ time.Time) { l.Left("peer") },
+		"is forgotten":  func(l *Limiter, now time.Time) { l.Tick(now.Add(ForgetAfter)) },
+	} {
+		l := New(false)
+		l.Configure([]Limit{{Workspace: "w", Rate: rate, Burst: burst}}, start)
+		l.Report("peer", 1, nil, start)
+		now := start.Add(2 * SilenceAfter)
+		l.Tick(now)
+		if quiet, total := l.silent(); quiet != 1 || total != 2 {
+			t.Fatalf("%d of %d silent", quiet, total)
+		}
+		end(l, now)
+		if quiet, _ := l.silent(); quiet != 0 {
+			t.Errorf("%s: %d peers still count as silent", name, quiet)
+		}
+		if ok, _ := l.Take("w", burst/2, now); !ok {
+			t.Fatalf("%s: half of the burst is not there", name)
+		}
+		before := l.Level("w", now)
+		after := now.Add(100 * time.Millisecond)
+		l.Usage(after)
+		if got := l.Level("w", after) - before; got != rate/10 {
+			t.Errorf("%s: %d tokens in 100 ms, want %d", name, got, rate/10)
+		}
+	}
+}
