Leave endpoints alone that say they leave or ask to wait; bound endless and stalled answers

Cause: answers that say the endpoint leaves were not read, so an endpoint that never registers as draining got new work; a 503 with Retry-After only cost 150 ms of preference. A stream that stalled after its first event was held to its deadline although another endpoint could go on. Each answer might take 8 MB, and all together more than the VM has. A panic in one request ended the process. A refusal without an id on a connection that was in use again was believed.

Change: draining per start of an endpoint, told to peers for as long as it is registered; a wait per VM and endpoint as a filter of placement, with the earliest end as the caller's Retry-After; a limit on the time between whole events where another endpoint can take over and the retry budget allows; one bound for all answers that are held; panics end their connection only.

Ruled out: answers cut within a length or before the last chunk were refused before (the new tests pass without a change); bytes without end in a head were bounded by the read buffer.

--- a/pkg/admit/retry.go
+++ b/pkg/admit/retry.go
@@ -23,10 +23,15 @@
 	b.firsts.add(now)
 }
 
+// Left reports whether one retry is allowed.
+func (b *RetryBudget) Left(now time.Time) bool {
+	allowed := retryFloor + b.firsts.sum(now, retryBuckets)/retryShare
+	return b.retries.sum(now, retryBuckets+1) < allowed
+}
+
 // Take reports whether one retry is allowed, and counts it if so.
 func (b *RetryBudget) Take(now time.Time) bool {
-	allowed := retryFloor + b.firsts.sum(now, retryBuckets)/retryShare
-	if b.retries.sum(now, retryBuckets+1) >= allowed {
+	if !b.Left(now) {
 		return false
 	}
 	b.retries.add(now)
--- a/pkg/fleet/table.go
+++ b/pkg/fleet/table.go
@@ -50,10 +50,19 @@
 	leftOffset int64
 	// misdirected tells that another endpoint answers at the address.
 	misdirected bool
+	// draining tells that the start of the endpoint at drainingBorn said in an answer that it leaves. Later records of
+	// that start do not take it back, since some endpoints leave without a record.
+	draining     bool
+	drainingBorn int64
 }
 
 func (e *entry) usable() bool {
-	return !e.removed && e.endpoint != nil && e.endpoint.Ready && !e.left && !e.misdirected
+	return !e.removed && e.endpoint != nil && e.endpoint.Ready && !e.left && !e.misdirected && !e.saysDraining()
+}
+
+// saysDraining tells that the endpoint, as registered, said in an answer that it leaves.
+func (e *entry) saysDraining() bool {
+	return e.draining && e.endpoint != nil && e.endpoint.Born == e.drainingBorn
 }
 
 // Change tells what an update did.
@@ -75,6 +84,9 @@
 	ID string
 	// Offset is the newest record on the endpoint when it left.
 	Offset int64
+	// Draining tells that the start of the endpoint at Born said in an answer that it leaves.
+	Draining bool
+	Born     int64
 	// At is when this VM learned of it.
 	At time.Time
 }
@@ -163,7 +175,11 @@
 }
 
 func (t *Table) depart(id string, e *entry, now time.Time) {
-	t.departures = append(t.departures, Departure{ID: id, Offset: e.offset, At: now})
+	d := Departure{ID: id, Offset: e.offset, At: now}
+	if e.saysDraining() {
+		d.Draining, d.Born = true, e.drainingBorn
+	}
+	t.departures = append(t.departures, d)
 }
 
 // Missing removes the endpoints that a complete listing did not show. End is the end of the log before the listing
@@ -216,6 +232,34 @@
 	return true
 }
 
+// Drain tells that an endpoint said in an answer that it leaves. It stays out of use until it starts again. Drain reports
+// whether the endpoint was usable.
+func (t *Table) Drain(id string, born int64, now time.Time) bool {
+	e, known := t.entries[id]
+	if !known || e.draining && e.drainingBorn >= born {
+		return false
+	}
+	was := e.usable()
+	e.draining, e.drainingBorn = true, born
+	t.byService = nil
+	if !was || e.usable() {
+		return false
+	}
+	t.depart(id, e, now)
+	return true
+}
+
+// Draining returns the registered endpoints that said in an answer that they leave, as departures.
+func (t *Table) Draining() []Departure {
+	var out []Departure
+	for id, e := range t.entries {
+		if !e.removed && e.saysDraining() {
+			out = append(out, Departure{ID: id, Offset: e.offset, Draining: true, Born: e.drainingBorn})
+		}
+	}
+	return out
+}
+
 // Misdirect tells that another endpoint answered at the address of id. The entry is out of use until it changes its
 // address or start.
 func (t *Table) Misdirect(id string, born int64) {
--- a/pkg/fleet/table_test.go
+++ b/pkg/fleet/table_test.go
@@ -105,3 +105,30 @@
 		t.Fatal("a new start is not used")
 	}
 }
+
+// Guards against records of an endpoint that leaves bringing it back, and against a new start that stays out of use.
+func TestDrainingLastsUntilTheNextStart(t *testing.T) {
+	table := NewTable()
+	table.Apply("a", 1, ready("a", 7), start)
+	if !table.Drain("a", 7, start) || table.Get("a") != nil {
+		t.Fatal("an endpoint that says it leaves is still in use")
+	}
+	if got := table.Apply("a", 2, ready("a", 7), start); got == Joined || table.Get("a") != nil {
+		t.Fatal("a heartbeat of the same start brought it back")
+	}
+	table.Remove("a", 3, start)
+	table.Apply("a", 4, ready("a", 7), start)
+	if table.Get("a") != nil {
+		t.Fatal("a registration of the same start brought it back")
+	}
+	if n := len(table.Draining()); n != 1 {
+		t.Fatalf("peers are told of %d draining endpoints, want 1", n)
+	}
+	table.Apply("a", 5, ready("a", 8), start)
+	if table.Get("a") == nil || len(table.Draining()) != 0 {
+		t.Fatal("the next start is out of use")
+	}
+	if table.Drain("a", 7, start) || table.Get("a") == nil {
+		t.Fatal("a late answer of the earlier start took the next one out of use")
+	}
+}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"strconv"
 	"strings"
 	"time"
@@ -18,21 +17,12 @@
 	"github.com/corneldeal/corneldeal/pkg/traffic"
 )
 
-const (
-	// maxAnswerBytes bounds an answer that is held before it is passed on.
-	maxAnswerBytes = 8 << 20
-	// silenceLeast and silenceFactor times the prediction are the least wait for the first byte of an idempotent request
-	// before another endpoint is tried.
-	silenceLeast  = 900 * time.Millisecond
-	silenceFactor = 4
-)
-
-// errSilent cancels an attempt at a silent endpoint.
-var errSilent = errors.New("gateway: endpoint is silent")
-
 // errTimeLimit cancels an attempt at the end of the request's time.
 var errTimeLimit = errors.New("gateway: time limit reached")
 
+// errPanic ends an attempt whose handling panicked.
+var errPanic = errors.New("gateway: panic while the attempt was handled")
+
 // result is the end of one attempt.
 type result struct {
 	outcome place.Outcome
@@ -49,34 +39,21 @@
 	defer cancel(nil)
 	limit := time.AfterFunc(r.deadline.Sub(steady.Now()), func() { cancel(errTimeLimit) })
 	defer limit.Stop()
-	answering := g.limitSilence(r, t, cancel)
-	defer answering()
+	silence := g.limitSilence(r, t, cancel)
+	defer silence.stop()
 
 	started := steady.Now()
-	res := g.exchange(ctx, r, t, answering)
-	g.finish(r, t, res, started)
+	// A panic leaves this result, so that the endpoint does not keep the request's load.
+	res := result{outcome: place.Neutral, err: errPanic}
+	defer func() { g.finish(r, t, res, started) }()
+	res = g.exchange(ctx, r, t, silence)
 	return res
 }
 
-// limitSilence cancels an attempt at an endpoint that stays silent, where the request may be tried elsewhere. The
-// function that it returns ends the limit, once the endpoint answers.
-func (g *Gateway) limitSilence(r *request, t *target, cancel context.CancelCauseFunc) (answering func()) {
-	if !r.route.Idempotent() || r.sends+1 >= r.route.Attempts {
-		return func() {}
-	}
-	wait := max(silenceLeast, silenceFactor*t.choice.Expected)
-	timer := time.AfterFunc(wait, func() { cancel(errSilent) })
-	return func() { timer.Stop() }
-}
-
 // finish records the end of an attempt.
 func (g *Gateway) finish(r *request, t *target, res result, started time.Time) {
 	now := steady.Now()
-	g.mu.Lock()
-	g.placer.Done(r.id, res.outcome, now)
-	g.noteCrash(r, t, res, now)
-	listAge := now.Sub(g.streams[EndpointStream].readAt)
-	g.mu.Unlock()
+	listAge := g.record(r, t, res, now)
 	line := g.log.line(partRequest).Str("request", r.call.ID).Int("try", r.tries).
 		Str("endpoint", t.choice.Endpoint.ID).Int64("config", r.version).Int64("weights", t.choice.Version).
 		Int("running", t.choice.Running).Int("missing", t.choice.Missing).Int("candidates", t.choice.Candidates).
@@ -90,6 +67,15 @@
 	g.metrics.count("attempts_" + outcomeNames[res.outcome] + "_total")
 }
 
+// record takes the end of an attempt into the tables. It returns the age of the list of endpoints.
+func (g *Gateway) record(r *request, t *target, res result, now time.Time) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.placer.Done(r.id, res.outcome, now)
+	g.noteCrash(r, t, res, now)
+	return now.Sub(g.streams[EndpointStream].readAt)
+}
+
 // noteCrash counts an endpoint that broke off while it ran the request. The caller holds the lock.
 func (g *Gateway) noteCrash(r *request, t *target, res result, now time.Time) {
 	if r.fingerprint == 0 {
@@ -118,7 +104,7 @@
 }
 
 // exchange sends the request and reads the answer.
-func (g *Gateway) exchange(ctx context.Context, r *request, t *target, answering func()) result {
+func (g *Gateway) exchange(ctx context.Context, r *request, t *target, silence *silenceLimit) result {
 	a := Attempt{
 		Endpoint:    t.choice.Endpoint,
 		Remaining:   r.deadline.Sub(steady.Now()),
@@ -145,7 +131,7 @@
 		return g.callFailed(ctx, err)
 	}
 	defer stream.Close()
-	return g.readAnswer(ctx, r, t, stream, answering)
+	return g.readAnswer(ctx, r, t, stream, silence)
 }
 
 // callFailed classifies a call without a readable answer.
@@ -168,13 +154,15 @@
 var errBadAnswer = errors.New("gateway: the answer does not belong to the request")
 
 func (g *Gateway) readAnswer(
-	ctx context.Context, r *request, t *target, stream *httpcall.Stream, answering func(),
+	ctx context.Context, r *request, t *target, stream *httpcall.Stream, silence *silenceLimit,
 ) result {
 	header := &stream.Response.Header
 	answer := g.platform.Wire.ReadAnswer(header)
 	status := header.StatusCode()
 	success := status >= 200 && status < 300
-	if answer.ID != "" && answer.ID != r.call.ID || success && (answer.ID == "" || !answer.Signed) {
+	anonymous := answer.ID == ""
+	foreign := !anonymous && answer.ID != r.call.ID
+	if foreign || anonymous && (success || stream.Reused) || success && !answer.Signed {
 		return result{outcome: place.Broken, err: errBadAnswer}
 	}
 	g.learn(t, answer)
@@ -182,11 +170,12 @@
 		return g.refusedByEndpoint(t, stream, answer)
 	}
 	if success && r.route.Kind == traffic.Streaming && isEventStream(header) {
-		return g.pump(ctx, r, t, stream, answering)
+		return g.pump(ctx, r, t, stream, silence)
 	}
-	answering()
+	silence.stop()
 	g.firstByte(r)
-	resp, err := g.buffer(stream)
+	resp, size, err := g.buffer(stream)
+	defer g.answers.release(size)
 	if err != nil {
 		return g.callFailed(ctx, err)
 	}
@@ -216,17 +205,28 @@
 
 // learn takes what an answer says of its endpoint.
 func (g *Gateway) learn(t *target, answer Answer) {
-	if answer.Version == 0 || !t.request.Engine {
-		return
-	}
+	now := steady.Now()
+	e := t.choice.Endpoint
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.placer.Version(t.choice.Endpoint, t.request.Model, answer.Version)
+	if answer.Version > 0 && t.request.Engine {
+		g.placer.Version(e, t.request.Model, answer.Version)
+	}
+	if answer.Leaving && g.endpoints.Drain(e.ID, e.Born, now) {
+		g.endpointLeft(e.ID, "said so in an answer", 0)
+	}
+	if answer.RetryAfter > 0 {
+		g.placer.Wait(e, answer.RetryAfter, now)
+		g.log.line(partEndpoint).Str("endpoint", e.ID).Dur("retry_after_ms", answer.RetryAfter).
+			Msg("endpoint asked to wait")
+	}
 }
 
 // refusedByEndpoint handles the endpoint's statement that it did not run the request.
 func (g *Gateway) refusedByEndpoint(t *target, stream *httpcall.Stream, answer Answer) result {
-	if _, err := g.buffer(stream); err != nil {
+	_, size, err := g.buffer(stream)
+	defer g.answers.release(size)
+	if err != nil {
 		// The refusal stands; the connection is closed with the stream.
 		g.metrics.count("refusals_truncated_total")
 	}
@@ -250,34 +250,13 @@
 	errFull = errors.New("gateway: the endpoint refused the request")
 )
 
-// buffer reads a whole answer.
-func (g *Gateway) buffer(stream *httpcall.Stream) (*fasthttp.Response, error) {
-	resp := &fasthttp.Response{}
-	g.platform.Wire.Forward(&stream.Response.Header, &resp.Header)
-	if stream.Response.SkipBody {
-		// The length is that of the body which a GET would get.
-		resp.SkipBody = true
-		resp.Header.SetContentLength(stream.Response.Header.ContentLength())
-		return resp, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(stream, maxAnswerBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > maxAnswerBytes {
-		return nil, fasthttp.ErrBodyTooLarge
-	}
-	resp.SetBodyRaw(body)
-	return resp, nil
-}
-
 // firstByte records the time to the first byte of an answer.
 func (g *Gateway) firstByte(r *request) {
 	now := steady.Now()
+	g.metrics.observe("first_byte", now.Sub(r.arrived))
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.placer.FirstToken(r.id, now)
-	g.mu.Unlock()
-	g.metrics.observe("first_byte", now.Sub(r.arrived))
 }
 
 func (g *Gateway) answered(r *request, status int) {
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -77,6 +77,7 @@
 		return nil, refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeCrashSuspect, "the request crashes endpoints").
 			After(crashRetry)
 	}
+	var waitUntil time.Time
 	for _, name := range r.route.Pick(r.call.ID) {
 		s := c.Services[name]
 		if s == nil {
@@ -86,6 +87,7 @@
 		p := g.placement(r, s)
 		choice := g.placer.Place(p, endpoints, g.facts(c, s, endpoints), now)
 		if choice.Endpoint == nil {
+			waitUntil = earliest(waitUntil, choice.WaitUntil)
 			continue
 		}
 		r.expected = choice.Expected
@@ -104,10 +106,22 @@
 		g.placer.Sent(p, choice, now)
 		return &target{service: s, choice: choice, request: p}, nil
 	}
+	if !waitUntil.IsZero() {
+		return nil, refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeQueueFull, "all endpoints asked to wait").
+			After(waitUntil.Sub(now))
+	}
 	return nil, refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeNoEndpoint, "no endpoint is available").
 		After(noEndpointRetry)
 }
 
+// earliest returns the earlier of two times, either of which may be unset.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // shed returns by how much a new request would be late on overloaded engines.
 func shed(r *request, s *traffic.Service, c place.Choice, now time.Time) time.Duration {
 	if s.Engine == nil || r.tries > 0 {
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -57,6 +57,12 @@
 	}
 }
 
+// Panicked implements ingress.Handler. The request path holds its locks by deferred unlocks, so the tables stay usable.
+func (g *Gateway) Panicked(cause any, stack []byte) {
+	g.metrics.count("request_panics_total")
+	g.log.warn(partRequest).Any("cause", cause).Bytes("stack", stack).Msg("request ended by a panic")
+}
+
 // Malformed implements ingress.Handler.
 func (g *Gateway) Malformed(status int, reason string) {
 	g.metrics.count("malformed_requests_total")
--- a/pkg/gateway/digest.go
+++ b/pkg/gateway/digest.go
@@ -83,9 +83,7 @@
 			Endpoint: id, Running: int32(l.Running), Unread: int32(l.Unread), Memory: int32(l.Memory),
 		})
 	}
-	for _, dep := range g.endpoints.Departures(now.Add(-departuresFor)) {
-		d.Departures = append(d.Departures, &gossip.Departure{Endpoint: dep.ID, Offset: dep.Offset})
-	}
+	d.Departures = g.departures(now)
 	for _, c := range g.crashes.Recent(now.Add(-crashesFor)) {
 		d.Accusations = append(d.Accusations, &gossip.Accusation{Fingerprint: c.Fingerprint, Crashed: c.Endpoint})
 	}
@@ -100,6 +98,22 @@
 	return d
 }
 
+// departures returns the endpoints that left lately, and those that are registered but said in an answer that they
+// leave. The latter are repeated for as long as they are registered, since no record tells a VM that restarts.
+// The caller holds the lock.
+func (g *Gateway) departures(now time.Time) []*gossip.Departure {
+	var out []*gossip.Departure
+	for _, dep := range g.endpoints.Departures(now.Add(-departuresFor)) {
+		if !dep.Draining {
+			out = append(out, &gossip.Departure{Endpoint: dep.ID, Offset: dep.Offset})
+		}
+	}
+	for _, dep := range g.endpoints.Draining() {
+		out = append(out, &gossip.Departure{Endpoint: dep.ID, Offset: dep.Offset, Draining: true, Born: dep.Born})
+	}
+	return out
+}
+
 // someNeighbours returns live peers, others with each digest. The caller holds the lock.
 func (g *Gateway) someNeighbours(sequence uint64, now time.Time) []*gossip.Neighbour {
 	vms := slices.Sorted(slices.Values(g.livePeers(now)))
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -67,6 +67,7 @@
 	socket   *gossip.Socket
 	relay    *http.Server
 	relays   *gossip.Relays
+	answers  answerRoom
 	config   atomic.Pointer[traffic.Config]
 	leaving  atomic.Bool
 	// leavingSince is the time of SIGTERM, in nanoseconds of the steady clock.
@@ -148,6 +149,7 @@
 	memory := int64(g.settings.MemoryMB) << 20
 	debug.SetMemoryLimit(int64(float64(memory) * heapShare))
 	debug.SetGCPercent(collectorPercent)
+	g.answers.limit = int64(float64(memory) * answersShare)
 	server, err := ingress.New(g, ingress.Options{
 		Connections:   min(g.settings.MemoryMB*connectionsPerMB, int(float64(g.settings.Descriptors)*connectionShare)),
 		BufferedBytes: int64(float64(memory) * bodyShare),
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -151,6 +151,12 @@
 		g.placer.PeerPlaced(place.Placed{Source: x.GetSource(), Parts: x.GetParts()}, now)
 	}
 	for _, dep := range d.GetDepartures() {
+		if dep.GetDraining() {
+			if g.endpoints.Drain(dep.GetEndpoint(), dep.GetBorn(), now) {
+				g.endpointLeft(dep.GetEndpoint(), "said so to peer "+p.vm, dep.GetOffset())
+			}
+			continue
+		}
 		if g.endpoints.Leave(dep.GetEndpoint(), dep.GetOffset(), now) {
 			g.endpointLeft(dep.GetEndpoint(), "peer "+p.vm, dep.GetOffset())
 		}
--- a/pkg/gateway/ports.go
+++ b/pkg/gateway/ports.go
@@ -135,6 +135,10 @@
 	Instance string
 	// Version is the weight version that ran, or 0.
 	Version int64
+	// Leaving tells that the endpoint is draining.
+	Leaving bool
+	// RetryAfter is how long an endpoint that turned the request away wants no other from this VM, or 0.
+	RetryAfter time.Duration
 }
 
 // Wire translates headers.
--- a/pkg/gateway/refuse.go
+++ b/pkg/gateway/refuse.go
@@ -46,11 +46,7 @@
 		return
 	}
 	now := steady.Now()
-	g.mu.Lock()
-	listAge := now.Sub(g.streams[EndpointStream].readAt)
-	configAge := now.Sub(g.configAt)
-	peers := len(g.livePeers(now))
-	g.mu.Unlock()
+	listAge, configAge, peers := g.knowledge(now)
 	line.Dur("config_age_ms", configAge).Dur("list_age_ms", listAge).Int("peers", peers)
 	if r.route != nil {
 		line.Str("route", r.route.Name)
@@ -59,3 +55,10 @@
 		line.Str("workspace", r.workspace.Name).Int64("cost", r.cost).Int64("level", r.level)
 	}
 }
+
+// knowledge returns how old what the decisions rest on is, and the number of live peers.
+func (g *Gateway) knowledge(now time.Time) (listAge, configAge time.Duration, peers int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return now.Sub(g.streams[EndpointStream].readAt), now.Sub(g.configAt), len(g.livePeers(now))
+}
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -155,9 +155,9 @@
 		r.cost = int64(r.call.PromptTokens + r.call.OutputTokens)
 	}
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	ok, wait := g.limiter.Take(r.workspace.Name, r.cost, r.arrived)
 	r.level = g.limiter.Level(r.workspace.Name, r.arrived)
-	g.mu.Unlock()
 	if !ok {
 		return refusal.New(fasthttp.StatusTooManyRequests, refusal.CodeRateLimited, "the workspace is over its rate").
 			After(wait)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -28,7 +28,7 @@
 // pump passes the events of a stream on as they arrive. Only whole events reach the caller, so that another endpoint
 // can go on after the last one.
 func (g *Gateway) pump(
-	ctx context.Context, r *request, t *target, stream *httpcall.Stream, answering func(),
+	ctx context.Context, r *request, t *target, stream *httpcall.Stream, silence *silenceLimit,
 ) result {
 	buf := make([]byte, 0, readBytes)
 	chunk := make([]byte, readBytes)
@@ -36,7 +36,7 @@
 		n, err := stream.Read(chunk)
 		buf = append(buf, chunk[:n]...)
 		if end := bytes.LastIndex(buf, eventEnd); end >= 0 {
-			answering()
+			silence.event()
 			if sendErr := g.sendEvents(r, t, stream, buf[:end+len(eventEnd)]); sendErr != nil {
 				// The caller cannot be reached, so nothing can be answered.
 				r.x.Abort()
--- a/pkg/httpcall/httpcall.go
+++ b/pkg/httpcall/httpcall.go
@@ -72,7 +72,7 @@
 	net.Conn
 	reader *bufio.Reader
 	writer *bufio.Writer
-	// reuseUntil is when an idle connection is too old to be used again.
+	// reuseUntil is when an idle connection is too old to be used again. Zero for one that was not idle yet.
 	reuseUntil time.Time
 }
 
@@ -240,6 +240,9 @@
 type Stream struct {
 	// Response holds status and headers. Its body must not be used.
 	Response *fasthttp.Response
+	// Reused tells that the connection carried other requests before, so that a late copy of an earlier answer may be
+	// what was read.
+	Reused bool
 
 	client  *Client
 	address string
--- a/pkg/httpcall/raw.go
+++ b/pkg/httpcall/raw.go
@@ -26,7 +26,7 @@
 		return nil, err
 	}
 	resp := &fasthttp.Response{StreamBody: true, SkipBody: req.NoResponseBody}
-	s := &Stream{Response: resp, client: c, address: address, cn: cn}
+	s := &Stream{Response: resp, Reused: !cn.reuseUntil.IsZero(), client: c, address: address, cn: cn}
 	s.stop = context.AfterFunc(ctx, func() { _ = cn.Close() })
 	err = s.writeRaw(req.Head, req.Body)
 	if err == nil {
--- a/pkg/ingress/connection.go
+++ b/pkg/ingress/connection.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"os"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"time"
@@ -46,6 +47,9 @@
 // serve answers the requests of the connection one after the other.
 func (c *connection) serve() {
 	defer func() {
+		if cause := recover(); cause != nil {
+			c.server.handler.Panicked(cause, debug.Stack())
+		}
 		c.server.remove(c)
 		_ = c.conn.Close()
 	}()
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -25,6 +25,8 @@
 	Limits() traffic.Limits
 	// Malformed reports a request that was answered with status because it cannot be read.
 	Malformed(status int, reason string)
+	// Panicked reports a panic while one request was read or answered. Its connection ends, the others go on.
+	Panicked(cause any, stack []byte)
 }
 
 // Options bound the server.
@@ -50,18 +52,13 @@
 
 // New returns a server that is not listening.
 func New(handler Handler, options Options) (*Server, error) {
-	pool, err := ants.NewPool(options.Connections, ants.WithNonblocking(true), ants.WithPanicHandler(stop))
+	pool, err := ants.NewPool(options.Connections, ants.WithNonblocking(true))
 	if err != nil {
 		return nil, err
 	}
 	return &Server{handler: handler, options: options, pool: pool, conns: map[*connection]struct{}{}}, nil
 }
 
-// stop ends the process after a panic. The pool would go on otherwise, perhaps with a table locked for ever.
-func stop(cause any) {
-	panic(cause)
-}
-
 // acceptPause follows a failed accept, for instance without descriptors.
 const acceptPause = 20 * time.Millisecond
 
--- a/pkg/ingress/server_test.go
+++ b/pkg/ingress/server_test.go
@@ -24,6 +24,7 @@
 	limits    traffic.Limits
 	left      atomic.Int64
 	malformed atomic.Int64
+	panics    atomic.Int64
 	cut       atomic.Bool
 }
 
@@ -31,6 +32,10 @@
 	return e.limits
 }
 
+func (e *echo) Panicked(any, []byte) {
+	e.panics.Add(1)
+}
+
 func (e *echo) Malformed(int, string) {
 	e.malformed.Add(1)
 }
@@ -41,6 +46,8 @@
 		<-x.Context().Done()
 		e.left.Add(1)
 		x.Abort()
+	case "/panic":
+		panic("unexpected")
 	case "/stream":
 		header := &fasthttp.ResponseHeader{}
 		if x.Begin(header) != nil || x.Send([]byte("one")) != nil || x.Send([]byte("two")) != nil {
@@ -272,3 +279,37 @@
 	}
 	t.Fatalf("not within %v: %s", waitLimit, what)
 }
+
+// Guards against an unexpected error in one request ending the process, or the connections of others.
+func TestPanicEndsItsConnectionOnly(t *testing.T) {
+	e := &echo{}
+	_, address := start(t, e, Options{Connections: 10, BufferedBytes: 1 << 20})
+	dial := func() (net.Conn, *bufio.Reader) {
+		c, err := net.Dial("tcp4", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		return c, bufio.NewReader(c)
+	}
+	ask := func(c net.Conn, r *bufio.Reader, path string) error {
+		if _, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx", path); err != nil {
+			return err
+		}
+		return (&fasthttp.Response{}).Read(r)
+	}
+	other, otherReader := dial()
+	if err := ask(other, otherReader, "/echo"); err != nil {
+		t.Fatal(err)
+	}
+	c, r := dial()
+	if err := ask(c, r, "/panic"); err == nil {
+		t.Fatal("a request that panicked was answered")
+	}
+	if err := ask(other, otherReader, "/echo"); err != nil {
+		t.Fatalf("the connection of another caller: %v", err)
+	}
+	if n := e.panics.Load(); n != 1 {
+		t.Fatalf("%d panics reported", n)
+	}
+}
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -125,6 +125,9 @@
 	Running int
 	// Candidates is the number of endpoints that passed the filters.
 	Candidates int
+	// WaitUntil is set where there is no endpoint only because all asked this VM to wait: when the first may be asked
+	// again.
+	WaitUntil time.Time
 	// FetchFrom is the source of shared parts that the chosen endpoint lacks, or empty.
 	FetchFrom string
 	// SaveTo is the cache store where it lacks shared parts that are worth a transfer, or empty.
@@ -174,17 +177,25 @@
 // Place chooses among endpoints. They must be usable and serve the request's service.
 func (p *Placer) Place(r *Request, endpoints []*fleet.Endpoint, f Facts, now time.Time) Choice {
 	candidates := p.candidates[:0]
+	var waitUntil time.Time
 	for _, e := range endpoints {
 		c := Candidate{Endpoint: e, state: p.stateOf(e), Load: p.total(e.ID)}
 		c.Version = c.state.version(e, r.Model)
-		if p.allowed(&c, r, f, now) {
-			candidates = append(candidates, c)
+		if !p.allowed(&c, r, f, now) {
+			continue
 		}
+		if until := c.state.waitUntil; now.Before(until) {
+			if waitUntil.IsZero() || until.Before(waitUntil) {
+				waitUntil = until
+			}
+			continue
+		}
+		candidates = append(candidates, c)
 	}
 	p.candidates = candidates
 	candidates = healthy(candidates, now)
 	if len(candidates) == 0 {
-		return Choice{}
+		return Choice{WaitUntil: waitUntil}
 	}
 	best := 0
 	for i := range candidates {
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -42,6 +42,8 @@
 	pending              map[uint64]*sent
 	lastAnswer           time.Time
 	consecutiveUnhealthy int
+	// waitUntil is the end of the time for which the endpoint asked this VM to send nothing.
+	waitUntil time.Time
 	// doubtUntil is set while the endpoint's weight version is in doubt.
 	doubtUntil time.Time
 }
@@ -124,6 +126,14 @@
 // endpoint's next record tells the version.
 const doubtFor = 500 * time.Millisecond
 
+// Wait records that an endpoint turned a request away and wants no other from this VM for a while.
+func (p *Placer) Wait(e *fleet.Endpoint, d time.Duration, now time.Time) {
+	s := p.stateOf(e)
+	if until := now.Add(d); until.After(s.waitUntil) {
+		s.waitUntil = until
+	}
+}
+
 // Doubt records that an endpoint runs other weights than believed.
 func (p *Placer) Doubt(e *fleet.Endpoint, now time.Time) {
 	p.stateOf(e).doubtUntil = now.Add(doubtFor)
--- a/pkg/traffic/config.go
+++ b/pkg/traffic/config.go
@@ -38,6 +38,8 @@
 	Timeout time.Duration
 	// Objective is the latency within which an answer, or the first event of a stream, is on time.
 	Objective time.Duration
+	// Gap is the longest pause between two events with which a stream is on time. Zero where none is named.
+	Gap time.Duration
 	// Priority is the rank of the requests, 0 first.
 	Priority int
 	Targets  []Target
