Tell peers only known times of announcements, not guesses

Cause: a VM that starts reads which weight version is named but not since when, and assumes 8 s. It told its peers, which keep the earliest time that anybody tells.

Change: a guessed time is marked, is neither told nor stored, and gives way to any time that is told.

Ruled out: lost registrations (no endpoint left in the logs), a store outage (no line says so).

--- a/pkg/gateway/announcements.go
+++ b/pkg/gateway/announcements.go
@@ -29,7 +29,7 @@
 	if !live {
 		now = now.Add(-learnedAge)
 	}
-	if !g.noteAnnouncement(w.Model, place.Announcement{Version: w.Version, At: now}) {
+	if !g.noteAnnouncement(w.Model, place.Announcement{Version: w.Version, At: now, Guessed: !live}) {
 		return
 	}
 	g.log.line(partOrder).Str("model", w.Model).Int64("version", w.Version).Msg("weights announced")
@@ -39,14 +39,14 @@
 	}
 }
 
-// noteAnnouncement remembers when a version was announced, the earliest time that anybody tells. It reports whether the version
-// was unknown. The caller holds the lock.
+// noteAnnouncement remembers when a version was announced, the earliest time that anybody tells. A time that is told
+// replaces a guess, and never the other way round. It reports whether the version was unknown. The caller holds the lock.
 func (g *Gateway) noteAnnouncement(model string, n place.Announcement) bool {
 	known := g.announced[model]
 	i, found := slices.BinarySearchFunc(known, n.Version, func(k place.Announcement, v int64) int {
 		return cmp.Compare(k.Version, v)
 	})
-	if found && !n.At.Before(known[i].At) {
+	if found && !replaces(n, known[i]) {
 		return false
 	}
 	next := slices.Clone(known)
@@ -59,6 +59,14 @@
 	return !found
 }
 
+// replaces reports whether one time of a version takes the place of another.
+func replaces(n, old place.Announcement) bool {
+	if n.Guessed != old.Guessed {
+		return old.Guessed
+	}
+	return n.At.Before(old.At)
+}
+
 // newestOf returns the newest version announced for a model, or 0.
 func (g *Gateway) newestOf(model string) int64 {
 	known := g.announced[model]
@@ -73,6 +81,9 @@
 	timeOfDay := time.Now()
 	var kept []announcementRecord
 	for _, n := range g.announced[model] {
+		if n.Guessed {
+			continue
+		}
 		kept = append(kept, announcementRecord{Version: n.Version, UnixMs: timeOfDay.Add(n.At.Sub(now)).UnixMilli()})
 	}
 	value, err := json.Marshal(kept)
--- a/pkg/gateway/digest.go
+++ b/pkg/gateway/digest.go
@@ -137,12 +137,13 @@
 	return out
 }
 
-// recentAnnouncements returns the versions whose time matters for placement. The caller holds the lock.
+// recentAnnouncements returns the versions whose time matters for placement. A guess is no news: peers that know the time
+// would take their engines out of use for it. The caller holds the lock.
 func (g *Gateway) recentAnnouncements(now time.Time) []*gossip.Announcement {
 	var out []*gossip.Announcement
 	for model, known := range g.announced {
 		for _, n := range known {
-			if age := now.Sub(n.At); age < announcementsFor {
+			if age := now.Sub(n.At); age < announcementsFor && !n.Guessed {
 				out = append(out, &gossip.Announcement{Model: model, Version: n.Version, AgeMs: age.Milliseconds()})
 			}
 		}
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -38,10 +38,12 @@
 	Announced []Announcement
 }
 
-// Announcement is one weight version with the time at which this VM learned of it.
+// Announcement is one weight version with the time at which it was announced.
 type Announcement struct {
 	Version int64
 	At      time.Time
+	// Guessed tells that nobody has told the time yet, so that a late one is assumed.
+	Guessed bool
 }
 
 // superseded returns when a version was first superseded. It reports false for the newest.
