Give each subject one of the cache stores, know their room, and tell what hubs sent

Cause: where there are two or three cache stores, every VM of a data centre used the same one, so the others stood empty for most, and a part counted as saved for 15 s though the full store had dropped it after about 5 s: it was neither fetched nor saved again. And a hub took the parts that it had sent into a digest that reached nobody, since it sends only batches.

Change: the store of a subject is chosen by weighted rendezvous; a part counts as saved for as long as the store has room for what came since; hubs put their digests into batches only.

Most of what is read again in the first seconds are parts that all subjects of a group share, by each engine once, before the VMs hear that a store has them.

--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -85,7 +85,7 @@
 		}
 		endpoints := g.endpoints.Usable(name)
 		p := g.placement(r, s)
-		choice := g.placer.Place(p, endpoints, g.facts(c, s, endpoints), now)
+		choice := g.placer.Place(p, endpoints, g.facts(c, s, p, endpoints), now)
 		if choice.Endpoint == nil {
 			waitUntil = earliest(waitUntil, choice.WaitUntil)
 			continue
--- a/pkg/gateway/digest.go
+++ b/pkg/gateway/digest.go
@@ -94,7 +94,7 @@
 	}
 	if placed := g.placer.TakePlaced(); len(g.peers) >= sharePlaced {
 		for _, x := range placed {
-			d.Placed = append(d.Placed, &gossip.Placed{Source: x.Source, Parts: x.Parts})
+			d.Placed = append(d.Placed, &gossip.Placed{Source: x.Source, Parts: x.Parts, Tokens: x.Tokens})
 		}
 	}
 	d.Versions = g.learnedVersions()
--- a/pkg/gateway/hub.go
+++ b/pkg/gateway/hub.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -124,34 +125,31 @@
 	return slices.Contains(g.hubsOf(g.settings.DataCentre, now), g.settings.VM)
 }
 
-// heartbeat returns what this VM sends regularly. The caller holds the lock.
+// heartbeat returns what this VM sends regularly. A hub sends its digests with its batches. The caller holds the lock.
 func (g *Gateway) heartbeat(sequence uint64, now time.Time) []outgoing {
-	digest := g.digest(sequence, now)
-	alone := &gossip.Batch{Digests: []*gossip.Digest{digest}}
 	if !g.large() {
 		clear(g.introduced)
-		return []outgoing{{batch: alone, to: g.allVMs(sequence, now)}}
+		batch := &gossip.Batch{Digests: []*gossip.Digest{g.digest(sequence, now)}}
+		return []outgoing{{batch: batch, to: g.allVMs(sequence, now)}}
 	}
-	out := []outgoing{{batch: alone, to: g.oneSilentVM(now)}}
 	hubs := g.hubsOf(g.settings.DataCentre, now)
 	if slices.Contains(hubs, g.settings.VM) {
-		// The next batch carries a digest of this VM and those that it introduces.
-		for name, d := range g.introduced {
-			g.collected[name] = d
-		}
-		clear(g.introduced)
-		return out
+		return nil
 	}
+	digest := g.digest(sequence, now)
 	hub := g.vms[hubs[sequence%uint64(len(hubs))]]
 	batch := &gossip.Batch{Digests: []*gossip.Digest{digest}, Spread: gossip.Spread_SPREAD_ALL}
 	for name, d := range g.introduced {
-		batch.Digests = append(batch.Digests, d)
-		delete(g.introduced, name)
 		if len(batch.Digests) == batchDigests {
 			break
 		}
+		batch.Digests = append(batch.Digests, d)
+		delete(g.introduced, name)
+	}
+	return []outgoing{
+		{batch: batch, to: []netip.AddrPort{g.addressOf(hub)}},
+		{batch: &gossip.Batch{Digests: batch.Digests[:1]}, to: g.oneSilentVM(now)},
 	}
-	return append(out, outgoing{batch: batch, to: []netip.AddrPort{g.addressOf(hub)}})
 }
 
 // flush returns the batches of this VM as a hub, with a digest of its own. The caller holds the lock.
@@ -159,13 +157,15 @@
 	if len(g.collected) == 0 && (!g.large() || !g.isHub(now)) {
 		return nil
 	}
+	maps.Copy(g.collected, g.introduced)
+	clear(g.introduced)
 	digests := []*gossip.Digest{g.digest(sequence(), now)}
 	for _, d := range g.collected {
 		digests = append(digests, d)
 	}
 	clear(g.collected)
+	out := []outgoing{{batch: &gossip.Batch{Digests: digests[:1]}, to: g.oneSilentVM(now)}}
 	near, far := g.nearVMs(now), g.farHubs(now)
-	var out []outgoing
 	for part := range slices.Chunk(digests, batchDigests) {
 		out = append(out,
 			outgoing{batch: &gossip.Batch{Digests: part}, to: near},
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -171,7 +171,7 @@
 	}
 	g.placer.SetPeer(p.vm, loads)
 	for _, x := range d.GetPlaced() {
-		g.placer.PeerPlaced(place.Placed{Source: x.GetSource(), Parts: x.GetParts()}, now)
+		g.placer.PeerPlaced(place.Placed{Source: x.GetSource(), Parts: x.GetParts(), Tokens: x.GetTokens()}, now)
 	}
 	for _, dep := range d.GetDepartures() {
 		if dep.GetDraining() {
--- a/pkg/gateway/placement.go
+++ b/pkg/gateway/placement.go
@@ -72,7 +72,7 @@
 }
 
 // facts returns the properties of a service for placement. The caller holds the lock.
-func (g *Gateway) facts(c *traffic.Config, s *traffic.Service, endpoints []*fleet.Endpoint) place.Facts {
+func (g *Gateway) facts(c *traffic.Config, s *traffic.Service, p *place.Request, endpoints []*fleet.Endpoint) place.Facts {
 	f := place.Facts{DataCentre: g.settings.DataCentre}
 	if len(endpoints) > 0 {
 		f.Slots = endpoints[0].Slots
@@ -84,8 +84,9 @@
 	f.CacheTokens = s.Engine.CacheTokens
 	f.VersionLimit = g.settings.VersionLimit() - versionMargin
 	f.LinkTokensPerMs = tokensPerMs(s.Engine.LinkMbps, s.Engine.TokenBytes)
-	if store := c.StoreNear(g.settings.DataCentre); store != nil {
+	if store := c.StoreFor(p.Subject()); store != nil {
 		f.Store = store.Address
+		f.StoreTokens = store.CacheTokens
 		f.StoreTokensPerMs = tokensPerMs(store.LinkMbps, s.Engine.TokenBytes)
 	}
 	return f
--- a/pkg/place/holdings.go
+++ b/pkg/place/holdings.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math"
 	"time"
 
 	"github.com/corneldeal/corneldeal/pkg/fleet"
@@ -13,8 +14,14 @@
 	sentFor = 1500 * time.Millisecond
 	// unwatchedFor is the same for an engine whose events are not watched.
 	unwatchedFor = 5 * time.Second
-	// savedFor is the same for the cache store, which has room for longer.
-	savedFor = 15 * time.Second
+	// savedFor is the most for a cache store, which has room for longer, and savedLeast the least.
+	savedFor   = 15 * time.Second
+	savedLeast = time.Second
+	// storeShare is the part of a cache store's memory that the parts saved last take, beside those of other versions and
+	// those that VMs save at the same time.
+	storeShare = 0.8
+	// inflowSpan is the time over which the tokens that come to a store are averaged.
+	inflowSpan = 4 * time.Second
 	// readAfter is the age of a send at which the engine has usually read the parts, or the store has them.
 	readAfter = 600 * time.Millisecond
 	// expirePause is the pause between two looks for sends that are too old.
@@ -52,17 +59,51 @@
 type holdings struct {
 	sources map[string]*sourceState
 	sent    map[string]map[partKey]sentTimes
-	// unreported are the sends of this VM that the peers were not told of yet.
-	unreported map[string]map[partKey]struct{}
+	// unreported are the sends of this VM that the peers were not told of yet, with the tokens of each part.
+	unreported map[string]map[partKey]int
+	// inflows are the tokens that come to each source.
+	inflows map[string]*inflow
 	// expiredAt is when old sends were last dropped.
 	expiredAt time.Time
 }
 
+// inflow is a moving sum of the tokens that come to a source.
+type inflow struct {
+	tokens float64
+	at     time.Time
+}
+
+// decayed returns the sum at a time.
+func (f *inflow) decayed(now time.Time) float64 {
+	return f.tokens * math.Exp(-now.Sub(f.at).Seconds()/inflowSpan.Seconds())
+}
+
+func (f *inflow) add(tokens int, now time.Time) {
+	f.tokens = f.decayed(now) + float64(tokens)
+	f.at = now
+}
+
+// keptFor returns the time for which a cache store keeps a part that is not used again: until as many tokens have come
+// as it has room for.
+func (h *holdings) keptFor(f Facts, now time.Time) time.Duration {
+	in := h.inflows[f.Store]
+	if in == nil || f.StoreTokens <= 0 {
+		return savedFor
+	}
+	perSecond := in.decayed(now) / inflowSpan.Seconds()
+	if perSecond <= 0 {
+		return savedFor
+	}
+	kept := time.Duration(storeShare * float64(f.StoreTokens) / perSecond * float64(time.Second))
+	return min(max(kept, savedLeast), savedFor)
+}
+
 func newHoldings() *holdings {
 	return &holdings{
 		sources:    map[string]*sourceState{},
 		sent:       map[string]map[partKey]sentTimes{},
-		unreported: map[string]map[partKey]struct{}{},
+		unreported: map[string]map[partKey]int{},
+		inflows:    map[string]*inflow{},
 	}
 }
 
@@ -107,10 +148,10 @@
 }
 
 // held returns the tokens of the leading shared parts that a source should hold.
-func (h *holdings) held(source, salt string, r *Request, now time.Time) int {
+// Limit is how long a send counts where the events of the source are not watched.
+func (h *holdings) held(source, salt string, r *Request, limit time.Duration, now time.Time) int {
 	s := h.sources[source]
 	sent := h.sent[source]
-	limit := unwatchedFor
 	if s != nil {
 		limit = sentFor
 	}
@@ -168,16 +209,17 @@
 // add records that this VM sends a request with its shared parts to a source.
 func (h *holdings) add(source, salt string, r *Request, now time.Time) {
 	if h.unreported[source] == nil {
-		h.unreported[source] = map[partKey]struct{}{}
+		h.unreported[source] = map[partKey]int{}
 	}
 	for _, part := range r.shared() {
 		k := keyOf(salt, part.ID)
-		h.note(source, k, now)
-		h.unreported[source][k] = struct{}{}
+		h.note(source, k, part.Tokens, now)
+		h.unreported[source][k] = part.Tokens
 	}
 }
 
-func (h *holdings) note(source string, k partKey, now time.Time) {
+// note records that a part was sent to a source.
+func (h *holdings) note(source string, k partKey, tokens int, now time.Time) {
 	h.expire(now)
 	if h.sent[source] == nil {
 		h.sent[source] = map[partKey]sentTimes{}
@@ -185,11 +227,19 @@
 	at, known := h.sent[source][k]
 	if !known || now.Sub(at.last) > unwatchedFor {
 		at.first = now
+		h.countInflow(source, tokens, now)
 	}
 	at.last = now
 	h.sent[source][k] = at
 }
 
+func (h *holdings) countInflow(source string, tokens int, now time.Time) {
+	if h.inflows[source] == nil {
+		h.inflows[source] = &inflow{at: now}
+	}
+	h.inflows[source].add(tokens, now)
+}
+
 // expire drops the sends that no longer count for any source.
 func (h *holdings) expire(now time.Time) {
 	if now.Sub(h.expiredAt) < expirePause {
@@ -204,6 +254,7 @@
 		}
 		if len(sent) == 0 {
 			delete(h.sent, source)
+			delete(h.inflows, source)
 		}
 	}
 }
@@ -212,6 +263,8 @@
 type Placed struct {
 	Source string
 	Parts  []uint64
+	// Tokens is the size of each part.
+	Tokens []uint32
 }
 
 // TakePlaced returns what this VM sent since the last call.
@@ -219,8 +272,9 @@
 	out := make([]Placed, 0, len(p.cache.unreported))
 	for source, parts := range p.cache.unreported {
 		placed := Placed{Source: source, Parts: make([]uint64, 0, len(parts))}
-		for k := range parts {
+		for k, tokens := range parts {
 			placed.Parts = append(placed.Parts, uint64(k))
+			placed.Tokens = append(placed.Tokens, uint32(tokens))
 		}
 		out = append(out, placed)
 	}
@@ -230,7 +284,11 @@
 
 // PeerPlaced records what a peer sent.
 func (p *Placer) PeerPlaced(placed Placed, now time.Time) {
-	for _, part := range placed.Parts {
-		p.cache.note(placed.Source, partKey(part), now)
+	for i, part := range placed.Parts {
+		tokens := 0
+		if i < len(placed.Tokens) {
+			tokens = int(placed.Tokens[i])
+		}
+		p.cache.note(placed.Source, partKey(part), tokens, now)
 	}
 }
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -67,8 +67,10 @@
 	StoreTokensPerMs, LinkTokensPerMs float64
 	// DataCentre is the VM's own.
 	DataCentre string
-	// Store is the name of the cache store as a source, or empty.
+	// Store is the name of the cache store of the request's subject as a source, or empty.
 	Store string
+	// StoreTokens is the memory of that store, in tokens. Zero where it is not known.
+	StoreTokens int
 	// VersionLimit is the age of a newer version from which older weights may not start a request. Zero means none.
 	VersionLimit time.Duration
 }
@@ -220,7 +222,7 @@
 		Candidates: len(candidates),
 		FetchFrom:  c.from,
 	}
-	if r.Engine && f.Store != "" && p.saved(r, c.Version, f.Store, now) < r.sharedTokens()-leastTransfer {
+	if r.Engine && f.Store != "" && p.saved(r, c.Version, f, now) < r.sharedTokens()-leastTransfer {
 		choice.SaveTo = f.Store
 	}
 	return choice
@@ -260,6 +262,15 @@
 	return r.Chain[:max(len(r.Chain)-1, 0)]
 }
 
+// Subject identifies the last part that other requests may share. It is zero where there is none.
+func (r *Request) Subject() uint64 {
+	shared := r.shared()
+	if len(shared) == 0 {
+		return 0
+	}
+	return shared[len(shared)-1].ID
+}
+
 // sharedTokens returns the tokens of the parts that other requests may share.
 func (r *Request) sharedTokens() int {
 	n := 0
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -330,3 +330,30 @@
 		t.Errorf("%d of 7000 tokens missing under another salt", c.Missing)
 	}
 }
+
+// Guards against parts that count as held by a cache store long after others have taken their place there, so that they are
+// neither fetched from where they are nor saved again.
+func TestFullCacheStoreForgets(t *testing.T) {
+	f := facts
+	f.Store, f.StoreTokens = "store", 200_000
+	saves := func(subjects uint64) *Placer {
+		p := New()
+		// One subject each 10 ms, of 5,000 shared tokens.
+		for i := range subjects {
+			at := start.Add(time.Duration(i) * 10 * time.Millisecond)
+			p.cache.note(f.Store, partKey(i), 5_000, at)
+		}
+		return p
+	}
+	if kept := saves(1).cache.keptFor(f, start); kept != savedFor {
+		t.Errorf("an empty store keeps a part for %v", kept)
+	}
+	now := start.Add(3 * time.Second)
+	if kept := saves(300).cache.keptFor(f, now); kept > 3*time.Second || kept < savedLeast {
+		t.Errorf("a store of 200,000 tokens to which 500,000 come a second keeps a part for %v", kept)
+	}
+	f.StoreTokens = 0
+	if kept := saves(300).cache.keptFor(f, now); kept != savedFor {
+		t.Errorf("a store of unknown size keeps a part for %v", kept)
+	}
+}
--- a/pkg/place/score.go
+++ b/pkg/place/score.go
@@ -53,7 +53,7 @@
 // the running batch. The shared parts are added by addTransfers.
 func (p *Placer) engineMs(c *Candidate, r *Request, f Facts, now time.Time) float64 {
 	shared := r.sharedTokens()
-	c.Held = min(p.cache.held(SourceOf(c.Endpoint), r.Salt(c.Version), r, now), shared)
+	c.Held = min(p.cache.held(SourceOf(c.Endpoint), r.Salt(c.Version), r, unwatchedFor, now), shared)
 	c.Reading = float64(max(r.Prompt-shared, 0)) / prefillTokensPerMs
 	t := firstTokenMs + float64(c.Load.Unread)/prefillTokensPerMs + c.Reading
 	t += batchMs * float64(c.Load.Running)
--- a/pkg/place/transfer.go
+++ b/pkg/place/transfer.go
@@ -97,7 +97,7 @@
 		}
 	}
 	if f.Store != "" {
-		if held := p.cache.stored(f.Store, salt, r, savedFor, now); held >= leastTransfer {
+		if held := p.cache.stored(f.Store, salt, r, p.cache.keptFor(f, now), now); held >= leastTransfer {
 			out = append(out, source{name: f.Store, held: held, tokensPerMs: f.StoreTokensPerMs})
 		}
 	}
@@ -125,11 +125,10 @@
 
 // home returns the index of the candidate of a group that all VMs prefer for the request's shared parts.
 func (p *Placer) home(r *Request, candidates []Candidate, group []int) int {
-	shared := r.shared()
-	if len(shared) == 0 {
+	if len(r.shared()) == 0 {
 		return -1
 	}
-	subject := shared[len(shared)-1].ID
+	subject := r.Subject()
 	best, bestWeight := -1, uint64(0)
 	for _, i := range group {
 		if p.loading[candidates[i].Endpoint.ID] {
@@ -143,7 +142,10 @@
 }
 
 // saved returns the tokens of the leading shared parts that the cache store holds or is getting.
-func (p *Placer) saved(r *Request, version int64, store string, now time.Time) int {
+func (p *Placer) saved(r *Request, version int64, f Facts, now time.Time) int {
 	salt := r.Salt(version)
-	return max(p.cache.held(store, salt, r, now), p.cache.stored(store, salt, r, savedFor, now))
+	return max(
+		p.cache.held(f.Store, salt, r, p.cache.keptFor(f, now), now),
+		p.cache.stored(f.Store, salt, r, p.cache.keptFor(f, now), now),
+	)
 }
--- a/pkg/traffic/config.go
+++ b/pkg/traffic/config.go
@@ -5,9 +5,12 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/corneldeal/corneldeal/pkg/rendezvous"
 )
 
 // Kind tells what may be repeated of a request.
@@ -109,6 +112,8 @@
 	DataCentre string
 	// LinkMbps is the bandwidth of the store, in Mbit/s.
 	LinkMbps float64
+	// CacheTokens is the memory of the store, in tokens. Zero where it is not known.
+	CacheTokens int
 	// MaxWatches is the number of event watches that the store holds at once over all VMs.
 	MaxWatches int
 }
@@ -155,6 +160,7 @@
 
 	byHost map[string][]*Route
 	byKey  map[string]*Workspace
+	stores []*CacheStore
 }
 
 // Build indexes the configuration. It must be called once, before the Config is shared.
@@ -168,6 +174,12 @@
 	for _, routes := range c.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
+	c.stores = nil
+	for _, name := range slices.Sorted(maps.Keys(c.Services)) {
+		if store := c.Services[name].Store; store != nil {
+			c.stores = append(c.stores, store)
+		}
+	}
 	c.byKey = map[string]*Workspace{}
 	for i := range c.Workspaces {
 		for _, key := range c.Workspaces[i].Keys {
@@ -201,22 +213,15 @@
 	return c.byKey[key]
 }
 
-// StoreNear returns the cache store in the data centre, else any, or nil.
-func (c *Config) StoreNear(dataCentre string) *CacheStore {
-	var best *Service
-	for _, s := range c.Services {
-		if s.Store == nil {
-			continue
+// StoreFor returns the cache store for a subject, or nil. All VMs choose the same one, so that the stores together hold
+// as many subjects as they have room for, rather than each the same ones.
+func (c *Config) StoreFor(subject uint64) *CacheStore {
+	var best *CacheStore
+	bestWeight := uint64(0)
+	for _, s := range c.stores {
+		if w := rendezvous.Weight(subject, s.Address); best == nil || w > bestWeight {
+			best, bestWeight = s, w
 		}
-		if s.Store.DataCentre == dataCentre {
-			return s.Store
-		}
-		if best == nil || s.Name < best.Name {
-			best = s
-		}
-	}
-	if best == nil {
-		return nil
 	}
-	return best.Store
+	return best
 }
