--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -111,6 +111,7 @@
 	announced map[string][]place.Announcement
 	claim     issuer.Claim
 	loads     map[string]*loadState
+	loadTimes loadTimes
 	// configAt is when the configuration in force was applied.
 	configAt time.Time
 	// behindSince is when peers were first ahead of this VM with operator's records, or when one was last asked for them.
--- a/pkg/gateway/loads.go
+++ b/pkg/gateway/loads.go
@@ -14,13 +14,16 @@
 const (
 	// drainFor is the longest time for which an engine is drained before its order.
 	drainFor = 600 * time.Millisecond
-	// firstReport is the time after an order at which its end is first asked for, and reportPause the pause between
-	// two questions.
-	firstReport = 1950 * time.Millisecond
-	reportPause = 150 * time.Millisecond
-	// loadTime is the usual time of a load. After it the next load may begin, though the engine's report, which lags,
-	// does not show the end yet.
-	loadTime = 2 * time.Second
+	// firstReportShare is the part of the usual time of a load after which its end is first asked for, and reportPause the
+	// pause between two questions.
+	firstReportShare = 0.8
+	reportPause      = 150 * time.Millisecond
+	// unknownLoad is the time that a load is taken to last until the first has ended. shortestLoad is the least that is
+	// expected of any, and the time after which the end of an unknown one is first asked for.
+	unknownLoad  = 2 * time.Second
+	shortestLoad = 500 * time.Millisecond
+	// loadLearnShare is the weight of the newest load in the usual time.
+	loadLearnShare = 0.5
 	// loadLimit is the time after which a load that shows no result is ordered again.
 	loadLimit = 9 * time.Second
 	// callTimeout bounds a report and the order behind it. An engine is not asked again within it.
@@ -31,6 +34,39 @@
 	claimRetry = 300 * time.Millisecond
 )
 
+// loadTimes learns how long a load usually lasts, until the engine's report shows its end. After this time the next load
+// may begin, though the report, which lags, does not show the end yet. Models differ from a half to several seconds.
+type loadTimes struct {
+	usual time.Duration
+}
+
+func (l *loadTimes) time() time.Duration {
+	if l.usual == 0 {
+		return unknownLoad
+	}
+	return max(l.usual, shortestLoad)
+}
+
+// firstReport returns the time after an order at which its end is first asked for.
+func (l *loadTimes) firstReport() time.Duration {
+	if l.usual == 0 {
+		return shortestLoad
+	}
+	return time.Duration(firstReportShare * float64(l.time()))
+}
+
+// note takes the duration of a load that ended. One that took as long as a lost order is no measure.
+func (l *loadTimes) note(took time.Duration) {
+	if took >= loadLimit {
+		return
+	}
+	if l.usual == 0 {
+		l.usual = took
+		return
+	}
+	l.usual += time.Duration(loadLearnShare * float64(took-l.usual))
+}
+
 // loadState is what the holder does with one engine.
 type loadState struct {
 	model string
@@ -81,8 +117,9 @@
 		}
 		version := g.placer.KnownVersion(e, st.model)
 		if st.phase == issuer.Loading && version >= st.target {
-			g.log.line(partOrder).Str("endpoint", id).Int64("version", version).Dur("took_ms", now.Sub(st.since)).
-				Msg("weights loaded")
+			took := now.Sub(st.since)
+			g.loadTimes.note(took)
+			g.log.line(partOrder).Str("endpoint", id).Int64("version", version).Dur("took_ms", took).Msg("weights loaded")
 			g.endLoad(id)
 		}
 	}
@@ -130,7 +167,7 @@
 			switch {
 			case st.phase == issuer.Draining && free > 0 && g.drained(e, st, now):
 				free--
-			case st.phase == issuer.Loading && now.Sub(st.since) > firstReport:
+			case st.phase == issuer.Loading && now.Sub(st.since) > g.loadTimes.firstReport():
 			default:
 				continue
 			}
@@ -145,7 +182,7 @@
 func (g *Gateway) loadsUnderWay(engines []*fleet.Endpoint, now time.Time) int {
 	n := 0
 	for _, e := range engines {
-		if st := g.loads[e.ID]; st.currentPhase() == issuer.Loading && now.Sub(st.since) < loadTime {
+		if st := g.loads[e.ID]; st.currentPhase() == issuer.Loading && now.Sub(st.since) < g.loadTimes.time() {
 			n++
 		}
 	}
