Count a crash of the stand-in engine before its connections close

The engine closed its connections before it counted the crash and went down, and the test reads the count when its connection ends. With a pause of 20 ms between the two the test fails each time; with this change it passes with the pause.

--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -146,20 +146,27 @@
 		downMs = DefaultDownMs
 	}
 	e.server.SetDown(true)
+	e.goDown()
 	e.server.CloseConnections()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, q := range slices.Concat(e.running, e.waiting) {
 		close(q.aborted)
 	}
-	e.stats.Crashes++
 	e.opt.Ledger.held(e.cache.clear(), -1)
 	e.restartLocked()
-	e.down = true
 	generation := e.generation
 	time.AfterFunc(standin.Millis(downMs), func() { e.comeBack(generation) })
 }
 
+// goDown counts a crash and ends Up before any caller can see the crash.
+func (e *Engine) goDown() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stats.Crashes++
+	e.down = true
+}
+
 // comeBack ends the down time of a crash unless another crash followed it.
 func (e *Engine) comeBack(generation uint64) {
 	e.mu.Lock()
