Log and count crashes of endpoints by the request that they ran

No line named the fingerprint of a request or told that a crash was counted, so an operator could not tell a crash that was never counted from one that was forgotten, dropped or not heard of. No decision changed. go test ./pkg/gateway ./pkg/crashguard ./platform passes.

--- a/pkg/crashguard/tally.go
+++ b/pkg/crashguard/tally.go
@@ -32,6 +32,8 @@
 	requests map[uint64]*tallied
 	// expired is when old crashes were last dropped.
 	expired time.Time
+	// dropped counts crashes that found no place.
+	dropped int
 }
 
 // NewTally returns an empty tally.
@@ -47,6 +49,7 @@
 			t.expire(now)
 		}
 		if len(t.requests) >= maxTallied {
+			t.dropped++
 			return false
 		}
 		r = &tallied{endpoints: map[string]time.Time{}}
@@ -59,6 +62,20 @@
 	return true
 }
 
+// Endpoints returns the number of endpoints that a request crashed.
+func (t *Tally) Endpoints(fingerprint uint64) int {
+	r := t.requests[fingerprint]
+	if r == nil {
+		return 0
+	}
+	return len(r.endpoints)
+}
+
+// Size returns the number of remembered requests, and how many crashes found no place so far.
+func (t *Tally) Size() (requests, dropped int) {
+	return len(t.requests), t.dropped
+}
+
 // Clear forgets a request that an endpoint answered.
 func (t *Tally) Clear(fingerprint uint64) {
 	delete(t.requests, fingerprint)
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -59,7 +59,7 @@
 		Int("running", t.choice.Running).Int("missing", t.choice.Missing).Int("candidates", t.choice.Candidates).
 		Str("fetch_from", t.choice.FetchFrom).Dur("list_age_ms", listAge).
 		Dur("expected_ms", t.choice.Expected).Dur("took_ms", now.Sub(started)).Str("outcome", outcomeNames[res.outcome]).
-		Bool("not_run", res.notRun)
+		Bool("not_run", res.notRun).Str("fingerprint", hexOf(r.fingerprint))
 	if res.err != nil {
 		line.Err(res.err)
 	}
@@ -87,12 +87,36 @@
 	case res.outcome == place.Broken && !res.notRun:
 		e := t.choice.Endpoint
 		name := e.ID + "/" + strconv.FormatInt(e.Born, 10)
-		if g.crashes.Note(crashguard.Crash{Fingerprint: r.fingerprint, Endpoint: name}, now) {
+		if g.countCrash(crashguard.Crash{Fingerprint: r.fingerprint, Endpoint: name}, g.settings.VM, now) {
 			g.digestSoon()
 		}
 	}
 }
 
+// countCrash takes a crash that this VM or a peer saw into the tally. It reports whether the crash was unknown. The caller
+// holds the lock.
+func (g *Gateway) countCrash(c crashguard.Crash, seenBy string, now time.Time) bool {
+	requests, dropped := g.crashes.Size()
+	if !g.crashes.Note(c, now) {
+		if _, after := g.crashes.Size(); after > dropped {
+			g.metrics.count("crashes_dropped_total")
+			g.log.warn(partEndpoint).Str("fingerprint", hexOf(c.Fingerprint)).Str("endpoint", c.Endpoint).
+				Str("seen_by", seenBy).Int("requests", requests).Msg("crash not counted, the tally is full")
+		}
+		return false
+	}
+	g.metrics.count("crashes_counted_total")
+	g.log.line(partEndpoint).Str("fingerprint", hexOf(c.Fingerprint)).Str("endpoint", c.Endpoint).
+		Str("seen_by", seenBy).Int("endpoints", g.crashes.Endpoints(c.Fingerprint)).Int("requests", requests).
+		Msg("crash counted")
+	return true
+}
+
+// hexOf returns a fingerprint as logs show it.
+func hexOf(fingerprint uint64) string {
+	return strconv.FormatUint(fingerprint, 16)
+}
+
 var outcomeNames = map[place.Outcome]string{
 	place.Answered:    "answered",
 	place.Failed:      "failed",
--- a/pkg/gateway/broadcast.go
+++ b/pkg/gateway/broadcast.go
@@ -99,6 +99,7 @@
 			continue
 		}
 		if err != nil || len(datagram) > gossip.MaxBatchBytes {
+			g.metrics.count("digests_too_long_total")
 			g.log.warn(partPeer).Int("bytes", len(datagram)).Err(err).Msg("digests not sent")
 			continue
 		}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -185,7 +185,7 @@
 		}
 	}
 	for _, a := range d.GetAccusations() {
-		g.crashes.Note(crashguard.Crash{Fingerprint: a.GetFingerprint(), Endpoint: a.GetCrashed()}, now)
+		g.countCrash(crashguard.Crash{Fingerprint: a.GetFingerprint(), Endpoint: a.GetCrashed()}, p.vm, now)
 	}
 	for _, n := range d.GetAnnouncements() {
 		at := now.Add(-time.Duration(n.GetAgeMs()) * time.Millisecond)
