--- a/pkg/crashguard/tally_test.go
+++ b/pkg/crashguard/tally_test.go
@@ -47,3 +47,20 @@
 		t.Fatalf("%d requests remembered", len(tally.requests))
 	}
 }
+
+// Guards against a tally that is full of interrupted requests and no longer counts the one that ends endpoints.
+func TestCrashesAreCountedBesideManyInterruptedRequests(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tally := NewTally()
+	for i := range uint64(2 * maxTallied) {
+		tally.Note(Crash{Fingerprint: i + 1, Endpoint: "a/1"}, now)
+	}
+	const crashing = 1 << 40
+	for _, endpoint := range []string{"b/1", "c/1", "d/1"} {
+		now = now.Add(time.Second)
+		tally.Note(Crash{Fingerprint: crashing, Endpoint: endpoint}, now)
+	}
+	if !tally.Refuse(crashing, now) {
+		t.Fatal("three crashes are not counted")
+	}
+}
