Keep the most dangerous requests in a full tally of crashes

Callers saw a request go on ending endpoints. The tally held 4,096 requests for 60 s and dropped what was new when it was full; every attempt that a broken connection interrupts takes a place, so a few rounds of crashes filled it and no further crash counted. Now the requests with the fewest crashes, and among these the oldest, make place, and that is counted and logged. A request is forgotten only after 3,584 others with as many crashes came after its last one.

--- a/pkg/crashguard/tally.go
+++ b/pkg/crashguard/tally.go
@@ -1,6 +1,11 @@
 package crashguard
 
-import "time"
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// maxCrashed is the number of endpoints that one request may crash before it is refused everywhere.
@@ -11,6 +16,8 @@
 	expireEvery = time.Second
 	// maxTallied bounds the remembered requests.
 	maxTallied = 4096
+	// evicted is the number of requests that make place at once for new ones, so that a flood of them sorts the tally rarely.
+	evicted = maxTallied / 8
 )
 
 // Crash is one endpoint that broke off while it ran a request.
@@ -23,6 +30,8 @@
 // tallied is what is known of one request.
 type tallied struct {
 	endpoints map[string]time.Time
+	// notedAt is when the last crash was noted.
+	notedAt time.Time
 }
 
 // Tally counts the endpoints that broke off while they ran a request, over all VMs. A request is refused once there are
@@ -32,7 +41,7 @@
 	requests map[uint64]*tallied
 	// expired is when old crashes were last dropped.
 	expired time.Time
-	// dropped counts crashes that found no place.
+	// dropped counts requests that made place for others.
 	dropped int
 }
 
@@ -49,8 +58,7 @@
 			t.expire(now)
 		}
 		if len(t.requests) >= maxTallied {
-			t.dropped++
-			return false
+			t.makePlace()
 		}
 		r = &tallied{endpoints: map[string]time.Time{}}
 		t.requests[c.Fingerprint] = r
@@ -59,6 +67,7 @@
 		return false
 	}
 	r.endpoints[c.Endpoint] = now
+	r.notedAt = now
 	return true
 }
 
@@ -71,7 +80,20 @@
 	return len(r.endpoints)
 }
 
-// Size returns the number of remembered requests, and how many crashes found no place so far.
+// makePlace drops the least dangerous requests: those with the fewest crashes, and among these the oldest.
+func (t *Tally) makePlace() {
+	all := slices.Collect(maps.Keys(t.requests))
+	slices.SortFunc(all, func(a, b uint64) int {
+		ra, rb := t.requests[a], t.requests[b]
+		return cmp.Or(cmp.Compare(len(ra.endpoints), len(rb.endpoints)), ra.notedAt.Compare(rb.notedAt), cmp.Compare(a, b))
+	})
+	for _, fingerprint := range all[:evicted] {
+		delete(t.requests, fingerprint)
+		t.dropped++
+	}
+}
+
+// Size returns the number of remembered requests, and how many made place for others so far.
 func (t *Tally) Size() (requests, dropped int) {
 	return len(t.requests), t.dropped
 }
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -96,15 +96,16 @@
 // countCrash takes a crash that this VM or a peer saw into the tally. It reports whether the crash was unknown. The caller
 // holds the lock.
 func (g *Gateway) countCrash(c crashguard.Crash, seenBy string, now time.Time) bool {
-	requests, dropped := g.crashes.Size()
+	_, dropped := g.crashes.Size()
 	if !g.crashes.Note(c, now) {
-		if _, after := g.crashes.Size(); after > dropped {
-			g.metrics.count("crashes_dropped_total")
-			g.log.warn(partEndpoint).Str("fingerprint", hexOf(c.Fingerprint)).Str("endpoint", c.Endpoint).
-				Str("seen_by", seenBy).Int("requests", requests).Msg("crash not counted, the tally is full")
-		}
 		return false
 	}
+	requests, after := g.crashes.Size()
+	if evicted := after - dropped; evicted > 0 {
+		g.metrics.counters.Add("crash_suspects_dropped_total", int64(evicted))
+		g.log.warn(partEndpoint).Int("dropped", evicted).Int("requests", requests).
+			Msg("tally of crashes is full, least dangerous requests dropped")
+	}
 	g.metrics.count("crashes_counted_total")
 	g.log.line(partEndpoint).Str("fingerprint", hexOf(c.Fingerprint)).Str("endpoint", c.Endpoint).
 		Str("seen_by", seenBy).Int("endpoints", g.crashes.Endpoints(c.Fingerprint)).Int("requests", requests).
