Let VMs ask a peer for the crashes that they missed

Callers saw a request that had crashed three endpoints sent on by VMs that start, were paused or were cut off. A crash was told for 3 s only, so each such VM counted from zero and let the request end up to three endpoints more; a rolling restart forgot it altogether, and halves of a cut system never added up what each had seen. A clean run cleared the request on one VM only, so a hot lookup could be refused elsewhere.

Crashes are now state: a tally only adds crashes, and only marks them cleared, so tallies that exchange them in any order become equal. Ages are told with them, so nothing is kept alive by being passed on. A refused request is remembered for an hour after its last refusal.

--- a/pkg/crashguard/tally_test.go
+++ b/pkg/crashguard/tally_test.go
@@ -1,8 +1,11 @@
 package crashguard
 
 import (
+	"strconv"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
 func TestTallyRefusesAfterThreeEndpoints(t *testing.T) {
@@ -17,10 +20,10 @@
 	if !tally.Refuse(7, now) || tally.Refuse(8, now) {
 		t.Fatal("three starts of endpoints must refuse this request and no other")
 	}
-	if got := tally.Recent(now.Add(-time.Second)); len(got) != 3 {
+	if got := tally.All(1); len(got) != 3 {
 		t.Fatalf("tells peers of %d crashes, want 3", len(got))
 	}
-	if tally.Refuse(7, now.Add(tallyFor+time.Second)) {
+	if tally.Refuse(7, now.Add(keepRefused+time.Second)) {
 		t.Fatal("refused for ever")
 	}
 }
@@ -31,7 +34,7 @@
 	for _, endpoint := range []string{"a/1", "b/1", "c/1"} {
 		tally.Note(Crash{Fingerprint: 7, Endpoint: endpoint}, now)
 	}
-	tally.Clear(7)
+	tally.Clear(7, now)
 	if tally.Refuse(7, now) {
 		t.Fatal("a request that ran clean is refused")
 	}
@@ -64,3 +67,73 @@
 		t.Fatal("three crashes are not counted")
 	}
 }
+
+// Guards against tallies that stay different after they have exchanged their crashes, so that some VMs refuse a request and
+// others send it.
+func TestTalliesThatExchangeCrashesBecomeEqual(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		tallies := []*Tally{NewTally(), NewTally(), NewTally()}
+		for range rapid.IntRange(0, 40).Draw(t, "steps") {
+			tally := tallies[rapid.IntRange(0, len(tallies)-1).Draw(t, "tally")]
+			fingerprint := rapid.Uint64Range(1, 4).Draw(t, "request")
+			if rapid.IntRange(0, 4).Draw(t, "clean") == 0 {
+				tally.Clear(fingerprint, now)
+				continue
+			}
+			endpoint := rapid.StringMatching(`[a-f]/1`).Draw(t, "endpoint")
+			tally.Note(Crash{Fingerprint: fingerprint, Endpoint: endpoint}, now)
+		}
+		for _, from := range tallies {
+			for _, to := range tallies {
+				for _, c := range from.All(maxTallied) {
+					to.Note(c, now)
+				}
+			}
+		}
+		for _, tally := range tallies[1:] {
+			if tally.Verdicts() != tallies[0].Verdicts() {
+				t.Fatal("tallies refuse different requests by their sums")
+			}
+			for fingerprint := range uint64(5) {
+				if tally.Refuse(fingerprint, now) != tallies[0].Refuse(fingerprint, now) {
+					t.Fatalf("request %d is refused by some only", fingerprint)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a request that reaches three endpoints more each time its first crashes are an hour old.
+func TestRefusedRequestStaysRefusedWhileItComesBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tally := NewTally()
+	for _, endpoint := range []string{"a/1", "b/1", "c/1"} {
+		tally.Note(Crash{Fingerprint: 7, Endpoint: endpoint}, now)
+	}
+	for range 10 {
+		now = now.Add(keepRefused / 2)
+		if !tally.Refuse(7, now) {
+			t.Fatal("it is sent again")
+		}
+	}
+}
+
+// Guards against an innocent request in flight at every crash, whose endpoints pile up.
+func TestEndpointsOfARequestAreBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tally := NewTally()
+	for i := range 10 * maxEndpoints {
+		tally.Note(Crash{Fingerprint: 7, Endpoint: strconv.Itoa(i)}, now)
+		tally.Clear(7, now)
+	}
+	if n := len(tally.Of(7)); n > maxEndpoints {
+		t.Fatalf("%d endpoints remembered", n)
+	}
+	for i := range maxCrashed {
+		tally.Note(Crash{Fingerprint: 7, Endpoint: "new " + strconv.Itoa(i)}, now)
+	}
+	if !tally.Refuse(7, now) {
+		t.Fatal("its later crashes do not count")
+	}
+}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"errors"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/corneldeal/corneldeal/pkg/crashguard"
 	"github.com/corneldeal/corneldeal/pkg/httpcall"
 	"github.com/corneldeal/corneldeal/pkg/ingress"
 	"github.com/corneldeal/corneldeal/pkg/place"
@@ -76,48 +74,6 @@
 	return now.Sub(g.streams[EndpointStream].readAt)
 }
 
-// noteCrash counts an endpoint that broke off while it ran the request. The caller holds the lock.
-func (g *Gateway) noteCrash(r *request, t *target, res result, now time.Time) {
-	if r.fingerprint == 0 {
-		return
-	}
-	switch {
-	case res.outcome == place.Answered:
-		g.crashes.Clear(r.fingerprint)
-	case res.outcome == place.Broken && !res.notRun:
-		e := t.choice.Endpoint
-		name := e.ID + "/" + strconv.FormatInt(e.Born, 10)
-		if g.countCrash(crashguard.Crash{Fingerprint: r.fingerprint, Endpoint: name}, g.settings.VM, now) {
-			g.digestSoon()
-		}
-	}
-}
-
-// countCrash takes a crash that this VM or a peer saw into the tally. It reports whether the crash was unknown. The caller
-// holds the lock.
-func (g *Gateway) countCrash(c crashguard.Crash, seenBy string, now time.Time) bool {
-	_, dropped := g.crashes.Size()
-	if !g.crashes.Note(c, now) {
-		return false
-	}
-	requests, after := g.crashes.Size()
-	if evicted := after - dropped; evicted > 0 {
-		g.metrics.counters.Add("crash_suspects_dropped_total", int64(evicted))
-		g.log.warn(partEndpoint).Int("dropped", evicted).Int("requests", requests).
-			Msg("tally of crashes is full, least dangerous requests dropped")
-	}
-	g.metrics.count("crashes_counted_total")
-	g.log.line(partEndpoint).Str("fingerprint", hexOf(c.Fingerprint)).Str("endpoint", c.Endpoint).
-		Str("seen_by", seenBy).Int("endpoints", g.crashes.Endpoints(c.Fingerprint)).Int("requests", requests).
-		Msg("crash counted")
-	return true
-}
-
-// hexOf returns a fingerprint as logs show it.
-func hexOf(fingerprint uint64) string {
-	return strconv.FormatUint(fingerprint, 16)
-}
-
 var outcomeNames = map[place.Outcome]string{
 	place.Answered:    "answered",
 	place.Failed:      "failed",
--- a/pkg/gateway/broadcast.go
+++ b/pkg/gateway/broadcast.go
@@ -49,8 +49,12 @@
 	g.mu.Lock()
 	g.expire(now)
 	out := g.heartbeat(g.nextDigest(), now)
+	ask := g.peerWithCrashes(now)
 	g.mu.Unlock()
 	g.send(out)
+	if ask != nil {
+		go g.fetchFrom(ask.vm, ask.address)
+	}
 }
 
 // nextDigest numbers the digests of this process. The caller holds the lock.
--- a/pkg/gateway/digest.go
+++ b/pkg/gateway/digest.go
@@ -23,8 +23,6 @@
 	neverAnswered = time.Hour
 	// departuresFor is the time for which a departure is sent to peers.
 	departuresFor = 8 * time.Second
-	// crashesFor is the time for which a crash is sent to peers.
-	crashesFor = 3 * time.Second
 	// announcementsFor is the time for which peers learn when a version was announced.
 	announcementsFor = 60 * time.Second
 )
@@ -89,9 +87,8 @@
 		})
 	}
 	d.Departures = g.departures(now)
-	for _, c := range g.crashes.Recent(now.Add(-crashesFor)) {
-		d.Accusations = append(d.Accusations, &gossip.Accusation{Fingerprint: c.Fingerprint, Crashed: c.Endpoint})
-	}
+	d.Accusations = g.recentCrashes(now)
+	d.CrashSum, d.CrashVerdicts = g.crashes.Sum(), g.crashes.Verdicts()
 	if placed := g.placer.TakePlaced(); len(g.peers) >= sharePlaced {
 		for _, x := range placed {
 			d.Placed = append(d.Placed, &gossip.Placed{Source: x.Source, Parts: x.Parts, Tokens: x.Tokens})
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -96,6 +96,7 @@
 	limiter   *share.Limiter
 	retries   map[string]*admit.RetryBudget
 	crashes   *crashguard.Tally
+	crashSync crashSync
 	lease     *issuer.Lease
 	peers     map[string]*peerState
 	// digests counts those of this process.
--- a/pkg/gateway/hub_test.go
+++ b/pkg/gateway/hub_test.go
@@ -64,6 +64,10 @@
 	vms   []*simVM
 	byIP  map[netip.Addr]*simVM
 	queue []datagram
+	// asked and askedBytes count the answers of VMs that were asked for their state.
+	asked, askedBytes int
+	// crashes counts those that VMs saw.
+	crashes int
 }
 
 // simulate starts VMs at the same moment. Each knows those that registered before it.
@@ -120,9 +124,11 @@
 	}
 	vm.g.mu.Lock()
 	var out []outgoing
+	var ask *peerState
 	if !s.now.Before(vm.nextHeartbeat) {
 		vm.g.expire(s.now)
 		out = vm.g.heartbeat(vm.g.nextDigest(), s.now)
+		ask = vm.g.peerWithCrashes(s.now)
 		vm.lastHeartbeat = s.now
 		vm.nextHeartbeat = s.now.Add(digestPauseLarge)
 	}
@@ -132,6 +138,22 @@
 	}
 	vm.g.mu.Unlock()
 	s.send(vm, out)
+	if ask != nil {
+		s.ask(vm, ask)
+	}
+}
+
+// ask lets a VM ask a peer for its state, without an answer where the peer is not reached.
+func (s *simulation) ask(vm *simVM, p *peerState) {
+	other := s.byIP[netip.MustParseAddr(p.address)]
+	if other.down || other.group != vm.group {
+		return
+	}
+	req := vm.g.stateRequest(p.vm)
+	resp := other.g.state(req)
+	s.asked++
+	s.askedBytes += proto.Size(resp)
+	vm.g.applyState(p.vm, req, resp, s.now)
 }
 
 func (s *simulation) send(from *simVM, out []outgoing) {
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -6,7 +6,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/corneldeal/corneldeal/pkg/crashguard"
 	"github.com/corneldeal/corneldeal/pkg/gossip"
 	"github.com/corneldeal/corneldeal/pkg/place"
 	"github.com/corneldeal/corneldeal/pkg/share"
@@ -43,6 +42,10 @@
 	// lastOrder is when the peer's process or a holder before it may have given its last order, or the start of the
 	// process where there was none.
 	lastOrder time.Time
+	// crashSum is the sum over the crashes that the peer remembers.
+	crashSum uint64
+	// verdictsDiffer is since when the peer refuses other requests for their crashes than this VM. Zero while it does not.
+	verdictsDiffer time.Time
 }
 
 func (p *peerState) live(now time.Time) bool {
@@ -149,6 +152,7 @@
 		}
 	}
 	g.applyToTables(p, d, now)
+	g.compareCrashes(p, d, back, now)
 	g.checkLag(p, now)
 	return back
 }
@@ -184,9 +188,7 @@
 			g.endpointLeft(dep.GetEndpoint(), "peer "+p.vm, dep.GetOffset())
 		}
 	}
-	for _, a := range d.GetAccusations() {
-		g.countCrash(crashguard.Crash{Fingerprint: a.GetFingerprint(), Endpoint: a.GetCrashed()}, p.vm, now)
-	}
+	g.countCrashes(d.GetAccusations(), p.vm, now)
 	for _, n := range d.GetAnnouncements() {
 		at := now.Add(-time.Duration(n.GetAgeMs()) * time.Millisecond)
 		g.noteAnnouncement(n.GetModel(), place.Announcement{Version: n.GetVersion(), At: at})
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -57,10 +57,7 @@
 // fetchFrom asks a peer for what it has read from the store. It reports whether the peer answered.
 func (g *Gateway) fetchFrom(vm, address string) bool {
 	g.mu.Lock()
-	req := &gossip.StateRequest{
-		OperatorOffset: g.streams[OperatorStream].next,
-		EndpointOffset: g.streams[EndpointStream].next,
-	}
+	req := g.stateRequest(vm)
 	g.mu.Unlock()
 	resp, err := g.relays.State(g.ctx, g.peerAddress(address), req)
 	if err != nil {
@@ -70,6 +67,21 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.applyState(vm, req, resp, steady.Now())
+	return true
+}
+
+// stateRequest returns what to ask a peer for. The caller holds the lock.
+func (g *Gateway) stateRequest(vm string) *gossip.StateRequest {
+	return &gossip.StateRequest{
+		OperatorOffset: g.streams[OperatorStream].next,
+		EndpointOffset: g.streams[EndpointStream].next,
+		Crashes:        g.crashSync.from == vm,
+	}
+}
+
+// applyState takes the answer of a peer. The caller holds the lock.
+func (g *Gateway) applyState(vm string, req *gossip.StateRequest, resp *gossip.StateResponse, now time.Time) {
 	g.apply(OperatorStream, fromWire(resp.GetOperator()), resp.GetOperatorOffset())
 	g.apply(EndpointStream, fromWire(resp.GetEndpoints()), resp.GetEndpointOffset())
 	if resp.GetEndpointOffset() > 0 {
@@ -78,7 +90,10 @@
 	if resp.GetOperatorOffset() > 0 {
 		g.streams[OperatorStream].synced = true
 	}
-	return true
+	g.countCrashes(resp.GetCrashes(), vm, now)
+	if req.GetCrashes() && g.crashSync.from == vm {
+		g.crashSync.from = ""
+	}
 }
 
 func fromWire(records []*gossip.Record) []Record {
@@ -136,9 +151,13 @@
 
 // State implements gossip.Relay.
 func (s relayService) State(_ context.Context, req *gossip.StateRequest) (*gossip.StateResponse, error) {
-	g := s.g
-	g.mu.Lock()
-	defer g.mu.Unlock()
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	return s.g.state(req), nil
+}
+
+// state answers a peer. The caller holds the lock.
+func (g *Gateway) state(req *gossip.StateRequest) *gossip.StateResponse {
 	op, ep := g.streams[OperatorStream], g.streams[EndpointStream]
 	resp := &gossip.StateResponse{
 		Operator:  op.after(req.GetOperatorOffset()),
@@ -150,7 +169,10 @@
 	if ep.synced {
 		resp.EndpointOffset = ep.next
 	}
-	return resp, nil
+	if req.GetCrashes() {
+		resp.Crashes = g.crashState(steady.Now())
+	}
+	return resp
 }
 
 // after returns the newest records of the keys that changed at or after an offset.
