Keep requests that crash endpoints in the platform's store

Callers saw a request that had crashed three endpoints crash more after all VMs had restarted at once: the tally was only in their memory. The VM that sees the last crash now writes the request with its endpoints under the gateways' own records (so does the first VM where the crashes of several add up), and tries again each second until the store has it. A VM reads these records with the list of VMs when it starts, in the same call to the store.

A restart of all VMs before the write reaches the store is still possible; then at most three sends follow, as the count begins anew.

--- a/pkg/crashguard/tally.go
+++ b/pkg/crashguard/tally.go
@@ -188,6 +188,12 @@
 	return true
 }
 
+// Refused reports whether a request is refused, without using it.
+func (t *Tally) Refused(fingerprint uint64) bool {
+	r := t.requests[fingerprint]
+	return r != nil && r.refused()
+}
+
 // Endpoints returns the number of crashes that count against a request.
 func (t *Tally) Endpoints(fingerprint uint64) int {
 	r := t.requests[fingerprint]
--- a/pkg/gateway/broadcast.go
+++ b/pkg/gateway/broadcast.go
@@ -50,11 +50,15 @@
 	g.expire(now)
 	out := g.heartbeat(g.nextDigest(), now)
 	ask := g.peerWithCrashes(now)
+	verdicts := g.verdictsToSave(now)
 	g.mu.Unlock()
 	g.send(out)
 	if ask != nil {
 		go g.fetchFrom(ask.vm, ask.address)
 	}
+	if len(verdicts) > 0 {
+		go g.writeVerdicts(verdicts)
+	}
 }
 
 // nextDigest numbers the digests of this process. The caller holds the lock.
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -42,6 +42,15 @@
 	// from is a peer that may know more than this VM, or empty.
 	from    string
 	askedAt time.Time
+	// saved are the refused requests that are known to be in the platform's store, unsaved those to write or remove there.
+	saved, unsaved map[uint64]bool
+	// saving is set while this VM writes them. It last began at triedAt.
+	saving  bool
+	triedAt time.Time
+}
+
+func newCrashSync() crashSync {
+	return crashSync{saved: map[uint64]bool{}, unsaved: map[uint64]bool{}}
 }
 
 // startName names one start of an endpoint.
@@ -72,6 +81,7 @@
 func (g *Gateway) sawCrash(c crashguard.Crash, now time.Time) {
 	if g.countCrash(c, g.settings.VM, now) {
 		g.tellCrash(c, now)
+		g.saveVerdict(c.Fingerprint)
 	}
 }
 
@@ -87,6 +97,7 @@
 	for _, c := range cleared {
 		g.tellCrash(c, now)
 	}
+	g.saveVerdict(fingerprint)
 }
 
 func (g *Gateway) tellCrash(c crashguard.Crash, now time.Time) {
@@ -141,16 +152,6 @@
 	}
 }
 
-// countCrashes takes what a peer tells of crashes. The caller holds the lock.
-func (g *Gateway) countCrashes(told []*gossip.Accusation, vm string, now time.Time) {
-	for _, a := range told {
-		unused := time.Duration(a.GetUnusedMs()) * time.Millisecond
-		g.countCrash(crashguard.Crash{
-			Fingerprint: a.GetFingerprint(), Endpoint: a.GetCrashed(), Cleared: a.GetCleared(), UsedAt: now.Add(-unused),
-		}, vm, now)
-	}
-}
-
 // compareCrashes decides by a peer's digest whether this VM has to ask for crashes: the peer was not heard before and
 // remembers others, or it refuses other requests than this VM for a while. The caller holds the lock.
 func (g *Gateway) compareCrashes(p *peerState, d *gossip.Digest, back bool, now time.Time) {
--- a/pkg/gateway/discovery.go
+++ b/pkg/gateway/discovery.go
@@ -71,6 +71,12 @@
 			g.recallAnnouncements(model, r)
 			continue
 		}
+		if strings.HasPrefix(r.Key, verdictPrefix) {
+			if g.recallVerdict(r) {
+				go g.removeVerdict(r.Key)
+			}
+			continue
+		}
 		var vm vmRecord
 		if err := json.Unmarshal(r.Value, &vm); err != nil {
 			g.log.warn(partPeer).Str("key", r.Key).Err(err).Msg("registration is unreadable")
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -149,6 +149,7 @@
 			limiter:    share.New(!s.FirstStart),
 			retries:    map[string]*admit.RetryBudget{},
 			crashes:    crashguard.NewTally(),
+			crashSync:  newCrashSync(),
 			lease:      issuer.NewLease(s.Lease()),
 			peers:      map[string]*peerState{},
 			vms:        map[string]*knownVM{},
