Count crashes by requests without a body

Callers saw a lookup that ended each endpoint that ran it sent on without end: fingerprintOf gave a request without a body the fingerprint 0, and its crashes were never counted. Now method and target count as well, and every request has a fingerprint. A target that many callers share is cleared by any clean run on any VM, as all VMs share the tally.

Evidence: TestCrashingLookupWithoutBodyIsStopped failed before (not refused within 20 s) and passes now; TestLookupThatRunsCleanElsewhereIsNotRefused fails where clean runs clear nothing.

--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -66,9 +66,6 @@
 // noteCrash counts an endpoint that broke off while it ran the request, and clears the request after a clean run. The caller
 // holds the lock.
 func (g *Gateway) noteCrash(r *request, t *target, res result, now time.Time) {
-	if r.fingerprint == 0 {
-		return
-	}
 	switch {
 	case res.outcome == place.Answered:
 		g.clearCrashes(r.fingerprint, now)
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -51,8 +51,7 @@
 	events int
 	// failure is an endpoint's own answer that is passed on if no other attempt succeeds.
 	failure *fasthttp.Response
-	// fingerprint identifies the request over its caller's repeats. Zero for one without a body, which nothing tells
-	// from other requests.
+	// fingerprint identifies the request over its caller's repeats.
 	fingerprint uint64
 	// expected is the prediction of the last placement.
 	expected time.Duration
@@ -95,16 +94,15 @@
 	g.forward(r)
 }
 
+// fingerprintOf identifies a request over its caller's repeats, by workspace, method, target and body.
 func fingerprintOf(r *request) uint64 {
-	body := r.x.Request.Body()
-	if len(body) == 0 {
-		return 0
-	}
 	workspace := ""
 	if r.workspace != nil {
 		workspace = r.workspace.Name
 	}
-	return crashguard.Fingerprint(workspace, string(r.x.Request.Header.RequestURI()), body)
+	header := &r.x.Request.Header
+	target := string(header.Method()) + " " + string(header.RequestURI())
+	return crashguard.Fingerprint(workspace, target, r.x.Request.Body())
 }
 
 // stopsTaking reports whether this VM is stopping and takes no more new requests.
