Count crashes of endpoints that end without closing their connections

Callers saw a request that ended one endpoint after the other sent on: a host that goes dark closes no connection, so the attempt ends as silent, or the caller leaves first, and only broken connections counted.

A VM now remembers attempts that it or their callers gave up. Such an attempt counts as a crash once the list of endpoints shows that this start of the endpoint has ended without having said that it leaves; attempts that the endpoint outlived, by an answer to one that began before, are forgotten. The evidence comes with the list: three heartbeats after the end of a dark host.

--- a/pkg/fleet/table.go
+++ b/pkg/fleet/table.go
@@ -280,6 +280,19 @@
 	return t.departures[i:]
 }
 
+// Ended reports whether a start of an endpoint is known to have ended without having said that it leaves: its registration
+// was removed, or a later start registered. It forgets that some time after.
+func (t *Table) Ended(id string, born int64) bool {
+	e := t.entries[id]
+	if e == nil || e.endpoint == nil {
+		return false
+	}
+	if e.endpoint.Born > born {
+		return true
+	}
+	return e.removed && e.endpoint.Born == born && e.endpoint.Ready && !e.saysDraining()
+}
+
 // Get returns the usable endpoint with the id, or nil.
 func (t *Table) Get(id string) *Endpoint {
 	e := t.entries[id]
--- a/pkg/fleet/table_test.go
+++ b/pkg/fleet/table_test.go
@@ -132,3 +132,31 @@
 		t.Fatal("a late answer of the earlier start took the next one out of use")
 	}
 }
+
+// Guards against taking an endpoint that leaves as planned for one that crashed, and the other way round.
+func TestEndedTellsCrashesFromPlannedEnds(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ready := &Endpoint{ID: "a", Born: 1, Ready: true}
+	leaving := &Endpoint{ID: "a", Born: 1}
+	again := &Endpoint{ID: "a", Born: 2, Ready: true}
+	for name, c := range map[string]struct {
+		change func(*Table)
+		want   bool
+	}{
+		"running":          {func(*Table) {}, false},
+		"removed":          {func(t *Table) { t.Remove("a", 2, now) }, true},
+		"started again":    {func(t *Table) { t.Apply("a", 2, again, now) }, true},
+		"drained":          {func(t *Table) { t.Apply("a", 2, leaving, now); t.Remove("a", 3, now) }, false},
+		"said it leaves":   {func(t *Table) { t.Drain("a", 1, now); t.Remove("a", 2, now) }, false},
+		"unreadable":       {func(t *Table) { t.Apply("a", 2, nil, now) }, false},
+		"removed, forgot":  {func(t *Table) { t.Remove("a", 2, now); t.Expire(now.Add(keepRemoved + time.Second)) }, false},
+		"left, store away": {func(t *Table) { t.Returned(now); t.Remove("a", 2, now) }, false},
+	} {
+		table := NewTable()
+		table.Apply("a", 1, ready, now)
+		c.change(table)
+		if got := table.Ended("a", 1); got != c.want {
+			t.Errorf("%s: ended %v, want %v", name, got, c.want)
+		}
+	}
+}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -51,7 +51,7 @@
 // finish records the end of an attempt.
 func (g *Gateway) finish(r *request, t *target, res result, started time.Time) {
 	now := steady.Now()
-	listAge := g.record(r, t, res, now)
+	listAge := g.record(r, t, res, started, now)
 	line := g.log.line(partRequest).Str("request", r.call.ID).Int("try", r.tries).
 		Str("endpoint", t.choice.Endpoint.ID).Int64("config", r.version).Int64("weights", t.choice.Version).
 		Int("running", t.choice.Running).Int("missing", t.choice.Missing).Int("candidates", t.choice.Candidates).
@@ -66,11 +66,11 @@
 }
 
 // record takes the end of an attempt into the tables. It returns the age of the list of endpoints.
-func (g *Gateway) record(r *request, t *target, res result, now time.Time) time.Duration {
+func (g *Gateway) record(r *request, t *target, res result, began, now time.Time) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.placer.Done(r.id, res.outcome, now)
-	g.noteCrash(r, t, res, now)
+	g.noteCrash(r, t, res, began, now)
 	return now.Sub(g.streams[EndpointStream].readAt)
 }
 
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -53,9 +53,9 @@
 	return crashSync{saved: map[uint64]bool{}, unsaved: map[uint64]bool{}}
 }
 
-// startName names one start of an endpoint.
-func startName(e *fleet.Endpoint) string {
-	return e.ID + "/" + strconv.FormatInt(e.Born, 10)
+// startOf returns the start of an endpoint.
+func startOf(e *fleet.Endpoint) crashguard.Start {
+	return crashguard.Start{ID: e.ID, Born: e.Born}
 }
 
 // hexOf returns a fingerprint as logs show it.
@@ -63,14 +63,32 @@
 	return strconv.FormatUint(fingerprint, 16)
 }
 
-// noteCrash counts an endpoint that broke off while it ran the request, and clears the request after a clean run. The caller
-// holds the lock.
-func (g *Gateway) noteCrash(r *request, t *target, res result, now time.Time) {
-	switch {
-	case res.outcome == place.Answered:
+// noteCrash takes the end of an attempt that began at the given time: a broken one counts as a crash, a clean run clears the
+// request, and one that was given up counts if the endpoint turns out to have ended. The caller holds the lock.
+func (g *Gateway) noteCrash(r *request, t *target, res result, began, now time.Time) {
+	if res.notRun {
+		return
+	}
+	endpoint := startOf(t.choice.Endpoint)
+	switch res.outcome {
+	case place.Answered:
 		g.clearCrashes(r.fingerprint, now)
-	case res.outcome == place.Broken && !res.notRun:
-		g.sawCrash(crashguard.Crash{Fingerprint: r.fingerprint, Endpoint: startName(t.choice.Endpoint)}, now)
+		g.unanswered.Answered(endpoint, began)
+	case place.Failed:
+		g.unanswered.Answered(endpoint, began)
+	case place.Broken:
+		g.sawCrash(crashguard.Crash{Fingerprint: r.fingerprint, Endpoint: endpoint.Name()}, now)
+	case place.Silent, place.Neutral:
+		g.unanswered.Note(r.fingerprint, endpoint, began, now)
+	}
+}
+
+// countUnanswered counts the attempts that were given up at endpoints that have ended since. The caller holds the lock.
+func (g *Gateway) countUnanswered(now time.Time) {
+	ended := func(s crashguard.Start) bool { return g.endpoints.Ended(s.ID, s.Born) }
+	for _, c := range g.unanswered.Crashes(ended, now) {
+		g.metrics.count("crashes_unanswered_total")
+		g.sawCrash(c, now)
 	}
 }
 
--- a/pkg/gateway/digest.go
+++ b/pkg/gateway/digest.go
@@ -33,6 +33,7 @@
 	for _, id := range g.endpoints.Expire(now) {
 		g.endpointLeft(id, "not back after the store's return", 0)
 	}
+	g.countUnanswered(now)
 	g.placer.Forget(func(id string) bool { return g.endpoints.Get(id) != nil })
 	loading := g.outOfService()
 	for vm, p := range g.peers {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -96,9 +96,11 @@
 	limiter   *share.Limiter
 	retries   map[string]*admit.RetryBudget
 	crashes   *crashguard.Tally
-	crashSync crashSync
-	lease     *issuer.Lease
-	peers     map[string]*peerState
+	// unanswered are attempts that count as crashes if their endpoints turn out to have ended.
+	unanswered *crashguard.Unanswered
+	crashSync  crashSync
+	lease      *issuer.Lease
+	peers      map[string]*peerState
 	// digests counts those of this process.
 	digests uint64
 	// vms are the VMs that this one knows of, also those that it never heard.
@@ -149,6 +151,7 @@
 			limiter:    share.New(!s.FirstStart),
 			retries:    map[string]*admit.RetryBudget{},
 			crashes:    crashguard.NewTally(),
+			unanswered: crashguard.NewUnanswered(),
 			crashSync:  newCrashSync(),
 			lease:      issuer.NewLease(s.Lease()),
 			peers:      map[string]*peerState{},
