Share the floor of the retry budget over all VMs

The bound on arrivals beyond the first is one for the whole system: a fifth of a service's requests and a slack. Each VM allowed itself a tenth of its own first attempts and three retries in 10 s, from zero after each start, so the floors alone passed the bound in systems of many VMs and in rolling restarts.

The floor is now a VM's part of half of the slack, which the settings name (retry_slack), at most three; a VM that started within the window into a running system has half of that. VMs that were heard in the last ten minutes share, so halves that are cut from each other keep the sum. A VM of 7 keeps its three retries (TestQuietVMsOfASmallSystemRetry).

--- a/pkg/admit/admit_test.go
+++ b/pkg/admit/admit_test.go
@@ -265,3 +265,53 @@
 		}
 	})
 }
+
+// Guards against a budget of the whole system that every VM has for itself: a floor of three for each of hundreds of VMs,
+// and once more after each start, is more than all of them may send.
+func TestRetriesOfAllVMsKeepTheSharedBudget(t *testing.T) {
+	const ratio = 0.2
+	for _, c := range []struct {
+		vms      int
+		slack    float64
+		requests int
+	}{
+		{7, 54, 20}, {7, 54, 1100}, {85, 184, 300}, {195, 430, 500}, {410, 860, 900}, {410, 860, 20_000},
+	} {
+		for _, restarts := range []int{0, 1, 3} {
+			sent := 0
+			for vm := range c.vms {
+				sent += retriesOf(c.requests*(vm+1)/c.vms-c.requests*vm/c.vms, restarts, func(fresh bool) int {
+					return RetryFloor(c.slack, c.vms, fresh)
+				})
+			}
+			if allowed := ratio*float64(c.requests) + c.slack; float64(sent) > allowed {
+				t.Errorf("%d VMs, %d restarts each, %d requests: %d retries, %.0f allowed", c.vms, restarts, c.requests, sent, allowed)
+			}
+		}
+	}
+}
+
+// retriesOf returns how many retries one VM sends in a window if every attempt fails and it starts again some times.
+func retriesOf(requests, restarts int, floor func(fresh bool) int) (sent int) {
+	for start := range restarts + 1 {
+		b := RetryBudget{}
+		b.SetFloor(floor(start > 0))
+		for range (requests + restarts) / (restarts + 1) {
+			b.First(at(0))
+		}
+		for b.Take(at(1)) {
+			sent++
+		}
+	}
+	return sent
+}
+
+// Guards against quiet VMs of a small system that cannot retry at all.
+func TestQuietVMsOfASmallSystemRetry(t *testing.T) {
+	if floor := RetryFloor(54, 7, false); floor < 3 {
+		t.Errorf("%d retries in a window", floor)
+	}
+	if floor := RetryFloor(54, 7, true); floor < 1 {
+		t.Errorf("%d retries in a window after a start", floor)
+	}
+}
--- a/pkg/gateway/digest.go
+++ b/pkg/gateway/digest.go
@@ -34,6 +34,7 @@
 		g.endpointLeft(id, "not back after the store's return", 0)
 	}
 	g.countUnanswered(now)
+	g.shareRetries(now)
 	g.placer.Forget(func(id string) bool { return g.endpoints.Get(id) != nil })
 	loading := g.outOfService()
 	for vm, p := range g.peers {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -95,7 +95,9 @@
 	placer    *place.Placer
 	limiter   *share.Limiter
 	retries   map[string]*admit.RetryBudget
-	crashes   *crashguard.Tally
+	// retryFloor is this VM's part of the retries of a service that all VMs may send beyond a share of first attempts.
+	retryFloor int
+	crashes    *crashguard.Tally
 	// unanswered are attempts that count as crashes if their endpoints turn out to have ended.
 	unanswered *crashguard.Unanswered
 	crashSync  crashSync
--- a/pkg/gateway/hub_test.go
+++ b/pkg/gateway/hub_test.go
@@ -27,6 +27,8 @@
 	simLoss = 2
 	// simSilent is the number of pairs of which one may be silent, since digests pass three lossy links.
 	simSilent = 500
+	// simRetrySlack is the number of retries that all VMs may send in a window beyond a share of the requests.
+	simRetrySlack = 200
 	// recoverLimit is the longest time from the loss of a hub to the first digests by another, with two lost datagrams on
 	// the way.
 	recoverLimit = hubSilence + hubPause + 4*digestPauseLarge
@@ -90,7 +92,7 @@
 	vm := &simVM{ip: ip, nextHeartbeat: s.now.Add(rand.N(digestPauseLarge)), nextFlush: s.now.Add(rand.N(hubPause))}
 	vm.g = New(settings.Gateway{
 		VM: fmt.Sprint("vm-", i), Address: ip.String(), DataCentre: fmt.Sprint("z", i%simDataCentres), PeerPort: 7000,
-		LinkMbps: link, LogLevel: "error",
+		LinkMbps: link, RetrySlack: simRetrySlack, LogLevel: "error",
 	}, func(*httpcall.Client) Platform { return Platform{} })
 	for _, other := range s.vms {
 		vm.g.addVM(other.g.settings.VM, knownVM{
--- a/pkg/gateway/placement.go
+++ b/pkg/gateway/placement.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"time"
 
-	"github.com/corneldeal/corneldeal/pkg/admit"
 	"github.com/corneldeal/corneldeal/pkg/fleet"
 	"github.com/corneldeal/corneldeal/pkg/place"
 	"github.com/corneldeal/corneldeal/pkg/traffic"
@@ -106,13 +105,3 @@
 	}
 	return min(urgencyTop+urgencyStep*priority, urgencyMost)
 }
-
-// retryBudget returns the budget of a service. The caller holds the lock.
-func (g *Gateway) retryBudget(service string) *admit.RetryBudget {
-	b := g.retries[service]
-	if b == nil {
-		b = &admit.RetryBudget{}
-		g.retries[service] = b
-	}
-	return b
-}
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -42,6 +42,9 @@
 	LeaseMs float64 `yaml:"lease_ms"`
 	// VersionMs is the time after which no request may start on weights that were replaced. Default 15,000.
 	VersionMs float64 `yaml:"version_ms"`
+	// RetrySlack is the number of retries for one service that all VMs together may send in 10 s beyond a fifth of the
+	// requests for it. Default 40.
+	RetrySlack float64 `yaml:"retry_slack"`
 	// LogLevel is debug, info, warn or error. Default info.
 	LogLevel string `yaml:"log_level"`
 }
@@ -87,6 +90,7 @@
 	DefaultVersionMs    = 15000
 	DefaultDescriptors  = 1024
 	DefaultMemoryMB     = 128
+	DefaultRetrySlack   = 40
 )
 
 func (g *Gateway) setDefaults() {
@@ -96,6 +100,7 @@
 	g.VersionMs = cmp.Or(g.VersionMs, DefaultVersionMs)
 	g.Descriptors = cmp.Or(g.Descriptors, DefaultDescriptors)
 	g.MemoryMB = cmp.Or(g.MemoryMB, DefaultMemoryMB)
+	g.RetrySlack = cmp.Or(g.RetrySlack, DefaultRetrySlack)
 }
 
 func (g *Gateway) problems(file string) []Problem {
@@ -117,6 +122,7 @@
 	need(g.Descriptors > 0, "descriptors", "a positive number", g.Descriptors)
 	need(g.GraceSeconds > 0, "grace_s", "a positive number", g.GraceSeconds)
 	need(g.LeaseMs > 0, "lease_ms", "a positive number", g.LeaseMs)
+	need(g.RetrySlack > 0, "retry_slack", "a positive number", g.RetrySlack)
 	need(g.VersionMs > 0, "version_ms", "a positive number", g.VersionMs)
 	for _, seed := range g.Seeds {
 		need(isAddress(seed), "seeds", "IP:port", seed)
