Send a digest that is too long without the parts that can wait

A digest that fits into no datagram (60 KB) was not sent at all, so its VM looked silent to all peers: its share of the rates was set aside and another VM took the order lease. The landed code put every crash that any VM told of within 3 s into every digest, which reaches that size at about 1,500 of them (arithmetic; no run showed it). Crashes are bounded since the exchange of tallies; prompt parts, loads and departures were not. Such a digest is now sent without the parts that receivers can do without or learn otherwise, the least important first, and that is logged and counted. TestLongDigestIsSentInPart builds a digest of 3,000 entries a part, which the code before would not have sent.

--- a/pkg/gateway/broadcast.go
+++ b/pkg/gateway/broadcast.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"errors"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/corneldeal/corneldeal/pkg/gossip"
 	"github.com/corneldeal/corneldeal/pkg/steady"
 )
@@ -106,9 +109,11 @@
 			g.send(o.halves(half))
 			continue
 		}
-		if err != nil || len(datagram) > gossip.MaxBatchBytes {
-			g.metrics.count("digests_too_long_total")
-			g.log.warn(partPeer).Int("bytes", len(datagram)).Err(err).Msg("digests not sent")
+		if err == nil && len(datagram) > gossip.MaxBatchBytes {
+			datagram, err = g.encodeLong(o)
+		}
+		if err != nil {
+			g.log.warn(partPeer).Err(err).Msg("digests not sent")
 			continue
 		}
 		for _, address := range o.to {
@@ -120,6 +125,22 @@
 	}
 }
 
+// errLongDigest means that a digest fits into no datagram, even without the parts that can be left out.
+var errLongDigest = errors.New("gateway: digest is too long")
+
+// encodeLong returns the datagram of one digest that is too long, in part.
+func (g *Gateway) encodeLong(o outgoing) ([]byte, error) {
+	g.metrics.count("digests_too_long_total")
+	short := o.shortened()
+	datagram, err := gossip.Encode(short)
+	if err == nil && len(datagram) > gossip.MaxBatchBytes {
+		err = errLongDigest
+	}
+	g.log.warn(partPeer).Int("bytes", proto.Size(o.batch)).Int("sent", len(datagram)).Err(err).
+		Msg("digest is too long, sent in part")
+	return datagram, err
+}
+
 // halves splits a batch.
 func (o outgoing) halves(at int) []outgoing {
 	digests, spread := o.batch.GetDigests(), o.batch.GetSpread()
@@ -128,3 +149,25 @@
 		{batch: &gossip.Batch{Digests: digests[at:], Spread: spread}, to: o.to},
 	}
 }
+
+// shortened returns a batch of one digest that is too long without the parts that receivers can do without or learn
+// otherwise, least important first, so that its VM does not look silent.
+func (o outgoing) shortened() *gossip.Batch {
+	d := proto.CloneOf(o.batch.GetDigests()[0])
+	short := &gossip.Batch{Digests: []*gossip.Digest{d}, Spread: o.batch.GetSpread()}
+	for _, leaveOut := range []func(){
+		func() { d.Placed = nil },
+		func() { d.Neighbours = nil },
+		func() { d.Versions = nil },
+		func() { d.Loads = nil },
+		func() { d.Accusations = nil },
+		func() { d.Announcements = nil },
+		func() { d.Departures = nil },
+	} {
+		if proto.Size(short) <= gossip.MaxBatchBytes {
+			break
+		}
+		leaveOut()
+	}
+	return short
+}
--- a/pkg/gateway/digest_test.go
+++ b/pkg/gateway/digest_test.go
@@ -126,3 +126,33 @@
 		g.applyBatch(received, now)
 	}
 }
+
+// Guards against a VM that looks silent to all since one part of its digest fits into no datagram.
+func TestLongDigestIsSentInPart(t *testing.T) {
+	const many = 3000
+	d := &gossip.Digest{Vm: "own", Sequence: 9, OperatorOffset: 5, Usage: []*gossip.Usage{{Workspace: "w", Admitted: 7}}}
+	for i := range many {
+		d.Departures = append(d.Departures, &gossip.Departure{Endpoint: fmt.Sprint("endpoint-", i), Offset: int64(i)})
+		d.Loads = append(d.Loads, &gossip.Load{Endpoint: fmt.Sprint("endpoint-", i), Running: 1})
+		d.Placed = append(d.Placed, &gossip.Placed{Source: fmt.Sprint("source-", i), Parts: []uint64{1, 2, 3}})
+	}
+	o := outgoing{batch: &gossip.Batch{Digests: []*gossip.Digest{d}}}
+	datagram, err := system(0).encodeLong(o)
+	if err != nil || len(datagram) > gossip.MaxBatchBytes {
+		t.Fatalf("%d bytes, %v", len(datagram), err)
+	}
+	batch, err := gossip.Decode(datagram)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := batch.GetDigests()[0]
+	if got.GetSequence() != 9 || got.GetOperatorOffset() != 5 || len(got.GetUsage()) != 1 {
+		t.Errorf("left out what rates and records need: %v", got)
+	}
+	if len(got.GetDepartures()) != many {
+		t.Error("departures were left out although they fit")
+	}
+	if len(d.GetPlaced()) != many {
+		t.Error("the digest itself was changed")
+	}
+}
