Give a VM its share of retries before it serves

The share of the retry floor was first set with the first digest, 25 to 275 ms after the start, and was zero until then: a lookup that failed in that time was not repeated.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -208,6 +208,9 @@
 func (g *Gateway) Start() error {
 	g.log.line(partProcess).Str("data_centre", g.settings.DataCentre).Bool("first_start", g.settings.FirstStart).
 		Msg("started")
+	g.mu.Lock()
+	g.shareRetries(steady.Now())
+	g.mu.Unlock()
 	callers, err := g.listen(g.settings.CallerAddress)
 	if err != nil {
 		return err
