Tell of the most dangerous crashes first; log crashes apart

Where more than 128 crashes in 3 s did not fit into a digest, the newest were told, so a request with two crashes could be left out beside 128 interrupted ones. The crashes of requests with the most endpoints are told first now (TestDigestWithManyCrashesIsSent failed on that before). Crashes have a log budget of their own, so a storm of them hides no line on endpoints; an age below zero that a peer tells counts as the present.

--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"time"
@@ -107,7 +108,7 @@
 		return
 	}
 	g.metrics.counters.Add("crashes_cleared_total", int64(len(cleared)))
-	g.log.line(partEndpoint).Str("fingerprint", hexOf(fingerprint)).Int("endpoints", len(cleared)).
+	g.log.line(partCrash).Str("fingerprint", hexOf(fingerprint)).Int("endpoints", len(cleared)).
 		Msg("crashes cleared by a clean run")
 	for _, c := range cleared {
 		g.tellCrash(c, now)
@@ -130,29 +131,29 @@
 	requests, after := g.crashes.Size()
 	if evicted := after - dropped; evicted > 0 {
 		g.metrics.counters.Add("crash_suspects_dropped_total", int64(evicted))
-		g.log.warn(partEndpoint).Int("dropped", evicted).Int("requests", requests).
+		g.log.warn(partCrash).Int("dropped", evicted).Int("requests", requests).
 			Msg("tally of crashes is full, least dangerous requests dropped")
 	}
 	g.metrics.count("crashes_counted_total")
-	g.log.line(partEndpoint).Str("fingerprint", hexOf(c.Fingerprint)).Str("endpoint", c.Endpoint).
+	g.log.line(partCrash).Str("fingerprint", hexOf(c.Fingerprint)).Str("endpoint", c.Endpoint).
 		Bool("cleared", c.Cleared).Str("seen_by", seenBy).Int("endpoints", g.crashes.Endpoints(c.Fingerprint)).
 		Int("requests", requests).Msg("crash counted")
 	return true
 }
 
-// recentCrashes returns the crashes to tell, the newest where there are too many for one digest. The caller holds the lock.
+// recentCrashes returns the crashes to tell. Where there are too many for one digest, those of requests with the most crashes
+// come first, and the newest among these. The caller holds the lock.
 func (g *Gateway) recentCrashes(now time.Time) []*gossip.Accusation {
-	news := g.crashSync.news
-	old := slices.IndexFunc(news, func(n crashNews) bool { return now.Sub(n.at) < crashNewsFor })
-	if old < 0 {
-		g.crashSync.news = nil
-		return nil
-	}
-	news = slices.Clip(news[old:])
+	news := slices.DeleteFunc(g.crashSync.news, func(n crashNews) bool { return now.Sub(n.at) >= crashNewsFor })
 	g.crashSync.news = news
 	if left := len(news) - maxCrashNews; left > 0 {
 		g.metrics.counters.Add("crash_news_left_out_total", int64(left))
-		news = news[left:]
+		news = slices.Clone(news)
+		slices.SortFunc(news, func(a, b crashNews) int {
+			danger := cmp.Compare(g.crashes.Endpoints(b.Fingerprint), g.crashes.Endpoints(a.Fingerprint))
+			return cmp.Or(danger, b.at.Compare(a.at))
+		})
+		news = news[:maxCrashNews]
 	}
 	out := make([]*gossip.Accusation, 0, len(news))
 	for _, n := range news {
--- a/pkg/gateway/crashes_test.go
+++ b/pkg/gateway/crashes_test.go
@@ -142,11 +142,22 @@
 func TestDigestWithManyCrashesIsSent(t *testing.T) {
 	g := system(84)
 	now := steady.Now()
+	for _, endpoint := range []string{"a/1", "b/1"} {
+		g.sawCrash(crashguard.Crash{Fingerprint: crashing, Endpoint: endpoint}, now)
+	}
+	now = now.Add(crashNewsFor / 2)
 	for i := range uint64(5000) {
 		g.sawCrash(crashguard.Crash{Fingerprint: i + 1, Endpoint: "endpoint-with-a-long-name/1700000000000"}, now)
 	}
-	datagram, err := gossip.Encode(&gossip.Batch{Digests: []*gossip.Digest{g.digest(1, now)}})
+	digest := g.digest(1, now)
+	datagram, err := gossip.Encode(&gossip.Batch{Digests: []*gossip.Digest{digest}})
 	if err != nil || len(datagram) > gossip.MaxBatchBytes {
 		t.Fatalf("%d bytes, %v", len(datagram), err)
 	}
+	for _, a := range digest.GetAccusations() {
+		if a.GetFingerprint() == crashing {
+			return
+		}
+	}
+	t.Error("the request with the most crashes is left out")
 }
--- a/pkg/gateway/logger.go
+++ b/pkg/gateway/logger.go
@@ -23,6 +23,7 @@
 	partOrder    = "order"
 	partStore    = "store"
 	partCache    = "cache"
+	partCrash    = "crash"
 	partLog      = "log"
 )
 
--- a/pkg/gateway/verdicts.go
+++ b/pkg/gateway/verdicts.go
@@ -40,9 +40,12 @@
 
 // countCrashes takes what a peer tells of crashes. The caller holds the lock.
 func (g *Gateway) countCrashes(told []*gossip.Accusation, vm string, now time.Time) {
+	if len(told) == 0 {
+		return
+	}
 	theirs := crashguard.NewTally()
 	for _, a := range told {
-		unused := time.Duration(a.GetUnusedMs()) * time.Millisecond
+		unused := time.Duration(max(a.GetUnusedMs(), 0)) * time.Millisecond
 		c := crashguard.Crash{
 			Fingerprint: a.GetFingerprint(), Endpoint: a.GetCrashed(), Cleared: a.GetCleared(), UsedAt: now.Add(-unused),
 		}
@@ -114,12 +117,12 @@
 	defer g.mu.Unlock()
 	refused := change.value != nil
 	if err != nil {
-		g.log.warn(partStore).Str("fingerprint", hexOf(change.fingerprint)).Bool("refused", refused).Err(err).
+		g.log.warn(partCrash).Str("fingerprint", hexOf(change.fingerprint)).Bool("refused", refused).Err(err).
 			Msg("refused request not kept")
 		return
 	}
 	g.metrics.count("crash_verdicts_kept_total")
-	g.log.line(partStore).Str("fingerprint", hexOf(change.fingerprint)).Bool("refused", refused).
+	g.log.line(partCrash).Str("fingerprint", hexOf(change.fingerprint)).Bool("refused", refused).
 		Int("endpoints", g.crashes.Endpoints(change.fingerprint)).Msg("refused request kept")
 	g.crashSync.saved[change.fingerprint] = refused
 	if g.crashes.Refused(change.fingerprint) == refused {
@@ -136,7 +139,7 @@
 		err = json.Unmarshal(r.Value, &kept)
 	}
 	if err != nil {
-		g.log.warn(partStore).Str("key", r.Key).Err(err).Msg("kept request is unreadable")
+		g.log.warn(partCrash).Str("key", r.Key).Err(err).Msg("kept request is unreadable")
 		return true
 	}
 	if time.Since(time.UnixMilli(kept.UnixMs)) > verdictLife {
@@ -156,6 +159,6 @@
 	defer cancel()
 	if _, err := g.platform.Store.Append(ctx, VMStream, key, nil, -1); err != nil {
 		// The next VM that starts tries again.
-		g.log.warn(partStore).Str("key", key).Err(err).Msg("outdated record not removed")
+		g.log.warn(partCrash).Str("key", key).Err(err).Msg("outdated record not removed")
 	}
 }
