--- a/pkg/share/limiter_test.go
+++ b/pkg/share/limiter_test.go
@@ -243,3 +243,14 @@
 		}
 	}
 }
+
+// Guards against parts of a system that each give out the whole rate once they have been cut from each other for long.
+func TestLongPartitionKeepsLimit(t *testing.T) {
+	w := newSimulation(t, 6)
+	w.run(3*time.Second, rate/3, 9_000)
+	for i, n := range w.nodes {
+		n.group = i % 2
+	}
+	w.run(3*ForgetAfter, rate/3, 9_000)
+	w.checkWindows()
+}
