Count crashes by path as well as by path and query

The users say that a crashing request comes again with the same path, caller and body; they do not say that its query stays. A fingerprint of the whole target counts nothing where the query changes with each repeat, and one of the path alone is cleared by other queries on it. Both count now and either refuses; they are the same where there is no query. The method no longer counts. TestCrashingRequestWithChangingQueryIsStopped fails with the whole target only (not refused within 20 s); TestCrashingQueryIsStoppedBesideCleanOnes holds the other side.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -57,7 +57,7 @@
 		Int("running", t.choice.Running).Int("missing", t.choice.Missing).Int("candidates", t.choice.Candidates).
 		Str("fetch_from", t.choice.FetchFrom).Dur("list_age_ms", listAge).
 		Dur("expected_ms", t.choice.Expected).Dur("took_ms", now.Sub(started)).Str("outcome", outcomeNames[res.outcome]).
-		Bool("not_run", res.notRun).Str("fingerprint", hexOf(r.fingerprint))
+		Bool("not_run", res.notRun).Strs("fingerprints", hexOfAll(r.fingerprints))
 	if res.err != nil {
 		line.Err(res.err)
 	}
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -73,7 +73,7 @@
 	c := g.config.Load()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.crashes.Refuse(r.fingerprint, now) {
+	if g.crashesEndpoints(r, now) {
 		return nil, refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeCrashSuspect, "the request crashes endpoints").
 			After(crashRetry)
 	}
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -64,6 +64,25 @@
 	return strconv.FormatUint(fingerprint, 16)
 }
 
+// hexOfAll returns fingerprints as logs show them.
+func hexOfAll(fingerprints []uint64) []string {
+	out := make([]string, 0, len(fingerprints))
+	for _, fingerprint := range fingerprints {
+		out = append(out, hexOf(fingerprint))
+	}
+	return out
+}
+
+// crashesEndpoints reports whether a request must not be sent to another endpoint. The caller holds the lock.
+func (g *Gateway) crashesEndpoints(r *request, now time.Time) bool {
+	refuse := false
+	for _, fingerprint := range r.fingerprints {
+		// Each one is asked, since asking keeps it remembered.
+		refuse = g.crashes.Refuse(fingerprint, now) || refuse
+	}
+	return refuse
+}
+
 // noteCrash takes the end of an attempt that began at the given time: a broken one counts as a crash, a clean run clears the
 // request, and one that was given up counts if the endpoint turns out to have ended. The caller holds the lock.
 func (g *Gateway) noteCrash(r *request, t *target, res result, began, now time.Time) {
@@ -71,16 +90,18 @@
 		return
 	}
 	endpoint := startOf(t.choice.Endpoint)
-	switch res.outcome {
-	case place.Answered:
-		g.clearCrashes(r.fingerprint, now)
-		g.unanswered.Answered(endpoint, began)
-	case place.Failed:
+	if res.outcome == place.Answered || res.outcome == place.Failed {
 		g.unanswered.Answered(endpoint, began)
-	case place.Broken:
-		g.sawCrash(crashguard.Crash{Fingerprint: r.fingerprint, Endpoint: endpoint.Name()}, now)
-	case place.Silent, place.Neutral:
-		g.unanswered.Note(r.fingerprint, endpoint, began, now)
+	}
+	for _, fingerprint := range r.fingerprints {
+		switch res.outcome {
+		case place.Answered:
+			g.clearCrashes(fingerprint, now)
+		case place.Broken:
+			g.sawCrash(crashguard.Crash{Fingerprint: fingerprint, Endpoint: endpoint.Name()}, now)
+		case place.Silent, place.Neutral:
+			g.unanswered.Note(fingerprint, endpoint, began, now)
+		}
 	}
 }
 
--- a/pkg/gateway/refuse.go
+++ b/pkg/gateway/refuse.go
@@ -48,7 +48,7 @@
 	now := steady.Now()
 	listAge, configAge, peers := g.knowledge(now)
 	line.Dur("config_age_ms", configAge).Dur("list_age_ms", listAge).Int("peers", peers).
-		Str("fingerprint", hexOf(r.fingerprint))
+		Strs("fingerprints", hexOfAll(r.fingerprints))
 	if r.route != nil {
 		line.Str("route", r.route.Name)
 	}
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -51,8 +51,8 @@
 	events int
 	// failure is an endpoint's own answer that is passed on if no other attempt succeeds.
 	failure *fasthttp.Response
-	// fingerprint identifies the request over its caller's repeats.
-	fingerprint uint64
+	// fingerprints identify the request over its caller's repeats.
+	fingerprints []uint64
 	// expected is the prediction of the last placement.
 	expected time.Duration
 }
@@ -86,7 +86,7 @@
 		return
 	}
 	r.deadline = r.arrived.Add(g.timeLimit(r))
-	r.fingerprint = fingerprintOf(r)
+	r.fingerprints = fingerprintsOf(r)
 	if refused := g.charge(r); refused != nil {
 		g.refuse(r, refused)
 		return
@@ -94,15 +94,20 @@
 	g.forward(r)
 }
 
-// fingerprintOf identifies a request over its caller's repeats, by workspace, method, target and body.
-func fingerprintOf(r *request) uint64 {
+// fingerprintsOf identifies a request over its caller's repeats, by workspace, target and body. A caller may send a request
+// again with another query, so the path alone counts too; clean runs with any query clear that.
+func fingerprintsOf(r *request) []uint64 {
 	workspace := ""
 	if r.workspace != nil {
 		workspace = r.workspace.Name
 	}
-	header := &r.x.Request.Header
-	target := string(header.Method()) + " " + string(header.RequestURI())
-	return crashguard.Fingerprint(workspace, target, r.x.Request.Body())
+	target, body := r.x.Request.Header.RequestURI(), r.x.Request.Body()
+	path, _, hasQuery := bytes.Cut(target, []byte("?"))
+	out := []uint64{crashguard.Fingerprint(workspace, string(path), body)}
+	if hasQuery {
+		out = append(out, crashguard.Fingerprint(workspace, string(target), body))
+	}
+	return out
 }
 
 // stopsTaking reports whether this VM is stopping and takes no more new requests.
