--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -220,19 +220,21 @@
 		return false
 	}
 	if g.behindSince.IsZero() {
-		g.behindSince = now
-		if g.large() {
-			g.behindSince = now.Add(rand.N(relayLag))
-		}
+		g.behindSince = g.lagStart(now)
 		return false
 	}
 	if now.Sub(g.behindSince) < relayLag {
 		return false
 	}
-	g.behindSince = now
-	if g.large() {
-		// Peers that were asked first can answer the others.
-		g.behindSince = now.Add(rand.N(relayLag))
-	}
+	g.behindSince = g.lagStart(now)
 	return true
 }
+
+// lagStart returns when the wait for relayLag begins. In a large system it is drawn, so that peers that were asked first can
+// answer the others. The caller holds the lock.
+func (g *Gateway) lagStart(now time.Time) time.Time {
+	if !g.large() {
+		return now
+	}
+	return now.Add(rand.N(relayLag))
+}
