--- a/pkg/gateway/announcements_test.go
+++ b/pkg/gateway/announcements_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -50,3 +51,18 @@
 		t.Errorf("a later guess made the version %v old", age)
 	}
 }
+
+// Guards against a VM that was cut off and takes the moment at which it hears of a version for that of its announcement:
+// kept in the store, it lets all VMs that start later use old weights for too long.
+func TestVersionHeardLateIsNotTakenForNew(t *testing.T) {
+	g := system(7)
+	g.streams[OperatorStream].synced = true
+	for _, p := range g.peers {
+		p.lastSeen = p.lastSeen.Add(-2 * silentAfter)
+	}
+	g.noteStore(EndpointStream, context.DeadlineExceeded)
+	g.announceVersion(&Weights{Model: "m", Version: 2})
+	if told := g.recentAnnouncements(steady.Now()); len(told) > 0 {
+		t.Errorf("a VM that reaches neither peers nor the store tells that the version was announced %d ms ago", told[0].GetAgeMs())
+	}
+}
