Do not accuse requests that ran clean lately

A request that crashes endpoints crashes each one that runs it, so one that ran clean is not at fault.

--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -116,6 +116,7 @@
 
 // sawCrash counts a crash that this VM saw and tells the peers. The caller holds the lock.
 func (g *Gateway) sawCrash(c crashguard.Crash, now time.Time) {
+	c.Cleared = g.cleanRuns.Has(c.Fingerprint)
 	if g.countCrash(c, g.settings.VM, now) {
 		g.tellCrash(c, now)
 		g.saveVerdict(c.Fingerprint)
@@ -124,6 +125,7 @@
 
 // clearCrashes clears a request that ran clean and tells the peers. The caller holds the lock.
 func (g *Gateway) clearCrashes(fingerprint uint64, now time.Time) {
+	g.cleanRuns.Note(fingerprint)
 	cleared := g.crashes.Clear(fingerprint, now)
 	if len(cleared) == 0 {
 		return
--- a/pkg/gateway/crashes_test.go
+++ b/pkg/gateway/crashes_test.go
@@ -161,3 +161,18 @@
 	}
 	t.Error("the request with the most crashes is left out")
 }
+
+// Guards against a lookup that many callers send and that is refused for an hour, with no clean run to clear it any more,
+// since several endpoints that ran it crashed for another reason within a moment.
+func TestLookupThatRanCleanOutlivesABurstOfCrashes(t *testing.T) {
+	for _, count := range []int{7, 85} {
+		s := simulate(t, count)
+		s.run(2 * time.Second)
+		s.vms[6].g.clearCrashes(crashing, s.now)
+		s.crash(crashing, s.vms[0], s.vms[1], s.vms[2], s.vms[3])
+		s.run(touchLimit)
+		if n, _ := s.refusing(crashing); n > 0 {
+			t.Errorf("%d VMs: %d refuse a lookup that ran clean before", count, n)
+		}
+	}
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -100,9 +100,11 @@
 	crashes    *crashguard.Tally
 	// unanswered are attempts that count as crashes if their endpoints turn out to have ended.
 	unanswered *crashguard.Unanswered
-	crashSync  crashSync
-	lease      *issuer.Lease
-	peers      map[string]*peerState
+	// cleanRuns are requests that this VM saw answered.
+	cleanRuns *crashguard.CleanRuns
+	crashSync crashSync
+	lease     *issuer.Lease
+	peers     map[string]*peerState
 	// digests counts those of this process.
 	digests uint64
 	// vms are the VMs that this one knows of, also those that it never heard.
@@ -154,6 +156,7 @@
 			retries:    map[string]*admit.RetryBudget{},
 			crashes:    crashguard.NewTally(),
 			unanswered: crashguard.NewUnanswered(),
+			cleanRuns:  crashguard.NewCleanRuns(),
 			crashSync:  newCrashSync(),
 			lease:      issuer.NewLease(s.Lease()),
 			peers:      map[string]*peerState{},
--- a/pkg/gateway/verdicts.go
+++ b/pkg/gateway/verdicts.go
@@ -50,7 +50,11 @@
 			Fingerprint: a.GetFingerprint(), Endpoint: a.GetCrashed(), Cleared: a.GetCleared(), UsedAt: now.Add(-unused),
 		}
 		theirs.Note(c, now)
-		if g.countCrash(c, vm, now) && !theirs.Refused(c.Fingerprint) && g.comesFirst(now) {
+		news := g.countCrash(c, vm, now)
+		switch {
+		case news && g.cleanRuns.Has(c.Fingerprint):
+			g.clearCrashes(c.Fingerprint, now)
+		case news && !theirs.Refused(c.Fingerprint) && g.comesFirst(now):
 			g.saveVerdict(c.Fingerprint)
 		}
 	}
