Log what each answer says about the rate limit of its endpoint

The logs could not tell an endpoint whose limit nobody reads from one whose limit each VM keeps for itself. 'attempt ended' now has limit (none, named, malformed) and limit_per_s, and answers_limit_KIND_total counts them. No decision changes.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -57,7 +57,7 @@
 		Int("running", t.choice.Running).Int("missing", t.choice.UncachedTokens).Int("candidates", t.choice.Candidates).
 		Str("fetch_from", t.choice.FetchFrom).Dur("list_age_ms", listAge).
 		Dur("expected_ms", t.choice.Expected).Dur("took_ms", now.Sub(started)).Str("outcome", outcomeNames[res.outcome]).
-		Bool("not_run", res.notRun).Strs("fingerprints", formatFingerprints(r.fingerprints))
+		Bool("not_run", res.notRun).Str("limit", t.limit.Kind.String()).Float64("limit_per_s", t.limit.PerSecond).Strs("fingerprints", formatFingerprints(r.fingerprints))
 	if res.err != nil {
 		line.Err(res.err)
 	}
@@ -149,6 +149,8 @@
 	if foreign || anonymous && (success || stream.Reused) || success && !answer.Signed {
 		return attemptResult{outcome: place.Broken, err: errMismatchedAnswer}
 	}
+	t.limit = answer.Limit
+	g.metrics.count("answers_limit_" + answer.Limit.Kind.String() + "_total")
 	g.applyAnswerHeaders(t, answer)
 	if answer.NotRun {
 		return g.handleEndpointRefusal(t, stream, answer)
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/corneldeal/corneldeal/pkg/admit"
+	"github.com/corneldeal/corneldeal/pkg/endpointlimit"
 	"github.com/corneldeal/corneldeal/pkg/place"
 	"github.com/corneldeal/corneldeal/pkg/refusal"
 	"github.com/corneldeal/corneldeal/pkg/steady"
@@ -30,6 +31,8 @@
 	request *place.Request
 	// firstEventSeen is set once the first event of the attempt has arrived.
 	firstEventSeen bool
+	// limit is what the answer said about the rate limit of the endpoint.
+	limit endpointlimit.Statement
 }
 
 // forward sends the request to endpoints until the caller has its final answer.
--- a/pkg/gateway/platform.go
+++ b/pkg/gateway/platform.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/corneldeal/corneldeal/pkg/endpointlimit"
 	"github.com/corneldeal/corneldeal/pkg/fleet"
 	"github.com/corneldeal/corneldeal/pkg/place"
 	"github.com/corneldeal/corneldeal/pkg/traffic"
@@ -146,6 +147,8 @@
 	Leaving bool
 	// RetryAfter is the time for which an endpoint that refused the request accepts no other from this VM, or 0.
 	RetryAfter time.Duration
+	// Limit is what the answer says about the rate limit of the endpoint over all VMs.
+	Limit endpointlimit.Statement
 }
 
 // Wire translates between the platform's headers and the gateway's types.
