Keep the rate limit that an endpoint names over all VMs together

What callers saw: an endpoint in need named its limit and got several times it, until it slowed down. A limit kept by each VM would not mend it, since the bound is a sum: at 24 VMs one request of each is over 1.7 a second.

pkg/endpointlimit keeps limits as state with a revision for each start of an endpoint, exchanged by digests and the relay until all VMs hold the same. 1 + limit/2 VMs, chosen by rendezvous among those that take callers, each own a fixed part; the others leave the endpoint out of placement. A new owner waits 2 s and begins without tokens, so an owner that has not heard yet does not add up. VMs that hear only a part of the system use that part of each limit.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -57,7 +57,8 @@
 		Int("running", t.choice.Running).Int("missing", t.choice.UncachedTokens).Int("candidates", t.choice.Candidates).
 		Str("fetch_from", t.choice.FetchFrom).Dur("list_age_ms", listAge).
 		Dur("expected_ms", t.choice.Expected).Dur("took_ms", now.Sub(started)).Str("outcome", outcomeNames[res.outcome]).
-		Bool("not_run", res.notRun).Str("limit", t.limit.Kind.String()).Float64("limit_per_s", t.limit.PerSecond).Strs("fingerprints", formatFingerprints(r.fingerprints))
+		Bool("not_run", res.notRun).Str("limit", t.limit.Kind.String()).Float64("limit_per_s", t.limit.PerSecond).
+		Bool("under_limit", t.underLimit).Int("at_limit", t.choice.AtLimit).Strs("fingerprints", formatFingerprints(r.fingerprints))
 	if res.err != nil {
 		line.Err(res.err)
 	}
@@ -189,7 +190,7 @@
 	return strings.HasPrefix(string(h.ContentType()), "text/event-stream")
 }
 
-// applyAnswerHeaders records the weight version, the departure and the requested pause that an endpoint's answer
+// applyAnswerHeaders records the weight version, the rate limit, the departure and the requested pause that an endpoint's answer
 // states.
 func (g *Gateway) applyAnswerHeaders(t *target, answer Answer) {
 	now := steady.Now()
@@ -199,6 +200,7 @@
 	if answer.Version > 0 && t.request.OnEngine {
 		g.placer.RecordVersion(e, t.request.Model, answer.Version)
 	}
+	g.applyLimit(t, answer, now)
 	if answer.Leaving && g.endpoints.MarkDraining(e.ID, e.StartTimeMs, now) {
 		g.announceDeparture(e.ID, "said so in an answer", 0)
 	}
--- a/pkg/gateway/broadcast.go
+++ b/pkg/gateway/broadcast.go
@@ -165,6 +165,7 @@
 		func() { d.Accusations = nil },
 		func() { d.Announcements = nil },
 		func() { d.Departures = nil },
+		func() { d.Limits = nil },
 	} {
 		if proto.Size(short) <= gossip.MaxBatchBytes {
 			break
--- a/pkg/gateway/digest.go
+++ b/pkg/gateway/digest.go
@@ -35,6 +35,7 @@
 	}
 	g.addUnansweredCrashes(now)
 	g.shareRetries(now)
+	g.updateLimits(now)
 	g.placer.ForgetEndpoints(func(id string) bool { return g.endpoints.Get(id) != nil })
 	loading := g.enginesOutOfService()
 	for vm, p := range g.peers {
@@ -97,7 +98,10 @@
 		}
 	}
 	d.Versions = g.versionReports()
-	if !g.isLargeSystem() || g.isHub(now) {
+	reachesAll := !g.isLargeSystem() || g.isHub(now)
+	d.Limits = limitsToProto(g.limits.Reports(reachesAll, now))
+	d.TakesRequests = g.takesRequests(now)
+	if reachesAll {
 		// The digests of hubs reach every VM, so the others need not repeat these.
 		d.Announcements = g.announcementReports(now)
 	}
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -33,6 +33,10 @@
 	firstEventSeen bool
 	// limit is what the answer said about the rate limit of the endpoint.
 	limit endpointlimit.Statement
+	// sentAt is when the request was sent.
+	sentAt time.Time
+	// underLimit is set if the endpoint was limited when the request was sent.
+	underLimit bool
 }
 
 // forward sends the request to endpoints until the caller has its final answer.
@@ -77,6 +81,7 @@
 	c := g.config.Load()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.lastRequestAt = now
 	if g.isCrashSuspect(r, now) {
 		return nil, refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeCrashSuspect, "the request crashes endpoints").
 			WithRetryAfter(crashRetryAfter)
@@ -90,6 +95,8 @@
 		endpoints := g.endpoints.Usable(name)
 		p := g.placementRequest(r, s)
 		choice := g.placer.Place(p, endpoints, g.serviceProperties(c, s, p, endpoints), now)
+		r.atLimit = choice.AtLimit
+		g.metrics.counters.Add("endpoints_left_out_at_limit_total", int64(choice.AtLimit))
 		if choice.Endpoint == nil {
 			waitUntil = earliest(waitUntil, choice.WaitUntil)
 			continue
@@ -108,14 +115,19 @@
 		}
 		r.attempts++
 		g.placer.RecordSend(p, choice, now)
-		return &target{service: s, choice: choice, request: p}, nil
+		underLimit := g.recordLimitedSend(choice.Endpoint, now)
+		return &target{service: s, choice: choice, request: p, sentAt: now, underLimit: underLimit}, nil
 	}
-	if !waitUntil.IsZero() {
-		return nil, refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeQueueFull, "all endpoints asked to wait").
+	if waitUntil.IsZero() {
+		return nil, refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeNoEndpoint, "no endpoint is available").
+			WithRetryAfter(noEndpointRetryAfter)
+	}
+	if r.atLimit > 0 {
+		return nil, refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeEndpointLimit, "all endpoints are at their rate limits").
 			WithRetryAfter(waitUntil.Sub(now))
 	}
-	return nil, refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeNoEndpoint, "no endpoint is available").
-		WithRetryAfter(noEndpointRetryAfter)
+	return nil, refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeQueueFull, "all endpoints asked to wait").
+		WithRetryAfter(waitUntil.Sub(now))
 }
 
 // earliest returns the earlier of two times, either of which may be zero.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -19,6 +19,7 @@
 
 	"github.com/corneldeal/corneldeal/pkg/admit"
 	"github.com/corneldeal/corneldeal/pkg/crashguard"
+	"github.com/corneldeal/corneldeal/pkg/endpointlimit"
 	"github.com/corneldeal/corneldeal/pkg/fleet"
 	"github.com/corneldeal/corneldeal/pkg/gossip"
 	"github.com/corneldeal/corneldeal/pkg/httpcall"
@@ -106,8 +107,12 @@
 	// cleanRuns are the requests that endpoints answered for this VM.
 	cleanRuns *crashguard.CleanRuns
 	crashSync crashSync
-	lease     *issuer.Lease
-	peers     map[string]*peerState
+	// limits are the rate limits that endpoints named.
+	limits *endpointlimit.Table
+	// lastRequestAt is when this VM last placed a request, or zero.
+	lastRequestAt time.Time
+	lease         *issuer.Lease
+	peers         map[string]*peerState
 	// digestCount is the number of digests that this process has built.
 	digestCount uint64
 	// vms are the VMs known to this one, including those from which it never received a digest.
@@ -164,6 +169,7 @@
 			unansweredAttempts: crashguard.NewUnansweredAttempts(),
 			cleanRuns:          crashguard.NewCleanRuns(),
 			crashSync:          newCrashSync(),
+			limits:             endpointlimit.New(s.VM),
 			lease:              issuer.NewLease(s.Lease()),
 			peers:              map[string]*peerState{},
 			vms:                map[string]*knownVM{},
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -36,6 +36,13 @@
 	m.counters.Add(name, 1)
 }
 
+// set sets a gauge.
+func (m *metrics) set(name string, value float64) {
+	gauge := new(expvar.Float)
+	gauge.Set(value)
+	m.counters.Set(name, gauge)
+}
+
 // observe adds a duration to a histogram.
 func (m *metrics) observe(name string, d time.Duration) {
 	m.mu.Lock()
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -37,7 +37,9 @@
 	// does.
 	endpointChanged int64
 	leaving         bool
-	loading         []string
+	// takesRequests is set if the peer received requests lately.
+	takesRequests bool
+	loading       []string
 	// started is when the peer's process started.
 	started time.Time
 	// lastOrder is when the peer's process or a holder before it may have given its last order, or the start of the
@@ -141,6 +143,7 @@
 	p.endpointOffset = d.GetEndpointOffset()
 	p.endpointChanged = d.GetEndpointChanged()
 	p.leaving = d.GetLeaving()
+	p.takesRequests = d.GetTakesRequests()
 	p.loading = d.GetLoading()
 	p.started = now.Add(-time.Duration(d.GetUptimeMs()) * time.Millisecond)
 	p.lastOrder = p.started
@@ -194,6 +197,7 @@
 		}
 	}
 	g.addPeerCrashes(d.GetAccusations(), p.vm, now)
+	g.addPeerLimits(d.GetLimits(), p.vm, now)
 	for _, n := range d.GetAnnouncements() {
 		at := now.Add(-time.Duration(n.GetAgeMs()) * time.Millisecond)
 		g.addAnnouncement(n.GetModel(), place.Announcement{Version: n.GetVersion(), At: at})
--- a/pkg/gateway/refuse.go
+++ b/pkg/gateway/refuse.go
@@ -48,7 +48,7 @@
 	}
 	now := steady.Now()
 	listAge, configAge, peers := g.stateAges(now)
-	line.Dur("config_age_ms", configAge).Dur("list_age_ms", listAge).Int("peers", peers).
+	line.Dur("config_age_ms", configAge).Dur("list_age_ms", listAge).Int("peers", peers).Int("at_limit", r.atLimit).
 		Strs("fingerprints", formatFingerprints(r.fingerprints))
 	if r.route != nil {
 		line.Str("route", r.route.Name)
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -91,6 +91,7 @@
 		g.streams[OperatorStream].synced = true
 	}
 	g.addPeerCrashes(resp.GetCrashes(), vm, now)
+	g.addPeerLimits(resp.GetLimits(), vm, now)
 	if req.GetCrashes() && g.crashSync.sourcePeer == vm {
 		g.crashSync.sourcePeer = ""
 	}
@@ -163,6 +164,7 @@
 	resp := &gossip.StateResponse{
 		Operator:  operator.changedSince(req.GetOperatorOffset()),
 		Endpoints: endpoint.changedSince(req.GetEndpointOffset()),
+		Limits:    limitsToProto(g.limits.States()),
 	}
 	if operator.synced {
 		resp.OperatorOffset = operator.next
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -54,6 +54,8 @@
 	endpointFailure *fasthttp.Response
 	// fingerprints identify the request when its caller sends it again.
 	fingerprints []uint64
+	// atLimit is the number of endpoints that the last placement left out because of their rate limits.
+	atLimit int
 	// expectedDuration is the duration predicted by the last placement.
 	expectedDuration time.Duration
 }
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -76,6 +76,9 @@
 	// VersionLimit is the time after the announcement of a newer version from which the older weights may not start a
 	// request. Zero refuses them at once.
 	VersionLimit time.Duration
+	// NextSend returns when this VM may send the next request to an endpoint under the rate limit that it named: now or
+	// earlier if it may send one.
+	NextSend func(e *fleet.Endpoint, now time.Time) time.Time
 }
 
 // Load is the work in flight on an endpoint, from one VM or summed over several.
@@ -135,8 +138,10 @@
 	// Candidates is the number of endpoints that passed the filters.
 	Candidates int
 	// WaitUntil is the earliest time at which an endpoint accepts requests again. It is set only where Endpoint is nil
-	// because every allowed endpoint asked this VM to wait.
+	// because every allowed endpoint asked this VM to wait or is at its rate limit.
 	WaitUntil time.Time
+	// AtLimit is the number of endpoints that were left out because of their rate limits.
+	AtLimit int
 	// FetchFrom is the source from which the endpoint fetches shared parts that it lacks, or empty.
 	FetchFrom string
 	// SaveTo is the cache store to which the endpoint saves the shared parts, or empty. It is set where the store lacks
@@ -188,13 +193,19 @@
 func (p *Placer) Place(r *Request, endpoints []*fleet.Endpoint, f ServiceProperties, now time.Time) Choice {
 	candidates := p.candidates[:0]
 	var waitUntil time.Time
+	atLimit := 0
 	for _, e := range endpoints {
 		c := Candidate{Endpoint: e, state: p.stateOf(e), Load: p.totalLoad(e.ID)}
 		c.Version = c.state.version(e, r.Model)
 		if !p.allowed(&c, r, f, now) {
 			continue
 		}
-		if until := c.state.waitUntil; now.Before(until) {
+		until := c.state.waitUntil
+		if next := f.nextSend(e, now); next.After(now) {
+			atLimit++
+			until = later(until, next)
+		}
+		if now.Before(until) {
 			if waitUntil.IsZero() || until.Before(waitUntil) {
 				waitUntil = until
 			}
@@ -205,7 +216,7 @@
 	p.candidates = candidates
 	candidates = healthy(candidates, now)
 	if len(candidates) == 0 {
-		return Choice{WaitUntil: waitUntil}
+		return Choice{WaitUntil: waitUntil, AtLimit: atLimit}
 	}
 	best := 0
 	for i := range candidates {
@@ -226,6 +237,7 @@
 		UncachedTokens: max(r.Prompt-c.CachedTokens-c.fetchTokens, 0),
 		Running:        c.Load.Running,
 		Candidates:     len(candidates),
+		AtLimit:        atLimit,
 		FetchFrom:      c.fetchFrom,
 	}
 	if r.OnEngine && f.Store != "" && p.savedTokens(r, c.Version, f, now) < r.sharedTokens()-minTransferTokens {
@@ -234,6 +246,22 @@
 	return choice
 }
 
+// nextSend returns when a request may be sent to an endpoint under its rate limit.
+func (f *ServiceProperties) nextSend(e *fleet.Endpoint, now time.Time) time.Time {
+	if f.NextSend == nil {
+		return now
+	}
+	return f.NextSend(e, now)
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // milliseconds converts a number of milliseconds to a duration.
 func milliseconds(ms float64) time.Duration {
 	return time.Duration(ms * float64(time.Millisecond))
--- a/pkg/refusal/refusal.go
+++ b/pkg/refusal/refusal.go
@@ -49,6 +49,7 @@
 	CodeEndpointRejected Code = "endpoint_rejected"
 	CodeOverloaded       Code = "overloaded"
 	CodeLeaving          Code = "vm_leaving"
+	CodeEndpointLimit    Code = "endpoints_at_limit"
 	// CodeAnswerNotKept refuses a repeat of a finished request whose answer was not stored.
 	CodeAnswerNotKept Code = "answer_not_kept"
 )
