--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -87,47 +87,71 @@
 			WithRetryAfter(crashRetryAfter)
 	}
 	var waitUntil time.Time
+	r.atLimit = 0
 	for _, name := range r.route.TargetOrder(r.call.ID) {
 		s := c.Services[name]
 		if s == nil {
 			continue
 		}
-		endpoints := g.endpoints.Usable(name)
-		p := g.placementRequest(r, s)
-		choice := g.placer.Place(p, endpoints, g.serviceProperties(c, s, p, endpoints), now)
-		r.atLimit = choice.AtLimit
-		g.metrics.counters.Add("endpoints_left_out_at_limit_total", int64(choice.AtLimit))
-		if choice.Endpoint == nil {
-			waitUntil = earliest(waitUntil, choice.WaitUntil)
+		t := g.placeOn(r, c, s, now)
+		if t.choice.Endpoint == nil {
+			waitUntil = earliest(waitUntil, t.choice.WaitUntil)
 			continue
 		}
-		r.expectedDuration = choice.Expected
-		if choice.Expected > left {
-			return nil, refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeQueueFull, "the answer would be late").
-				WithRetryAfter(choice.Expected - left + noEndpointRetryAfter)
+		if refused := lateRefusal(r, t, left, now); refused != nil {
+			return nil, refused
 		}
-		if late := overloadDelay(r, s, choice, now); late > 0 {
-			return nil, refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeOverloaded, "the engines are overloaded").
-				WithRetryAfter(late)
-		}
-		if r.attempts == 0 {
-			g.retryBudget(name).CountFirst(now)
-		}
-		r.attempts++
-		g.placer.RecordSend(p, choice, now)
-		underLimit := g.recordLimitedSend(choice.Endpoint, now)
-		return &target{service: s, choice: choice, request: p, sentAt: now, underLimit: underLimit}, nil
-	}
-	if waitUntil.IsZero() {
-		return nil, refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeNoEndpoint, "no endpoint is available").
-			WithRetryAfter(noEndpointRetryAfter)
+		g.recordSend(r, t)
+		return t, nil
 	}
-	if r.atLimit > 0 {
-		return nil, refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeEndpointLimit, "all endpoints are at their rate limits").
-			WithRetryAfter(waitUntil.Sub(now))
-	}
-	return nil, refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeQueueFull, "all endpoints asked to wait").
-		WithRetryAfter(waitUntil.Sub(now))
+	return nil, noEndpointRefusal(r, waitUntil, now)
+}
+
+// placeOn places the request on the endpoints of a service of the configuration. The caller holds the lock.
+func (g *Gateway) placeOn(r *request, c *traffic.Config, s *traffic.Service, now time.Time) *target {
+	endpoints := g.endpoints.Usable(s.Name)
+	p := g.placementRequest(r, s)
+	choice := g.placer.Place(p, endpoints, g.serviceProperties(c, s, p, endpoints), now)
+	r.atLimit += choice.AtLimit
+	g.metrics.counters.Add("endpoints_left_out_at_limit_total", int64(choice.AtLimit))
+	return &target{service: s, choice: choice, request: p, sentAt: now}
+}
+
+// recordSend records that the request is sent to its target. The caller holds the lock.
+func (g *Gateway) recordSend(r *request, t *target) {
+	if r.attempts == 0 {
+		g.retryBudget(t.service.Name).CountFirst(t.sentAt)
+	}
+	r.attempts++
+	g.placer.RecordSend(t.request, t.choice, t.sentAt)
+	t.underLimit = g.recordLimitedSend(t.choice.Endpoint, t.sentAt)
+}
+
+// lateRefusal returns the refusal of a request whose answer would be late on the chosen endpoint, or nil.
+func lateRefusal(r *request, t *target, left time.Duration, now time.Time) *refusal.Error {
+	r.expectedDuration = t.choice.Expected
+	if t.choice.Expected > left {
+		return refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeQueueFull, "the answer would be late").
+			WithRetryAfter(t.choice.Expected - left + noEndpointRetryAfter)
+	}
+	if late := overloadDelay(r, t.service, t.choice, now); late > 0 {
+		return refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeOverloaded, "the engines are overloaded").
+			WithRetryAfter(late)
+	}
+	return nil
+}
+
+// noEndpointRefusal returns the refusal of a request that no endpoint may take now. waitUntil is the earliest time at
+// which one may, or zero if none is known.
+func noEndpointRefusal(r *request, waitUntil, now time.Time) *refusal.Error {
+	code, message, after := refusal.CodeQueueFull, "all endpoints asked to wait", waitUntil.Sub(now)
+	switch {
+	case waitUntil.IsZero():
+		code, message, after = refusal.CodeNoEndpoint, "no endpoint is available", noEndpointRetryAfter
+	case r.atLimit > 0:
+		code, message = refusal.CodeEndpointLimit, "all endpoints are at their rate limits"
+	}
+	return refusal.New(fasthttp.StatusServiceUnavailable, code, "%s", message).WithRetryAfter(after)
 }
 
 // earliest returns the earlier of two times, either of which may be zero.
