--- a/pkg/endpointlimit/simulation_test.go
+++ b/pkg/endpointlimit/simulation_test.go
@@ -349,6 +349,12 @@
 			}
 		}
 	}},
+	{name: "callers stay away and return at once", apply: func(s *simulation) {
+		s.perVM = 5
+		if s.now >= simFaultAt-5*time.Second && s.now < simFaultAt {
+			s.perVM = 0
+		}
+	}},
 	{name: "third freezes", apply: func(s *simulation) {
 		for i, vm := range s.vms {
 			if third(i) {
