Ask a limited endpoint that placement avoids whether its limit still holds

What callers would see: under light load placement prefers other endpoints, so a limit that has ended is never heard of and its endpoint is short of requests when load rises.

--- a/pkg/endpointlimit/share.go
+++ b/pkg/endpointlimit/share.go
@@ -22,6 +22,8 @@
 	// minPerSecond is the rate at which requests are sent to an endpoint whose limit is lower, in requests per second
 	// over all VMs. Only an answer can tell that the limit has ended.
 	minPerSecond = 0.1
+	// checkPeriod is the time after which an owner that sent nothing to an endpoint is to send it a request.
+	checkPeriod = 5 * time.Second
 	// maxWait bounds the time after which a caller is told to return.
 	maxWait = 10 * time.Second
 )
@@ -54,8 +56,8 @@
 	// sent.
 	tokens     float64
 	refilledAt time.Time
-	// sent counts the requests that this VM sent under the limit.
-	sent int
+	// usedAt is when this VM last sent a request under the limit or became an owner.
+	usedAt time.Time
 }
 
 // refill adds the tokens of the time since the last refill.
@@ -99,14 +101,14 @@
 func (t *Table) updateShare(e *entry, now time.Time) {
 	owners := ownerCount(e.PerSecond, len(t.members.Owners))
 	if !e.Limited || owners == 0 || !t.isOwner(e, owners) {
-		e.share = share{sent: e.share.sent}
+		e.share = share{}
 		return
 	}
 	s := &e.share
 	if s.owner {
 		s.refill(now)
 	} else {
-		*s = share{owner: true, refilledAt: now.Add(settlePeriod), sent: s.sent}
+		*s = share{owner: true, refilledAt: now.Add(settlePeriod), usedAt: now}
 	}
 	s.rate = effectiveRate(e.PerSecond) * t.members.part() / float64(owners)
 	s.burst = math.Max(minBurst, s.rate*burstPeriod.Seconds())
@@ -151,6 +153,13 @@
 	return now.Add(waitFor(1, effectiveRate(e.PerSecond)))
 }
 
+// CheckDue reports whether this VM should send an endpoint a request to learn whether its limit still holds: it owns a
+// part that it has not used for checkPeriod.
+func (t *Table) CheckDue(endpoint Incarnation, now time.Time) bool {
+	e := t.limited(endpoint)
+	return e != nil && e.share.owner && now.Sub(e.share.usedAt) >= checkPeriod
+}
+
 // RecordSend takes a request that is sent to an endpoint from this VM's part of the limit. It reports whether the
 // endpoint is limited.
 func (t *Table) RecordSend(endpoint Incarnation, now time.Time) bool {
@@ -160,7 +169,7 @@
 	}
 	e.share.refill(now)
 	e.share.tokens--
-	e.share.sent++
+	e.share.usedAt = now
 	return true
 }
 
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -18,9 +18,19 @@
 	return endpointlimit.Incarnation{ID: e.ID, StartTimeMs: e.StartTimeMs}
 }
 
-// nextSend returns when this VM may send the next request to an endpoint under its rate limit. The caller holds the lock.
-func (g *Gateway) nextSend(e *fleet.Endpoint, now time.Time) time.Time {
-	return g.limits.NextSend(incarnation(e), now)
+// placementLimits implements place.RateLimits. The caller holds the lock.
+type placementLimits struct {
+	table *endpointlimit.Table
+}
+
+// NextSend implements place.RateLimits.
+func (l placementLimits) NextSend(e *fleet.Endpoint, now time.Time) time.Time {
+	return l.table.NextSend(incarnation(e), now)
+}
+
+// CheckDue implements place.RateLimits.
+func (l placementLimits) CheckDue(e *fleet.Endpoint, now time.Time) bool {
+	return l.table.CheckDue(incarnation(e), now)
 }
 
 // recordLimitedSend takes a request from this VM's part of the endpoint's limit. It reports whether the endpoint is
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -76,9 +76,16 @@
 	// VersionLimit is the time after the announcement of a newer version from which the older weights may not start a
 	// request. Zero refuses them at once.
 	VersionLimit time.Duration
-	// NextSend returns when this VM may send the next request to an endpoint under the rate limit that it named: now or
-	// earlier if it may send one.
-	NextSend func(e *fleet.Endpoint, now time.Time) time.Time
+	// Limits are the rate limits that endpoints named, or nil if there are none.
+	Limits RateLimits
+}
+
+// RateLimits are the rate limits that endpoints named for all VMs together.
+type RateLimits interface {
+	// NextSend returns when this VM may send the next request to an endpoint: now or earlier if it may send one.
+	NextSend(e *fleet.Endpoint, now time.Time) time.Time
+	// CheckDue reports whether this VM should send an endpoint a request to learn whether its limit still holds.
+	CheckDue(e *fleet.Endpoint, now time.Time) bool
 }
 
 // Load is the work in flight on an endpoint, from one VM or summed over several.
@@ -248,10 +255,10 @@
 
 // nextSend returns when a request may be sent to an endpoint under its rate limit.
 func (f *ServiceProperties) nextSend(e *fleet.Endpoint, now time.Time) time.Time {
-	if f.NextSend == nil {
+	if f.Limits == nil {
 		return now
 	}
-	return f.NextSend(e, now)
+	return f.Limits.NextSend(e, now)
 }
 
 // later returns the later of two times.
