--- a/pkg/endpointlimit/table.go
+++ b/pkg/endpointlimit/table.go
@@ -56,6 +56,8 @@
 type Change struct {
 	// Changed is false if the limit is the same as before.
 	Changed bool
+	// Rejected is set if a limit was not kept, because the table is full or the value is not a finite positive number.
+	Rejected bool
 	// Was is the state before, or the zero value if there was none.
 	Was State
 	// Now is the state after.
@@ -175,11 +177,11 @@
 // replace sets the state of an endpoint.
 func (t *Table) replace(next State, now time.Time) Change {
 	if math.IsNaN(next.PerSecond) || math.IsInf(next.PerSecond, 0) || next.PerSecond < 0 {
-		return Change{}
+		return Change{Rejected: true, Now: next}
 	}
 	old := t.entries[next.Endpoint.ID]
 	if old == nil && len(t.entries) >= maxEntries {
-		return Change{}
+		return Change{Rejected: true, Now: next}
 	}
 	e := &entry{
 		State: next, key: rendezvous.Key(next.Endpoint.ID), learnedAt: now, tellUntil: now.Add(tellPeriod), registeredAt: now,
@@ -244,6 +246,11 @@
 	return changes
 }
 
+// Empty reports whether no endpoint has named a limit.
+func (t *Table) Empty() bool {
+	return len(t.entries) == 0
+}
+
 // limited returns the entry of an endpoint if its limit holds for a start, or nil.
 func (t *Table) limited(endpoint Incarnation) *entry {
 	e := t.entries[endpoint.ID]
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -56,7 +56,7 @@
 	change := g.limits.Observe(endpointlimit.Answer{
 		Endpoint: incarnation(e), Limit: answer.Limit, SentAt: t.sentAt, Conclusive: answer.Signed && !answer.NotRun,
 	}, now)
-	if g.logLimitChange(change, "answer", g.settings.VM) {
+	if g.handleLimitChange(change, "answer", g.settings.VM, now) {
 		g.requestDigest()
 	}
 }
@@ -68,7 +68,7 @@
 			Endpoint: endpointlimit.Incarnation{ID: l.GetEndpoint(), StartTimeMs: l.GetBorn()},
 			Revision: l.GetRevision(), Limited: l.GetLimited(), PerSecond: l.GetPerSecond(),
 		}, now)
-		g.logLimitChange(change, "peer", vm)
+		g.handleLimitChange(change, "peer", vm, now)
 	}
 }
 
@@ -83,12 +83,24 @@
 	return out
 }
 
-// logLimitChange logs a change of an endpoint's limit with its source, which is an answer, a peer or the list of
-// endpoints, and the VM that learned it. It reports whether there is a change.
-func (g *Gateway) logLimitChange(c endpointlimit.Change, source, heardBy string) bool {
+// handleLimitChange logs a change of an endpoint's limit and updates this VM's parts. It reports whether there is a
+// change. The caller holds the lock.
+func (g *Gateway) handleLimitChange(c endpointlimit.Change, source, heardBy string, now time.Time) bool {
+	if c.Rejected {
+		g.log.warn(partEndpoint).Str("endpoint", c.Now.Endpoint.ID).Float64("limit_per_s", c.Now.PerSecond).
+			Str("source", source).Str("heard_by", heardBy).Msg("limit of an endpoint not kept")
+	}
 	if !c.Changed {
 		return false
 	}
+	g.limits.SetMembers(g.limitMembers(now), now)
+	g.logLimitChange(c, source, heardBy)
+	return true
+}
+
+// logLimitChange logs a change of an endpoint's limit with its source, which is an answer, a peer or the list of
+// endpoints, and the VM that learned it.
+func (g *Gateway) logLimitChange(c endpointlimit.Change, source, heardBy string) {
 	message := "endpoint named a limit"
 	switch {
 	case !c.Now.Limited:
@@ -99,7 +111,6 @@
 	g.log.info(partEndpoint).Str("endpoint", c.Now.Endpoint.ID).Int64("start", c.Now.Endpoint.StartTimeMs).
 		Float64("limit_per_s", c.Now.PerSecond).Float64("was_per_s", c.Was.PerSecond).Uint64("revision", c.Now.Revision).
 		Str("source", source).Str("heard_by", heardBy).Dur("age_ms", c.Age).Msg(message)
-	return true
 }
 
 // takesRequests reports whether this VM may own limits: it received a request lately and does not stop. The caller holds
@@ -142,7 +153,9 @@
 	for _, change := range g.limits.Expire(g.registeredStart, now) {
 		g.logLimitChange(change, "list of endpoints", g.settings.VM)
 	}
-	g.limits.SetMembers(g.limitMembers(now), now)
+	if !g.limits.Empty() {
+		g.limits.SetMembers(g.limitMembers(now), now)
+	}
 	usage := g.limits.Usage()
 	g.metrics.set("limited_endpoints", float64(usage.Limited))
 	g.metrics.set("limited_endpoints_owned", float64(usage.Owned))
