Bound what digests say of limits, and answer a VM that missed an end

Now only the VM that was told tells a change, hubs and one digest in 32 tell limits in force, 64 at most at once, in turns.

--- a/pkg/endpointlimit/table.go
+++ b/pkg/endpointlimit/table.go
@@ -1,15 +1,20 @@
 package endpointlimit
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/corneldeal/corneldeal/pkg/rendezvous"
 )
 
 const (
-	// tellPeriod is the time for which a change is told to peers in any case. Limits in force are told for longer.
+	// tellPeriod is the time for which a VM tells peers a change that it learned from an answer, and answers a peer that
+	// holds an older state.
 	tellPeriod = 3 * time.Second
+	// maxReports bounds the states that are told at once, so that a digest stays small when many endpoints are limited.
+	maxReports = 64
 	// doubtPeriod is the longest time that a peer's report of an end may take to arrive. An endpoint that named its limit
 	// to this VM within it may have done so after the end, so the limit is named again.
 	doubtPeriod = time.Second
@@ -75,8 +80,10 @@
 	learnedAt time.Time
 	// namedAt is when an answer to this VM last named the limit, or zero.
 	namedAt time.Time
-	// tellUntil is the time until which the state is told to peers in any case.
+	// tellUntil is the time until which this VM tells peers a state that it learned from an answer.
 	tellUntil time.Time
+	// olderSeenAt is when a peer last reported an older state, or zero.
+	olderSeenAt time.Time
 	// registeredAt is when the endpoint was last seen registered.
 	registeredAt time.Time
 	share        share
@@ -87,6 +94,8 @@
 	vm      string
 	entries map[string]*entry
 	members Members
+	// reported is the id of the last endpoint whose state was told without having changed.
+	reported string
 }
 
 // New returns an empty table for a VM.
@@ -121,6 +130,7 @@
 		change := Change{}
 		if !current || e.mustAdopt(a) {
 			change = t.replace(next, now)
+			t.tell(next.Endpoint.ID, now)
 		}
 		if e = t.entries[a.Endpoint.ID]; e != nil {
 			e.namedAt = now
@@ -134,11 +144,20 @@
 		next := e.State
 		next.Revision++
 		next.Limited = false
-		return t.replace(next, now)
+		change := t.replace(next, now)
+		t.tell(next.Endpoint.ID, now)
+		return change
 	}
 	return Change{}
 }
 
+// tell tells peers the state of an endpoint for tellPeriod.
+func (t *Table) tell(id string, now time.Time) {
+	if e := t.entries[id]; e != nil {
+		e.tellUntil = now.Add(tellPeriod)
+	}
+}
+
 // mustAdopt reports whether the limit that an answer of the same start names replaces the state. Answers to requests
 // that were sent before the state was learned may be older than it; such an answer can only make the limit stricter.
 func (e *entry) mustAdopt(a Answer) bool {
@@ -159,8 +178,7 @@
 	}
 	if !s.supersedes(e.State) {
 		if s != e.State {
-			// The peer holds an older state.
-			e.tellUntil = now.Add(tellPeriod)
+			e.olderSeenAt = now
 		}
 		return Change{}
 	}
@@ -184,7 +202,7 @@
 		return Change{Rejected: true, Now: next}
 	}
 	e := &entry{
-		State: next, key: rendezvous.Key(next.Endpoint.ID), learnedAt: now, tellUntil: now.Add(tellPeriod), registeredAt: now,
+		State: next, key: rendezvous.Key(next.Endpoint.ID), learnedAt: now, registeredAt: now,
 	}
 	change := Change{Changed: true, Now: next}
 	if old != nil {
@@ -203,16 +221,40 @@
 	return change
 }
 
-// Reports returns the states to tell peers: those that changed lately or that a peer does not know, and with all set
-// every limit in force.
+// Reports returns up to maxReports states to tell peers: those that this VM learned from answers lately, and with all set
+// also the limits in force and the states of which a peer lately reported an older one. What does not fit is told with
+// the next reports.
 func (t *Table) Reports(all bool, now time.Time) []State {
-	var out []State
+	var changed, standing []State
 	for _, e := range t.entries {
-		if all && e.Limited || now.Before(e.tellUntil) {
-			out = append(out, e.State)
+		switch {
+		case now.Before(e.tellUntil):
+			changed = append(changed, e.State)
+		case all && (e.Limited || !e.olderSeenAt.IsZero() && now.Sub(e.olderSeenAt) < tellPeriod):
+			standing = append(standing, e.State)
 		}
 	}
-	return out
+	slices.SortFunc(standing, func(a, b State) int {
+		// The endpoints after the one told last come first.
+		return cmp.Or(compareBool(a.Endpoint.ID <= t.reported, b.Endpoint.ID <= t.reported), cmp.Compare(a.Endpoint.ID, b.Endpoint.ID))
+	})
+	changed = changed[:min(len(changed), maxReports)]
+	standing = standing[:min(len(standing), maxReports-len(changed))]
+	if len(standing) > 0 {
+		t.reported = standing[len(standing)-1].Endpoint.ID
+	}
+	return append(changed, standing...)
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
 }
 
 // States returns all states, for a VM that starts.
--- a/pkg/gateway/digest.go
+++ b/pkg/gateway/digest.go
@@ -21,6 +21,9 @@
 	forgetPeerAfter = 10 * time.Minute
 	// unknownStoreAge is the age reported for the store's last answer if the store never answered.
 	unknownStoreAge = time.Hour
+	// allLimitsInterval is the number of digests of which one of a VM that is no hub tells all limits in force, so that
+	// one that missed an end is answered.
+	allLimitsInterval = 32
 	// departureReportPeriod is the time for which a departure is sent to peers.
 	departureReportPeriod = 8 * time.Second
 	// announcementReportPeriod is the time for which the announcement of a version is sent to peers.
@@ -99,7 +102,7 @@
 	}
 	d.Versions = g.versionReports()
 	reachesAll := !g.isLargeSystem() || g.isHub(now)
-	d.Limits = limitsToProto(g.limits.Reports(reachesAll, now))
+	d.Limits = limitsToProto(g.limits.Reports(reachesAll || sequence%allLimitsInterval == 0, now))
 	d.TakesRequests = g.takesRequests(now)
 	if reachesAll {
 		// The digests of hubs reach every VM, so the others need not repeat these.
--- a/pkg/gateway/limits_test.go
+++ b/pkg/gateway/limits_test.go
@@ -81,5 +81,17 @@
 		if took := s.timeUntil(2*limitSpreadTime, ended); took > limitSpreadTime {
 			t.Errorf("%d VMs: %v until the other half knew that the limit has ended", count, took)
 		}
+		s.answer(s.vms[1], named)
+		s.run(limitSpreadTime)
+		// A VM that is no hub is alone when the limit ends.
+		s.vms[2].partition = 1
+		s.run(limitSpreadTime)
+		s.answer(s.vms[1], endpointlimit.Statement{})
+		s.run(2 * limitSpreadTime)
+		s.vms[2].partition = 0
+		reconnected := allLimitsInterval*maxDigestIntervalLarge + limitSpreadTime
+		if took := s.timeUntil(2*reconnected, ended); took > reconnected {
+			t.Errorf("%d VMs: %v until a VM that was alone knew that the limit has ended", count, took)
+		}
 	}
 }
