--- a/pkg/crashguard/tally.go
+++ b/pkg/crashguard/tally.go
@@ -32,7 +32,7 @@
 type Crash struct {
 	// Fingerprint identifies the request.
 	Fingerprint uint64
-	// Endpoint names one incarnation of an endpoint, as Incarnation.Name returns it.
+	// Endpoint names one incarnation of an endpoint, as fleet.Incarnation.Name returns it.
 	Endpoint string
 	// Cleared means that the request ran clean elsewhere, so the endpoint ended for another reason. A cleared crash
 	// never counts again.
--- a/pkg/crashguard/unanswered.go
+++ b/pkg/crashguard/unanswered.go
@@ -2,8 +2,9 @@
 
 import (
 	"slices"
-	"strconv"
 	"time"
+
+	"github.com/corneldeal/corneldeal/pkg/fleet"
 )
 
 const (
@@ -13,19 +14,6 @@
 	maxUnansweredPerEndpoint = 256
 )
 
-// Incarnation identifies one start of the process of an endpoint.
-type Incarnation struct {
-	// ID is the ID of the endpoint.
-	ID string
-	// StartTimeMs is the start time of the incarnation in Unix milliseconds.
-	StartTimeMs int64
-}
-
-// Name returns the form of the incarnation that Crash.Endpoint contains.
-func (s Incarnation) Name() string {
-	return s.ID + "/" + strconv.FormatInt(s.StartTimeMs, 10)
-}
-
 // unansweredAttempt is an attempt that was given up before it was answered.
 type unansweredAttempt struct {
 	fingerprint  uint64
@@ -36,29 +24,29 @@
 // connection. An endpoint that ends without closing its connections leaves no other trace, so such an attempt counts
 // as a crash once the list of endpoints shows that the endpoint ended. It is not safe for concurrent use.
 type UnansweredAttempts struct {
-	attempts map[Incarnation][]unansweredAttempt
+	attempts map[fleet.Incarnation][]unansweredAttempt
 }
 
 // NewUnansweredAttempts returns an empty UnansweredAttempts.
 func NewUnansweredAttempts() *UnansweredAttempts {
-	return &UnansweredAttempts{attempts: map[Incarnation][]unansweredAttempt{}}
+	return &UnansweredAttempts{attempts: map[fleet.Incarnation][]unansweredAttempt{}}
 }
 
 // Add adds an attempt.
-func (u *UnansweredAttempts) Add(fingerprint uint64, endpoint Incarnation, began, ended time.Time) {
+func (u *UnansweredAttempts) Add(fingerprint uint64, endpoint fleet.Incarnation, began, ended time.Time) {
 	all := append(u.attempts[endpoint], unansweredAttempt{fingerprint: fingerprint, began: began, ended: ended})
 	u.attempts[endpoint] = all[max(len(all)-maxUnansweredPerEndpoint, 0):]
 }
 
 // RecordAnswer records that an endpoint answered an attempt that began at the given time. It drops the attempts that
 // began then or later, because the endpoint survived them.
-func (u *UnansweredAttempts) RecordAnswer(endpoint Incarnation, began time.Time) {
+func (u *UnansweredAttempts) RecordAnswer(endpoint fleet.Incarnation, began time.Time) {
 	u.retain(endpoint, func(a unansweredAttempt) bool { return a.began.Before(began) })
 }
 
 // TakeCrashes removes the attempts at endpoints that have ended and returns them as crashes. It also drops attempts older
 // than unansweredRetention.
-func (u *UnansweredAttempts) TakeCrashes(hasEnded func(Incarnation) bool, now time.Time) []Crash {
+func (u *UnansweredAttempts) TakeCrashes(hasEnded func(fleet.Incarnation) bool, now time.Time) []Crash {
 	var out []Crash
 	for endpoint, attempts := range u.attempts {
 		if hasEnded(endpoint) {
@@ -74,7 +62,7 @@
 }
 
 // retain drops the attempts at an endpoint for which keep returns false.
-func (u *UnansweredAttempts) retain(endpoint Incarnation, keep func(unansweredAttempt) bool) {
+func (u *UnansweredAttempts) retain(endpoint fleet.Incarnation, keep func(unansweredAttempt) bool) {
 	left := slices.DeleteFunc(u.attempts[endpoint], func(a unansweredAttempt) bool { return !keep(a) })
 	if len(left) == 0 {
 		delete(u.attempts, endpoint)
--- a/pkg/crashguard/unanswered_test.go
+++ b/pkg/crashguard/unanswered_test.go
@@ -3,15 +3,17 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/corneldeal/corneldeal/pkg/fleet"
 )
 
 // Guards against crashes that are not counted because the endpoint ended without closing its connections, and against
 // accusing requests that an endpoint survived.
 func TestUnansweredAttemptsCountOnceTheEndpointHasEnded(t *testing.T) {
 	at := func(s int) time.Time { return time.Unix(int64(1000+s), 0) }
-	silent := Incarnation{ID: "a", StartTimeMs: 1}
-	ended := func(s Incarnation) bool { return s == silent }
-	running := func(Incarnation) bool { return false }
+	silent := fleet.Incarnation{ID: "a", StartTimeMs: 1}
+	ended := func(s fleet.Incarnation) bool { return s == silent }
+	running := func(fleet.Incarnation) bool { return false }
 	u := NewUnansweredAttempts()
 	u.Add(7, silent, at(0), at(2))
 	u.Add(8, silent, at(1), at(3))
@@ -32,14 +34,14 @@
 func TestUnansweredAttemptsAreBounded(t *testing.T) {
 	now := time.Unix(1000, 0)
 	u := NewUnansweredAttempts()
-	endpoint := Incarnation{ID: "a", StartTimeMs: 1}
+	endpoint := fleet.Incarnation{ID: "a", StartTimeMs: 1}
 	for i := range uint64(3 * maxUnansweredPerEndpoint) {
 		u.Add(i, endpoint, now, now)
 	}
 	if n := len(u.attempts[endpoint]); n != maxUnansweredPerEndpoint {
 		t.Fatalf("%d attempts are held", n)
 	}
-	u.TakeCrashes(func(Incarnation) bool { return false }, now.Add(unansweredRetention+time.Second))
+	u.TakeCrashes(func(fleet.Incarnation) bool { return false }, now.Add(unansweredRetention+time.Second))
 	if len(u.attempts) != 0 {
 		t.Fatal("expired attempts are still held")
 	}
--- a/pkg/endpointlimit/share.go
+++ b/pkg/endpointlimit/share.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/corneldeal/corneldeal/pkg/fleet"
 	"github.com/corneldeal/corneldeal/pkg/rendezvous"
 )
 
@@ -12,34 +13,34 @@
 	// limitPerOwner is the part of a limit, in requests per second, for which there is one owner more. A VM of a large
 	// system gets a few requests a second, so it can use its part.
 	limitPerOwner = 2.0
-	// settlePeriod is the time between the moment at which a VM becomes an owner and its first request. The VM that owned
-	// the part before learns of the change in this time, and requests sent before a limit was known arrive.
-	settlePeriod = 2 * time.Second
+	// handoverDelay is the time between the moment at which a VM becomes an owner and its first request. In this time the
+	// previous owner learns of the change, and requests that were sent before the limit was known arrive.
+	handoverDelay = 2 * time.Second
 	// burstPeriod is the time whose requests an owner may send at once, and minBurst the least number of them. With more
 	// than one, an owner whose next request comes a little late loses nothing of its part.
 	burstPeriod = 250 * time.Millisecond
 	minBurst    = 1.5
-	// minPerSecond is the rate at which requests are sent to an endpoint whose limit is lower, in requests per second
-	// over all VMs. Only an answer can tell that the limit has ended.
+	// minPerSecond is the rate, in requests per second over all VMs, at which an endpoint with a lower limit is probed.
+	// Only an answer shows that the limit has ended.
 	minPerSecond = 0.1
-	// checkPeriod is the time after which an owner that sent nothing to an endpoint is to send it a request.
-	checkPeriod = 5 * time.Second
-	// maxWait bounds the time after which a caller is told to return.
+	// probeInterval is the time after which an owner that sent nothing to an endpoint probes it with a request.
+	probeInterval = 5 * time.Second
+	// maxWait bounds the time until the next request that NextSend returns.
 	maxWait = 10 * time.Second
 )
 
 // Members is what a VM knows about the VMs of the system.
 type Members struct {
-	// Owners are the names of the VMs that may own limits, this one included if it may: those that are heard, do not stop
-	// and received requests lately. They are sorted.
+	// Owners are the names of the VMs that may own limits, sorted: live VMs that recently received requests and are not
+	// stopping. This VM is included if it may.
 	Owners []string
-	// Live is the number of VMs that are heard, this one included. Known also counts those that fell silent and may go on
-	// sending because they are only cut off.
+	// Live is the number of live VMs, this one included. Known also counts VMs that fell silent, since they may only be
+	// partitioned from this one and still send requests.
 	Live, Known int
 }
 
-// part returns the part of every limit that the VMs that hear each other may use, so that the halves of a divided system
-// keep to the limit together.
+// part returns the part of every limit that the live VMs may use, so that the sides of a partition together keep to the
+// limit.
 func (m Members) part() float64 {
 	if m.Known <= 0 {
 		return 1
@@ -100,7 +101,7 @@
 // updateShare recomputes this VM's part of the limit of an endpoint.
 func (t *Table) updateShare(e *entry, now time.Time) {
 	owners := ownerCount(e.PerSecond, len(t.members.Owners))
-	if !e.Limited || owners == 0 || !t.isOwner(e, owners) {
+	if !e.Limited || !t.mayOwn() || !rendezvous.IsAmongFirst(e.key, t.vm, t.members.Owners, owners) {
 		e.share = share{}
 		return
 	}
@@ -108,13 +109,19 @@
 	if s.owner {
 		s.refill(now)
 	} else {
-		*s = share{owner: true, refilledAt: now.Add(settlePeriod), usedAt: now}
+		*s = share{owner: true, refilledAt: now.Add(handoverDelay), usedAt: now}
 	}
 	s.rate = effectiveRate(e.PerSecond) * t.members.part() / float64(owners)
 	s.burst = math.Max(minBurst, s.rate*burstPeriod.Seconds())
 	s.tokens = math.Min(s.tokens, s.burst)
 }
 
+// mayOwn reports whether this VM may own limits.
+func (t *Table) mayOwn() bool {
+	_, found := slices.BinarySearch(t.members.Owners, t.vm)
+	return found
+}
+
 // effectiveRate returns the rate in requests per second that is sent under a limit.
 func effectiveRate(perSecond float64) float64 {
 	return math.Max(perSecond, minPerSecond)
@@ -126,23 +133,9 @@
 	return int(math.Min(wanted, float64(available)))
 }
 
-// isOwner reports whether this VM has one of the highest rendezvous weights for the endpoint.
-func (t *Table) isOwner(e *entry, owners int) bool {
-	own := rendezvous.Weight(e.key, t.vm)
-	higher, present := 0, false
-	for _, vm := range t.members.Owners {
-		if vm == t.vm {
-			present = true
-		} else if rendezvous.Weight(e.key, vm) > own {
-			higher++
-		}
-	}
-	return present && higher < owners
-}
-
-// NextSend returns when this VM may send a request to an endpoint: now, a later time if the endpoint is limited. For a VM
-// that does not own a part of the limit it is the time in which the whole system may send one.
-func (t *Table) NextSend(endpoint Incarnation, now time.Time) time.Time {
+// NextSend returns when this VM may send the next request to an endpoint: now, or later if the endpoint is limited. For a
+// VM that owns no part of the limit, it is the time after which the whole system may send one more.
+func (t *Table) NextSend(endpoint fleet.Incarnation, now time.Time) time.Time {
 	e := t.limited(endpoint)
 	if e == nil {
 		return now
@@ -153,16 +146,16 @@
 	return now.Add(waitFor(1, effectiveRate(e.PerSecond)))
 }
 
-// CheckDue reports whether this VM should send an endpoint a request to learn whether its limit still holds: it owns a
-// part that it has not used for checkPeriod.
-func (t *Table) CheckDue(endpoint Incarnation, now time.Time) bool {
+// ProbeDue reports whether this VM should send an endpoint a request to find out whether its limit still holds: it owns a
+// part that it has not used for probeInterval.
+func (t *Table) ProbeDue(endpoint fleet.Incarnation, now time.Time) bool {
 	e := t.limited(endpoint)
-	return e != nil && e.share.owner && now.Sub(e.share.usedAt) >= checkPeriod
+	return e != nil && e.share.owner && now.Sub(e.share.usedAt) >= probeInterval
 }
 
 // RecordSend takes a request that is sent to an endpoint from this VM's part of the limit. It reports whether the
 // endpoint is limited.
-func (t *Table) RecordSend(endpoint Incarnation, now time.Time) bool {
+func (t *Table) RecordSend(endpoint fleet.Incarnation, now time.Time) bool {
 	e := t.limited(endpoint)
 	if e == nil {
 		return false
--- a/pkg/endpointlimit/simulation_test.go
+++ b/pkg/endpointlimit/simulation_test.go
@@ -7,6 +7,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/corneldeal/corneldeal/pkg/fleet"
 )
 
 // large adds systems of 195 and 410 VMs, which take a minute, to TestLimitHoldsOverAllVMs.
@@ -20,10 +22,10 @@
 	simAnswerDelay = 100 * time.Millisecond
 	// simWindow is the span of time over which the platform counts the requests to a limited endpoint.
 	simWindow = 4 * time.Second
-	// simNamedAt is when the endpoint begins to name its limit, and simBindsAt the time from which the limit binds.
-	// Deployments allow 3 s or more between the two.
-	simNamedAt = 3 * time.Second
-	simBindsAt = simNamedAt + 3*time.Second
+	// simAdvertisedAt is when the endpoint first advertises its limit, and simBindsAt the time from which the limit
+	// binds. Deployments allow 3 s or more between the two.
+	simAdvertisedAt = 3 * time.Second
+	simBindsAt      = simAdvertisedAt + 3*time.Second
 	// simFaultAt is when the fault of a scenario begins, and simFaultEnd when it ends.
 	simFaultAt  = 15 * time.Second
 	simFaultEnd = 30 * time.Second
@@ -38,7 +40,7 @@
 	simLargeSystem = 24
 	// simHubs is the number of hubs of a large system.
 	simHubs = 8
-	// simUnlimitedRate is how many times its limit an endpoint gets before it names it.
+	// simUnlimitedRate is how many times its limit an endpoint gets before it advertises it.
 	simUnlimitedRate = 3
 )
 
@@ -53,11 +55,11 @@
 	nextDigest time.Duration
 	// boot counts the starts of the VM.
 	boot int
-	// heardAt is when the newest digest of each other VM arrived, and heardOnce which of them were ever heard.
-	heardAt   []time.Duration
-	heardOnce []bool
-	// leftAt is when another VM announced that it stops.
-	left []bool
+	// lastDigestAt is when the newest digest of each other VM arrived, and digestSeen whether one ever arrived.
+	lastDigestAt []time.Duration
+	digestSeen   []bool
+	// stopping contains the VMs that announced that they stop.
+	stopping []bool
 }
 
 // simDigest is a digest on its way.
@@ -74,7 +76,7 @@
 	answer   Answer
 }
 
-// simulation runs the tables of many VMs over a simulated network, beside one endpoint that names a limit. Callers
+// simulation runs the tables of many VMs over a simulated network, beside one endpoint that advertises a limit. Callers
 // always want that endpoint.
 type simulation struct {
 	t        *testing.T
@@ -82,9 +84,9 @@
 	epoch    time.Time
 	now      time.Duration
 	vms      []*simVM
-	endpoint Incarnation
+	endpoint fleet.Incarnation
 	limit    float64
-	// endsAt is when the endpoint no longer names its limit, or zero.
+	// endsAt is when the endpoint no longer advertises its limit, or zero.
 	endsAt time.Duration
 	// perVM is the rate of requests at each VM, in requests per second.
 	perVM    float64
@@ -98,7 +100,7 @@
 	t.Helper()
 	s := &simulation{
 		t: t, rng: rand.New(rand.NewPCG(seed, uint64(vms))), epoch: time.Unix(1e9, 0), limit: limit, perVM: 5,
-		endpoint: Incarnation{ID: fmt.Sprint("e", seed), StartTimeMs: 7},
+		endpoint: fleet.Incarnation{ID: fmt.Sprint("e", seed), StartTimeMs: 7},
 	}
 	for i := range vms {
 		s.vms = append(s.vms, &simVM{name: fmt.Sprint("vm-", i)})
@@ -116,9 +118,9 @@
 	vm.boot++
 	vm.startsAt = s.now
 	vm.nextDigest = s.now + time.Duration(s.rng.Int64N(int64(s.digestInterval())))
-	vm.heardAt = make([]time.Duration, len(s.vms))
-	vm.heardOnce = make([]bool, len(s.vms))
-	vm.left = make([]bool, len(s.vms))
+	vm.lastDigestAt = make([]time.Duration, len(s.vms))
+	vm.digestSeen = make([]bool, len(s.vms))
+	vm.stopping = make([]bool, len(s.vms))
 }
 
 func (s *simulation) isLarge() bool {
@@ -169,7 +171,7 @@
 		return
 	}
 	limited := vm.table.limited(s.endpoint) != nil
-	if !limited && s.now >= simNamedAt-time.Second && s.rng.Float64() > simUnlimitedRate*s.limit/(s.perVM*float64(len(s.vms))) {
+	if !limited && s.now >= simAdvertisedAt-time.Second && s.rng.Float64() > simUnlimitedRate*s.limit/(s.perVM*float64(len(s.vms))) {
 		// The request goes to another endpoint.
 		return
 	}
@@ -178,12 +180,12 @@
 	}
 	vm.table.RecordSend(s.endpoint, s.clock())
 	s.arrivals = append(s.arrivals, s.now)
-	statement := Statement{}
-	if s.now >= simNamedAt && (s.endsAt == 0 || s.now < s.endsAt) {
-		statement = Statement{Kind: Limited, PerSecond: s.limit}
+	advertisement := Advertisement{}
+	if s.now >= simAdvertisedAt && (s.endsAt == 0 || s.now < s.endsAt) {
+		advertisement = Advertisement{Kind: Advertised, PerSecond: s.limit}
 	}
 	s.answers = append(s.answers, simAnswer{to: i, boot: vm.boot, at: s.now + simAnswerDelay, answer: Answer{
-		Endpoint: s.endpoint, Limit: statement, SentAt: s.clock(), Conclusive: true,
+		Endpoint: s.endpoint, Limit: advertisement, SentAt: s.clock(), Conclusive: true,
 	}})
 }
 
@@ -191,13 +193,13 @@
 func (s *simulation) members(i int, vm *simVM) Members {
 	m := Members{Owners: []string{vm.name}, Live: 1, Known: 1}
 	for j, other := range s.vms {
-		if j == i || vm.left[j] {
+		if j == i || vm.stopping[j] {
 			continue
 		}
 		switch {
-		case vm.heardOnce[j]:
+		case vm.digestSeen[j]:
 			m.Known++
-			if s.now-vm.heardAt[j] < simSilenceLimit {
+			if s.now-vm.lastDigestAt[j] < simSilenceLimit {
 				m.Live++
 				m.Owners = append(m.Owners, other.name)
 			}
@@ -229,7 +231,7 @@
 		if to.frozen || to.down || d.boot != s.vms[d.from].boot {
 			continue
 		}
-		to.heardAt[d.from], to.heardOnce[d.from], to.left[d.from] = s.now, true, d.leaving
+		to.lastDigestAt[d.from], to.digestSeen[d.from], to.stopping[d.from] = s.now, true, d.leaving
 		for _, state := range d.states {
 			if to.table.Merge(state, s.clock()).Changed {
 				to.nextDigest = min(to.nextDigest, s.now+25*time.Millisecond)
@@ -287,7 +289,7 @@
 	name string
 	// apply applies the fault.
 	apply func(s *simulation)
-	// excused is set if all machines restart, which excuses them until they have been told again.
+	// excused is set if all machines restart, which excuses them until answers have advertised the limit again.
 	excused bool
 	// joining is set if a third of the VMs starts when the fault begins.
 	joining bool
@@ -339,7 +341,7 @@
 			}
 		}
 	}},
-	{name: "halves are cut from each other", apply: func(s *simulation) {
+	{name: "halves are partitioned", apply: func(s *simulation) {
 		for i, vm := range s.vms {
 			switch s.now {
 			case simFaultAt:
@@ -349,7 +351,7 @@
 			}
 		}
 	}},
-	{name: "callers stay away and return at once", apply: func(s *simulation) {
+	{name: "callers pause and return at once", apply: func(s *simulation) {
 		s.perVM = 5
 		if s.now >= simFaultAt-5*time.Second && s.now < simFaultAt {
 			s.perVM = 0
@@ -386,11 +388,11 @@
 						}
 					}
 					s.run(simLength, func() { scenario.apply(s) })
-					most := s.most(simBindsAt, simNamedAt)
+					most := s.most(simBindsAt, simAdvertisedAt)
 					if scenario.excused {
-						// The sends before the restart and those of VMs that were not told again are not the system's.
-						again := simFaultAt + simBindsAt - simNamedAt
-						most = max(s.mostUntil(simBindsAt, simNamedAt, simFaultAt), s.most(again, simFaultAt+settlePeriod))
+						// The VMs have forgotten the limit and learn it again as at its first advertisement.
+						again := simFaultAt + simBindsAt - simAdvertisedAt
+						most = max(s.mostUntil(simBindsAt, simAdvertisedAt, simFaultAt), s.most(again, simFaultAt+handoverDelay))
 					}
 					t.Logf("most %d of %d; used %.2f before, %.2f during, %.2f after", most, s.allowed(),
 						s.used(simBindsAt, simFaultAt), s.used(simFaultAt, simFaultEnd), s.used(simFaultEnd, simLength))
--- a/pkg/endpointlimit/table.go
+++ b/pkg/endpointlimit/table.go
@@ -6,18 +6,19 @@
 	"slices"
 	"time"
 
+	"github.com/corneldeal/corneldeal/pkg/fleet"
 	"github.com/corneldeal/corneldeal/pkg/rendezvous"
 )
 
 const (
-	// tellPeriod is the time for which a VM tells peers a change that it learned from an answer, and answers a peer that
-	// holds an older state.
-	tellPeriod = 3 * time.Second
-	// maxReports bounds the states that are told at once, so that a digest stays small when many endpoints are limited.
+	// reportPeriod is the time for which a VM reports a change that it learned from an answer, and its state to a peer
+	// that reported an older one.
+	reportPeriod = 3 * time.Second
+	// maxReports bounds the states of one report, so that a digest stays small when many endpoints are limited.
 	maxReports = 64
-	// doubtPeriod is the longest time that a peer's report of an end may take to arrive. An endpoint that named its limit
-	// to this VM within it may have done so after the end, so the limit is named again.
-	doubtPeriod = time.Second
+	// maxReportDelay is the longest time that a peer's report takes. An endpoint that advertised its limit to this VM
+	// within it may have done so after the end that the peer reports, so the limit stays in force.
+	maxReportDelay = time.Second
 	// unregisteredRetention is the time for which the limit of an endpoint that is not registered is kept, since a
 	// registration may lapse while the store is away.
 	unregisteredRetention = 10 * time.Minute
@@ -25,17 +26,10 @@
 	maxEntries = 4096
 )
 
-// Incarnation is one start of an endpoint.
-type Incarnation struct {
-	ID string
-	// StartTimeMs is the start of the endpoint in Unix milliseconds, or zero if it is not reported.
-	StartTimeMs int64
-}
-
-// State is the limit of one start of an endpoint as VMs exchange it.
+// State is the limit of one incarnation of an endpoint as VMs exchange it.
 type State struct {
-	Endpoint Incarnation
-	// Revision increases with each change. Of two states of the same start, the one with the higher revision holds.
+	Endpoint fleet.Incarnation
+	// Revision increases with each change. Of two states of the same incarnation, the higher revision holds.
 	Revision uint64
 	// Limited is false once an answer has ended the limit.
 	Limited bool
@@ -63,11 +57,11 @@
 	Changed bool
 	// Rejected is set if a limit was not kept, because the table is full or the value is not a finite positive number.
 	Rejected bool
-	// Was is the state before, or the zero value if there was none.
-	Was State
-	// Now is the state after.
-	Now State
-	// Age is how long the state before had held on this VM.
+	// Before is the state before the change, or the zero value if there was none.
+	Before State
+	// After is the state after the change.
+	After State
+	// Age is how long this VM had held the state before.
 	Age time.Duration
 }
 
@@ -78,24 +72,24 @@
 	key uint64
 	// learnedAt is when this VM learned the revision.
 	learnedAt time.Time
-	// namedAt is when an answer to this VM last named the limit, or zero.
-	namedAt time.Time
-	// tellUntil is the time until which this VM tells peers a state that it learned from an answer.
-	tellUntil time.Time
-	// olderSeenAt is when a peer last reported an older state, or zero.
-	olderSeenAt time.Time
+	// advertisedAt is when an answer to this VM last advertised the limit, or zero.
+	advertisedAt time.Time
+	// reportUntil is the time until which this VM reports a state that it learned from an answer.
+	reportUntil time.Time
+	// staleReportAt is when a peer last reported an older state, or zero.
+	staleReportAt time.Time
 	// registeredAt is when the endpoint was last seen registered.
 	registeredAt time.Time
 	share        share
 }
 
-// Table holds the limits of all endpoints that named one. It is not safe for concurrent use.
+// Table holds the limits of all endpoints that advertised one. It is not safe for concurrent use.
 type Table struct {
 	vm      string
 	entries map[string]*entry
 	members Members
-	// reported is the id of the last endpoint whose state was told without having changed.
-	reported string
+	// lastReported is the ID of the endpoint that nextInTurn returned last.
+	lastReported string
 }
 
 // New returns an empty table for a VM.
@@ -105,8 +99,8 @@
 
 // Answer is an answer of an endpoint to a request of this VM.
 type Answer struct {
-	Endpoint Incarnation
-	Limit    Statement
+	Endpoint fleet.Incarnation
+	Limit    Advertisement
 	// SentAt is when the request was sent.
 	SentAt time.Time
 	// Conclusive is set if the endpoint itself handled the request. Other answers, such as refusals, may lack the limit
@@ -118,48 +112,62 @@
 func (t *Table) Observe(a Answer, now time.Time) Change {
 	e := t.entries[a.Endpoint.ID]
 	if e != nil && a.Endpoint.StartTimeMs < e.Endpoint.StartTimeMs {
+		// The endpoint has restarted since.
 		return Change{}
 	}
-	current := e != nil && a.Endpoint.StartTimeMs == e.Endpoint.StartTimeMs
+	if e != nil && a.Endpoint.StartTimeMs > e.Endpoint.StartTimeMs {
+		// The limit of an earlier incarnation says nothing about this one.
+		e = nil
+	}
 	switch a.Limit.Kind {
-	case Limited:
-		next := State{Endpoint: a.Endpoint, Revision: 1, Limited: true, PerSecond: a.Limit.PerSecond}
-		if current {
-			next.Revision = e.Revision + 1
-		}
-		change := Change{}
-		if !current || e.mustAdopt(a) {
-			change = t.replace(next, now)
-			t.tell(next.Endpoint.ID, now)
-		}
-		if e = t.entries[a.Endpoint.ID]; e != nil {
-			e.namedAt = now
-		}
-		return change
-	case Unlimited:
-		if !current || !e.Limited || !a.Conclusive || !a.SentAt.After(e.learnedAt) || !a.SentAt.After(e.namedAt) {
-			// An answer to an earlier request may have been given before the limit was named.
-			return Change{}
-		}
-		next := e.State
-		next.Revision++
-		next.Limited = false
-		change := t.replace(next, now)
-		t.tell(next.Endpoint.ID, now)
-		return change
+	case Advertised:
+		return t.observeLimit(e, a, now)
+	case None:
+		return t.observeNoLimit(e, a, now)
 	}
 	return Change{}
 }
 
-// tell tells peers the state of an endpoint for tellPeriod.
-func (t *Table) tell(id string, now time.Time) {
+// observeLimit applies an answer that advertises a limit. e is nil if no state of the incarnation is known.
+func (t *Table) observeLimit(e *entry, a Answer, now time.Time) Change {
+	next := State{Endpoint: a.Endpoint, Revision: 1, Limited: true, PerSecond: a.Limit.PerSecond}
+	if e != nil {
+		next.Revision = e.Revision + 1
+	}
+	var change Change
+	if e == nil || e.mustAdopt(a) {
+		change = t.replace(next, now)
+		t.scheduleReport(a.Endpoint.ID, now)
+	}
+	if e := t.entries[a.Endpoint.ID]; e != nil {
+		e.advertisedAt = now
+	}
+	return change
+}
+
+// observeNoLimit applies an answer without a limit. It ends a limit only if the request was sent after the limit was
+// last advertised, since an answer to an earlier request may be older.
+func (t *Table) observeNoLimit(e *entry, a Answer, now time.Time) Change {
+	if e == nil || !e.Limited || !a.Conclusive || !a.SentAt.After(e.learnedAt) || !a.SentAt.After(e.advertisedAt) {
+		return Change{}
+	}
+	next := e.State
+	next.Revision++
+	next.Limited = false
+	change := t.replace(next, now)
+	t.scheduleReport(a.Endpoint.ID, now)
+	return change
+}
+
+// scheduleReport makes this VM report the state of an endpoint for reportPeriod.
+func (t *Table) scheduleReport(id string, now time.Time) {
 	if e := t.entries[id]; e != nil {
-		e.tellUntil = now.Add(tellPeriod)
+		e.reportUntil = now.Add(reportPeriod)
 	}
 }
 
-// mustAdopt reports whether the limit that an answer of the same start names replaces the state. Answers to requests
-// that were sent before the state was learned may be older than it; such an answer can only make the limit stricter.
+// mustAdopt reports whether the limit in an answer of the same incarnation replaces the state. An answer to a request that
+// was sent before the state was learned may be older than it, so it can only make the limit stricter.
 func (e *entry) mustAdopt(a Answer) bool {
 	if !e.Limited {
 		return true
@@ -178,39 +186,45 @@
 	}
 	if !s.supersedes(e.State) {
 		if s != e.State {
-			e.olderSeenAt = now
+			e.staleReportAt = now
 		}
 		return Change{}
 	}
-	sameStart := s.Endpoint == e.Endpoint
-	if sameStart && e.Limited && !s.Limited && !e.namedAt.IsZero() && now.Sub(e.namedAt) < doubtPeriod {
-		// The endpoint may have named its limit to this VM after it ended it to the peer.
+	if e.mayOutlast(s, now) {
 		e.Revision = s.Revision + 1
-		e.tellUntil = now.Add(tellPeriod)
+		t.scheduleReport(s.Endpoint.ID, now)
 		return Change{}
 	}
 	return t.replace(s, now)
 }
 
+// mayOutlast reports whether the limit may have been advertised to this VM after the end that a peer reports.
+func (e *entry) mayOutlast(reported State, now time.Time) bool {
+	if reported.Endpoint != e.Endpoint || reported.Limited || !e.Limited || e.advertisedAt.IsZero() {
+		return false
+	}
+	return now.Sub(e.advertisedAt) < maxReportDelay
+}
+
 // replace sets the state of an endpoint.
 func (t *Table) replace(next State, now time.Time) Change {
 	if math.IsNaN(next.PerSecond) || math.IsInf(next.PerSecond, 0) || next.PerSecond < 0 {
-		return Change{Rejected: true, Now: next}
+		return Change{Rejected: true, After: next}
 	}
 	old := t.entries[next.Endpoint.ID]
 	if old == nil && len(t.entries) >= maxEntries {
-		return Change{Rejected: true, Now: next}
+		return Change{Rejected: true, After: next}
 	}
 	e := &entry{
 		State: next, key: rendezvous.Key(next.Endpoint.ID), learnedAt: now, registeredAt: now,
 	}
-	change := Change{Changed: true, Now: next}
+	change := Change{Changed: true, After: next}
 	if old != nil {
-		change.Was = old.State
+		change.Before = old.State
 		change.Age = now.Sub(old.learnedAt)
 		change.Changed = old.Limited != next.Limited || old.PerSecond != next.PerSecond
 		if old.Endpoint == next.Endpoint {
-			e.namedAt = old.namedAt
+			e.advertisedAt = old.advertisedAt
 			e.share = old.share
 		}
 	} else if !next.Limited {
@@ -221,40 +235,33 @@
 	return change
 }
 
-// Reports returns up to maxReports states to tell peers: those that this VM learned from answers lately, and with all set
-// also the limits in force and the states of which a peer lately reported an older one. What does not fit is told with
-// the next reports.
+// Reports returns up to maxReports states for peers: those that this VM recently learned from answers and, with all set,
+// the limits in force and the states of which a peer recently reported an older one. The others follow in turn.
 func (t *Table) Reports(all bool, now time.Time) []State {
-	var changed, standing []State
+	var changed, inForce []State
 	for _, e := range t.entries {
 		switch {
-		case now.Before(e.tellUntil):
+		case now.Before(e.reportUntil):
 			changed = append(changed, e.State)
-		case all && (e.Limited || !e.olderSeenAt.IsZero() && now.Sub(e.olderSeenAt) < tellPeriod):
-			standing = append(standing, e.State)
+		case all && (e.Limited || !e.staleReportAt.IsZero() && now.Sub(e.staleReportAt) < reportPeriod):
+			inForce = append(inForce, e.State)
 		}
 	}
-	slices.SortFunc(standing, func(a, b State) int {
-		// The endpoints after the one told last come first.
-		return cmp.Or(compareBool(a.Endpoint.ID <= t.reported, b.Endpoint.ID <= t.reported), cmp.Compare(a.Endpoint.ID, b.Endpoint.ID))
-	})
 	changed = changed[:min(len(changed), maxReports)]
-	standing = standing[:min(len(standing), maxReports-len(changed))]
-	if len(standing) > 0 {
-		t.reported = standing[len(standing)-1].Endpoint.ID
-	}
-	return append(changed, standing...)
+	return append(changed, t.nextInTurn(inForce, maxReports-len(changed))...)
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
+// nextInTurn returns up to count of the states, starting after the one that it returned last.
+func (t *Table) nextInTurn(states []State, count int) []State {
+	byID := func(a, b State) int { return cmp.Compare(a.Endpoint.ID, b.Endpoint.ID) }
+	slices.SortFunc(states, byID)
+	next, _ := slices.BinarySearchFunc(states, State{Endpoint: fleet.Incarnation{ID: t.lastReported + "\x00"}}, byID)
+	states = slices.Concat(states[next:], states[:next])
+	states = states[:min(len(states), count)]
+	if len(states) > 0 {
+		t.lastReported = states[len(states)-1].Endpoint.ID
 	}
-	return 1
+	return states
 }
 
 // States returns all states, for a VM that starts.
@@ -266,8 +273,8 @@
 	return out
 }
 
-// Expire removes the limits of endpoints that started again or have not been registered for long, and returns the
-// changes. registered returns the registered start of an endpoint, or false.
+// Expire removes the limits of endpoints that restarted or have not been registered for long, and returns the changes.
+// registered returns the registered start time of an endpoint, in Unix milliseconds, or false.
 func (t *Table) Expire(registered func(id string) (startTimeMs int64, ok bool), now time.Time) []Change {
 	var changes []Change
 	for id, e := range t.entries {
@@ -282,19 +289,19 @@
 		if e.Limited {
 			next := e.State
 			next.Limited = false
-			changes = append(changes, Change{Changed: true, Was: e.State, Now: next, Age: now.Sub(e.learnedAt)})
+			changes = append(changes, Change{Changed: true, Before: e.State, After: next, Age: now.Sub(e.learnedAt)})
 		}
 	}
 	return changes
 }
 
-// Empty reports whether no endpoint has named a limit.
+// Empty reports whether the table holds no state.
 func (t *Table) Empty() bool {
 	return len(t.entries) == 0
 }
 
-// limited returns the entry of an endpoint if its limit holds for a start, or nil.
-func (t *Table) limited(endpoint Incarnation) *entry {
+// limited returns the entry of an endpoint if its limit holds for an incarnation, or nil.
+func (t *Table) limited(endpoint fleet.Incarnation) *entry {
 	e := t.entries[endpoint.ID]
 	if e == nil || !e.Limited || e.Endpoint.StartTimeMs < endpoint.StartTimeMs {
 		return nil
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -190,8 +190,8 @@
 	return strings.HasPrefix(string(h.ContentType()), "text/event-stream")
 }
 
-// applyAnswerHeaders records the weight version, the rate limit, the departure and the requested pause that an endpoint's answer
-// states.
+// applyAnswerHeaders records the weight version, the rate limit, the departure and the requested pause that an
+// endpoint's answer states.
 func (g *Gateway) applyAnswerHeaders(t *target, answer Answer) {
 	now := steady.Now()
 	e := t.choice.Endpoint
--- a/pkg/gateway/cachewatch.go
+++ b/pkg/gateway/cachewatch.go
@@ -76,18 +76,7 @@
 
 // isWatcher reports whether this VM is among those that watch a source.
 func (g *Gateway) isWatcher(address string, maxWatches int, peers []string) bool {
-	key := rendezvous.Key(address)
-	own := rendezvous.Weight(key, g.settings.VM)
-	left := maxWatches - spareWatches
-	for _, vm := range peers {
-		if left <= 0 {
-			return false
-		}
-		if rendezvous.Weight(key, vm) > own {
-			left--
-		}
-	}
-	return left > 0
+	return rendezvous.IsAmongFirst(rendezvous.Key(address), g.settings.VM, peers, maxWatches-spareWatches)
 }
 
 // watchSource follows one source until ctx ends.
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -57,11 +57,6 @@
 	return crashSync{savedRefusals: map[uint64]bool{}, unsavedRefusals: map[uint64]bool{}}
 }
 
-// endpointStart returns the start that identifies the present process of an endpoint.
-func endpointStart(e *fleet.Endpoint) crashguard.Incarnation {
-	return crashguard.Incarnation{ID: e.ID, StartTimeMs: e.StartTimeMs}
-}
-
 // formatFingerprint returns a fingerprint in hexadecimal, as in logs and store keys.
 func formatFingerprint(fingerprint uint64) string {
 	return strconv.FormatUint(fingerprint, 16)
@@ -94,7 +89,7 @@
 	if res.notRun {
 		return
 	}
-	endpoint := endpointStart(t.choice.Endpoint)
+	endpoint := t.choice.Endpoint.Incarnation()
 	if res.outcome == place.Answered || res.outcome == place.Failed {
 		g.unansweredAttempts.RecordAnswer(endpoint, began)
 	}
@@ -113,7 +108,7 @@
 // addUnansweredCrashes counts as crashes the attempts that were given up at endpoints that have ended since. The caller
 // holds the lock.
 func (g *Gateway) addUnansweredCrashes(now time.Time) {
-	ended := func(s crashguard.Incarnation) bool { return g.endpoints.EndedUnannounced(s.ID, s.StartTimeMs) }
+	ended := func(s fleet.Incarnation) bool { return g.endpoints.EndedUnannounced(s.ID, s.StartTimeMs) }
 	for _, c := range g.unansweredAttempts.TakeCrashes(ended, now) {
 		g.metrics.count("crashes_unanswered_total")
 		g.recordOwnCrash(c, now)
--- a/pkg/gateway/digest.go
+++ b/pkg/gateway/digest.go
@@ -21,8 +21,8 @@
 	forgetPeerAfter = 10 * time.Minute
 	// unknownStoreAge is the age reported for the store's last answer if the store never answered.
 	unknownStoreAge = time.Hour
-	// allLimitsInterval is the number of digests of which one of a VM that is no hub tells all limits in force, so that
-	// one that missed an end is answered.
+	// allLimitsInterval is the number of digests of which one, from a VM that is not a hub, contains all limits in force,
+	// so that peers correct a VM that missed the end of one.
 	allLimitsInterval = 32
 	// departureReportPeriod is the time for which a departure is sent to peers.
 	departureReportPeriod = 8 * time.Second
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -32,7 +32,7 @@
 	// firstEventSeen is set once the first event of the attempt has arrived.
 	firstEventSeen bool
 	// limit is what the answer said about the rate limit of the endpoint.
-	limit endpointlimit.Statement
+	limit endpointlimit.Advertisement
 	// sentAt is when the request was sent.
 	sentAt time.Time
 	// underLimit is set if the endpoint was limited when the request was sent.
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -9,15 +9,10 @@
 	"github.com/corneldeal/corneldeal/pkg/gossip"
 )
 
-// takesRequestsFor is the time since a VM's last request for which it may own limits. The part of a VM that the balancer
-// sends no callers would be lost to the endpoint.
+// takesRequestsFor is the time since a VM's last request for which it may own limits. A VM to which the balancer sends no
+// callers would not use its part.
 const takesRequestsFor = 10 * time.Second
 
-// incarnation returns the start of an endpoint that its record names.
-func incarnation(e *fleet.Endpoint) endpointlimit.Incarnation {
-	return endpointlimit.Incarnation{ID: e.ID, StartTimeMs: e.StartTimeMs}
-}
-
 // placementLimits implements place.RateLimits. The caller holds the lock.
 type placementLimits struct {
 	table *endpointlimit.Table
@@ -25,18 +20,18 @@
 
 // NextSend implements place.RateLimits.
 func (l placementLimits) NextSend(e *fleet.Endpoint, now time.Time) time.Time {
-	return l.table.NextSend(incarnation(e), now)
+	return l.table.NextSend(e.Incarnation(), now)
 }
 
-// CheckDue implements place.RateLimits.
-func (l placementLimits) CheckDue(e *fleet.Endpoint, now time.Time) bool {
-	return l.table.CheckDue(incarnation(e), now)
+// ProbeDue implements place.RateLimits.
+func (l placementLimits) ProbeDue(e *fleet.Endpoint, now time.Time) bool {
+	return l.table.ProbeDue(e.Incarnation(), now)
 }
 
 // recordLimitedSend takes a request from this VM's part of the endpoint's limit. It reports whether the endpoint is
 // limited. The caller holds the lock.
 func (g *Gateway) recordLimitedSend(e *fleet.Endpoint, now time.Time) bool {
-	limited := g.limits.RecordSend(incarnation(e), now)
+	limited := g.limits.RecordSend(e.Incarnation(), now)
 	if limited {
 		g.metrics.count("sends_under_limit_total")
 	}
@@ -51,10 +46,10 @@
 		return
 	}
 	if answer.Limit.Kind == endpointlimit.Malformed {
-		g.log.warn(partEndpoint).Str("endpoint", e.ID).Msg("endpoint names a limit that cannot be read, ignored")
+		g.log.warn(partEndpoint).Str("endpoint", e.ID).Msg("endpoint advertises a malformed rate limit, ignored")
 	}
 	change := g.limits.Observe(endpointlimit.Answer{
-		Endpoint: incarnation(e), Limit: answer.Limit, SentAt: t.sentAt, Conclusive: answer.Signed && !answer.NotRun,
+		Endpoint: e.Incarnation(), Limit: answer.Limit, SentAt: t.sentAt, Conclusive: answer.Signed && !answer.NotRun,
 	}, now)
 	if g.handleLimitChange(change, "answer", g.settings.VM, now) {
 		g.requestDigest()
@@ -65,7 +60,7 @@
 func (g *Gateway) addPeerLimits(limits []*gossip.EndpointLimit, vm string, now time.Time) {
 	for _, l := range limits {
 		change := g.limits.Merge(endpointlimit.State{
-			Endpoint: endpointlimit.Incarnation{ID: l.GetEndpoint(), StartTimeMs: l.GetBorn()},
+			Endpoint: fleet.Incarnation{ID: l.GetEndpoint(), StartTimeMs: l.GetBorn()},
 			Revision: l.GetRevision(), Limited: l.GetLimited(), PerSecond: l.GetPerSecond(),
 		}, now)
 		g.handleLimitChange(change, "peer", vm, now)
@@ -85,41 +80,42 @@
 
 // handleLimitChange logs a change of an endpoint's limit and updates this VM's parts. It reports whether there is a
 // change. The caller holds the lock.
-func (g *Gateway) handleLimitChange(c endpointlimit.Change, source, heardBy string, now time.Time) bool {
+func (g *Gateway) handleLimitChange(c endpointlimit.Change, source, seenBy string, now time.Time) bool {
 	if c.Rejected {
-		g.log.warn(partEndpoint).Str("endpoint", c.Now.Endpoint.ID).Float64("limit_per_s", c.Now.PerSecond).
-			Str("source", source).Str("heard_by", heardBy).Msg("limit of an endpoint not kept")
+		g.log.warn(partEndpoint).Str("endpoint", c.After.Endpoint.ID).Float64("limit_per_s", c.After.PerSecond).
+			Str("source", source).Str("seen_by", seenBy).Msg("rate limit of an endpoint not kept")
 	}
 	if !c.Changed {
 		return false
 	}
 	g.limits.SetMembers(g.limitMembers(now), now)
-	g.logLimitChange(c, source, heardBy)
+	g.logLimitChange(c, source, seenBy)
 	return true
 }
 
 // logLimitChange logs a change of an endpoint's limit with its source, which is an answer, a peer or the list of
 // endpoints, and the VM that learned it.
-func (g *Gateway) logLimitChange(c endpointlimit.Change, source, heardBy string) {
-	message := "endpoint named a limit"
+func (g *Gateway) logLimitChange(c endpointlimit.Change, source, seenBy string) {
+	message := "endpoint advertised a rate limit"
 	switch {
-	case !c.Now.Limited:
-		message = "limit of an endpoint ended"
-	case c.Was.Limited:
-		message = "limit of an endpoint changed"
+	case !c.After.Limited:
+		message = "rate limit of an endpoint ended"
+	case c.Before.Limited:
+		message = "rate limit of an endpoint changed"
 	}
-	g.log.info(partEndpoint).Str("endpoint", c.Now.Endpoint.ID).Int64("start", c.Now.Endpoint.StartTimeMs).
-		Float64("limit_per_s", c.Now.PerSecond).Float64("was_per_s", c.Was.PerSecond).Uint64("revision", c.Now.Revision).
-		Str("source", source).Str("heard_by", heardBy).Dur("age_ms", c.Age).Msg(message)
+	g.log.info(partEndpoint).Str("endpoint", c.After.Endpoint.ID).Int64("start", c.After.Endpoint.StartTimeMs).
+		Float64("limit_per_s", c.After.PerSecond).Float64("was_per_s", c.Before.PerSecond).Uint64("revision", c.After.Revision).
+		Str("source", source).Str("seen_by", seenBy).Dur("age_ms", c.Age).Msg(message)
 }
 
-// takesRequests reports whether this VM may own limits: it received a request lately and does not stop. The caller holds
-// the lock.
+// takesRequests reports whether this VM may own limits: it recently received a request and is not stopping. The caller
+// holds the lock.
 func (g *Gateway) takesRequests(now time.Time) bool {
 	return !g.leaving.Load() && !g.lastRequestAt.IsZero() && now.Sub(g.lastRequestAt) < takesRequestsFor
 }
 
-// limitMembers returns what this VM knows about the VMs that share the limits of endpoints. The caller holds the lock.
+// limitMembers returns what this VM knows about the VMs that share the limits of endpoints. Unlike countVMs, it leaves out
+// VMs that are stopping, which send nothing more to limited endpoints. The caller holds the lock.
 func (g *Gateway) limitMembers(now time.Time) endpointlimit.Members {
 	m := endpointlimit.Members{Live: 1, Known: 1}
 	if g.takesRequests(now) {
--- a/pkg/gateway/limits_test.go
+++ b/pkg/gateway/limits_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/corneldeal/corneldeal/pkg/endpointlimit"
+	"github.com/corneldeal/corneldeal/pkg/fleet"
 )
 
 const (
@@ -15,13 +16,13 @@
 	simLimit = 5.0
 )
 
-// limitedEndpoint is the endpoint that names a limit in a simulation.
-var limitedEndpoint = endpointlimit.Incarnation{ID: "e", StartTimeMs: 7}
+// limitedEndpoint is the endpoint that advertises a limit in a simulation.
+var limitedEndpoint = fleet.Incarnation{ID: "e", StartTimeMs: 7}
 
 // answer makes a VM receive an answer of the limited endpoint.
-func (s *simulation) answer(vm *simVM, statement endpointlimit.Statement) {
+func (s *simulation) answer(vm *simVM, advertisement endpointlimit.Advertisement) {
 	g := vm.gateway
-	g.limits.Observe(endpointlimit.Answer{Endpoint: limitedEndpoint, Limit: statement, SentAt: s.now, Conclusive: true}, s.now)
+	g.limits.Observe(endpointlimit.Answer{Endpoint: limitedEndpoint, Limit: advertisement, SentAt: s.now, Conclusive: true}, s.now)
 	g.requestDigest()
 }
 
@@ -41,8 +42,8 @@
 	return sum
 }
 
-// Guards against VMs that do not hear of a limit or of its end, whether they were there, joined later or were cut off,
-// and against parts of it that do not add up to the limit.
+// Guards against VMs that do not learn of a limit or of its end, whether they were running, joined later or were
+// partitioned, and against parts of a limit that do not add up to it.
 func TestAllVMsAgreeOnLimits(t *testing.T) {
 	for _, count := range []int{9, 30, 100} {
 		s := simulate(t, count)
@@ -50,8 +51,8 @@
 		for _, vm := range s.vms {
 			vm.gateway.lastRequestAt = s.now.Add(time.Hour)
 		}
-		named := endpointlimit.Statement{Kind: endpointlimit.Limited, PerSecond: simLimit}
-		s.answer(s.vms[1], named)
+		advertised := endpointlimit.Advertisement{Kind: endpointlimit.Advertised, PerSecond: simLimit}
+		s.answer(s.vms[1], advertised)
 		if took := s.timeUntil(2*limitSpreadTime, knowsLimit); took > limitSpreadTime {
 			t.Errorf("%d VMs: %v until all knew of the limit", count, took)
 		}
@@ -72,7 +73,7 @@
 		if sum := s.ownedRate(); sum > simLimit*1.1 || sum < simLimit/2 {
 			t.Errorf("%d VMs: the parts in two halves add up to %v", count, sum)
 		}
-		s.answer(s.vms[1], endpointlimit.Statement{})
+		s.answer(s.vms[1], endpointlimit.Advertisement{})
 		s.run(limitSpreadTime)
 		for _, vm := range s.vms {
 			vm.partition = 0
@@ -81,12 +82,12 @@
 		if took := s.timeUntil(2*limitSpreadTime, ended); took > limitSpreadTime {
 			t.Errorf("%d VMs: %v until the other half knew that the limit has ended", count, took)
 		}
-		s.answer(s.vms[1], named)
+		s.answer(s.vms[1], advertised)
 		s.run(limitSpreadTime)
-		// A VM that is no hub is alone when the limit ends.
+		// A VM that is not a hub is alone when the limit ends.
 		s.vms[2].partition = 1
 		s.run(limitSpreadTime)
-		s.answer(s.vms[1], endpointlimit.Statement{})
+		s.answer(s.vms[1], endpointlimit.Advertisement{})
 		s.run(2 * limitSpreadTime)
 		s.vms[2].partition = 0
 		reconnected := allLimitsInterval*maxDigestIntervalLarge + limitSpreadTime
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -36,11 +36,14 @@
 	m.counters.Add(name, 1)
 }
 
-// set sets a gauge.
+// set sets a gauge. The caller serializes the calls.
 func (m *metrics) set(name string, value float64) {
-	gauge := new(expvar.Float)
+	gauge, known := m.counters.Get(name).(*expvar.Float)
+	if !known {
+		gauge = new(expvar.Float)
+		m.counters.Set(name, gauge)
+	}
 	gauge.Set(value)
-	m.counters.Set(name, gauge)
 }
 
 // observe adds a duration to a histogram.
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -37,7 +37,7 @@
 	// does.
 	endpointChanged int64
 	leaving         bool
-	// takesRequests is set if the peer received requests lately.
+	// takesRequests is set if the peer recently received requests.
 	takesRequests bool
 	loading       []string
 	// started is when the peer's process started.
--- a/pkg/gateway/placement.go
+++ b/pkg/gateway/placement.go
@@ -74,7 +74,10 @@
 
 // serviceProperties returns the properties of a service that placement depends on. The caller holds the lock.
 func (g *Gateway) serviceProperties(c *traffic.Config, s *traffic.Service, p *place.Request, endpoints []*fleet.Endpoint) place.ServiceProperties {
-	f := place.ServiceProperties{DataCentre: g.settings.DataCentre, Limits: placementLimits{g.limits}}
+	f := place.ServiceProperties{DataCentre: g.settings.DataCentre}
+	if !g.limits.Empty() {
+		f.Limits = placementLimits{g.limits}
+	}
 	if len(endpoints) > 0 {
 		f.Slots = endpoints[0].Slots
 	}
--- a/pkg/gateway/platform.go
+++ b/pkg/gateway/platform.go
@@ -148,7 +148,7 @@
 	// RetryAfter is the time for which an endpoint that refused the request accepts no other from this VM, or 0.
 	RetryAfter time.Duration
 	// Limit is what the answer says about the rate limit of the endpoint over all VMs.
-	Limit endpointlimit.Statement
+	Limit endpointlimit.Advertisement
 }
 
 // Wire translates between the platform's headers and the gateway's types.
--- a/pkg/place/limits_test.go
+++ b/pkg/place/limits_test.go
@@ -11,7 +11,7 @@
 type fakeLimits struct {
 	// next is the time until the next request may be sent.
 	next map[string]time.Duration
-	// due contains the endpoints that are to be asked whether their limit holds.
+	// due contains the endpoints that are due to be probed.
 	due map[string]bool
 }
 
@@ -20,8 +20,8 @@
 	return now.Add(l.next[e.ID])
 }
 
-// CheckDue implements RateLimits.
-func (l fakeLimits) CheckDue(e *fleet.Endpoint, _ time.Time) bool {
+// ProbeDue implements RateLimits.
+func (l fakeLimits) ProbeDue(e *fleet.Endpoint, _ time.Time) bool {
 	return l.due[e.ID]
 }
 
@@ -44,9 +44,9 @@
 	}
 }
 
-// Guards against a limit that nobody asks about because other endpoints are a little faster, and against a request that
-// is much slower for it.
-func TestEndpointIsAskedWhetherItsLimitHolds(t *testing.T) {
+// Guards against a limit whose end is never noticed because other endpoints are a little faster, and against a probe that
+// makes a request much slower.
+func TestEndpointIsProbedForTheEndOfItsLimit(t *testing.T) {
 	p := New()
 	list := engines(2)
 	f := facts
--- a/pkg/place/request.go
+++ b/pkg/place/request.go
@@ -70,16 +70,16 @@
 	// VersionLimit is the time after the announcement of a newer version from which the older weights may not start a
 	// request. Zero refuses them at once.
 	VersionLimit time.Duration
-	// Limits are the rate limits that endpoints named, or nil if there are none.
+	// Limits are the rate limits that endpoints advertised, or nil if there are none.
 	Limits RateLimits
 }
 
-// RateLimits are the rate limits that endpoints named for all VMs together.
+// RateLimits are the rate limits that endpoints advertised for all VMs together.
 type RateLimits interface {
 	// NextSend returns when this VM may send the next request to an endpoint: now or earlier if it may send one.
 	NextSend(e *fleet.Endpoint, now time.Time) time.Time
-	// CheckDue reports whether this VM should send an endpoint a request to learn whether its limit still holds.
-	CheckDue(e *fleet.Endpoint, now time.Time) bool
+	// ProbeDue reports whether this VM should send an endpoint a request to learn whether its limit still holds.
+	ProbeDue(e *fleet.Endpoint, now time.Time) bool
 }
 
 // nextSend returns when a request may be sent to an endpoint under its rate limit.
--- a/pkg/place/score.go
+++ b/pkg/place/score.go
@@ -17,9 +17,9 @@
 	// noMemoryPenaltyMs is the cost of preempting other requests, or of being preempted, when an engine's memory is
 	// full.
 	noMemoryPenaltyMs = 150.0
-	// limitCheckBonusMs is how much longer a request may take on an endpoint that would otherwise not be asked whether its
-	// rate limit still holds.
-	limitCheckBonusMs = 100.0
+	// probeBonusMs is how much longer a request may take on an endpoint that is due to be probed for the end of its rate
+	// limit.
+	probeBonusMs = 100.0
 	// usableMemoryShare is the share of an engine's memory that running requests may fill before noMemoryPenaltyMs
 	// applies.
 	usableMemoryShare = 0.9
@@ -52,8 +52,8 @@
 		c.Score += busyPenaltyMs
 	}
 	c.Score += failurePenaltyMs * c.state.failureRate(now)
-	if f.Limits != nil && f.Limits.CheckDue(c.Endpoint, now) {
-		c.Score -= limitCheckBonusMs
+	if f.Limits != nil && f.Limits.ProbeDue(c.Endpoint, now) {
+		c.Score -= probeBonusMs
 	}
 }
 
--- a/pkg/rendezvous/rendezvous.go
+++ b/pkg/rendezvous/rendezvous.go
@@ -19,3 +19,17 @@
 func Key(text string) uint64 {
 	return xxh3.HashString(text)
 }
+
+// IsAmongFirst reports whether fewer than count of the other names have a higher weight for the key than name.
+func IsAmongFirst(key uint64, name string, others []string, count int) bool {
+	own := Weight(key, name)
+	for _, other := range others {
+		if count <= 0 {
+			return false
+		}
+		if other != name && Weight(key, other) > own {
+			count--
+		}
+	}
+	return count > 0
+}
--- a/pkg/rendezvous/rendezvous_test.go
+++ b/pkg/rendezvous/rendezvous_test.go
@@ -38,3 +38,22 @@
 		}
 	}
 }
+
+// Guards against a key that too many or too few names take for theirs, and against a count of zero that selects one.
+func TestFirstNamesAreAsManyAsCounted(t *testing.T) {
+	var names []string
+	for i := range 9 {
+		names = append(names, fmt.Sprint("endpoint-", i))
+	}
+	for count := range len(names) + 2 {
+		selected := 0
+		for _, name := range names {
+			if IsAmongFirst(Key("key"), name, names, count) {
+				selected++
+			}
+		}
+		if want := min(count, len(names)); selected != want {
+			t.Errorf("%d names selected, want %d", selected, want)
+		}
+	}
+}
