Record when the store last proved a VM's copy of a stream complete

Nothing told a VM whose configuration is current from one that waits for an answer that will never come: both have the same version and the same time since it was applied. No decision uses it yet.

--- a/pkg/gateway/refuse.go
+++ b/pkg/gateway/refuse.go
@@ -46,9 +46,9 @@
 	if line == nil {
 		return
 	}
-	now := steady.Now()
-	listAge, configAge, peers := g.stateAges(now)
-	line.Dur("config_age_ms", configAge).Dur("list_age_ms", listAge).Int("peers", peers).Int("at_limit", r.atLimit).
+	ages := g.stateAges(steady.Now())
+	line.Dur("config_age_ms", ages.config).Dur("config_verified_age_ms", ages.configVerified).Dur("list_age_ms", ages.list).
+		Int("peers", ages.peers).Int("at_limit", r.atLimit).
 		Strs("fingerprints", formatFingerprints(r.fingerprints))
 	if r.route != nil {
 		line.Str("route", r.route.Name)
@@ -58,9 +58,36 @@
 	}
 }
 
-// stateAges returns the ages of the list of endpoints and of the configuration, and the number of live peers.
-func (g *Gateway) stateAges(now time.Time) (listAge, configAge time.Duration, peers int) {
+// stateAges are the ages of what this VM knows.
+type stateAges struct {
+	// list is the time since the list of endpoints was last read, and config the time since the configuration was applied.
+	list, config time.Duration
+	// configVerified is the time since the configuration was last known to be the newest, or neverVerifiedAge.
+	configVerified time.Duration
+	// peers is the number of live peers.
+	peers int
+}
+
+// neverVerifiedAge stands for the age of a verification that never took place, in logs and metrics.
+const neverVerifiedAge = time.Hour
+
+// stateAges returns the ages of what this VM knows.
+func (g *Gateway) stateAges(now time.Time) stateAges {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return now.Sub(g.streams[EndpointStream].readAt), now.Sub(g.configAppliedAt), len(g.livePeers(now))
+	return stateAges{
+		list:           now.Sub(g.streams[EndpointStream].readAt),
+		config:         now.Sub(g.configAppliedAt),
+		configVerified: g.streams[OperatorStream].verifiedAge(now),
+		peers:          len(g.livePeers(now)),
+	}
+}
+
+// verifiedAge returns the time since the copy was last known to be complete, or neverVerifiedAge.
+func (st *streamState) verifiedAge(now time.Time) time.Duration {
+	age, verified := st.freshness.Age(now)
+	if !verified {
+		return neverVerifiedAge
+	}
+	return age
 }
--- a/pkg/gateway/streamsync.go
+++ b/pkg/gateway/streamsync.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/corneldeal/corneldeal/pkg/freshness"
 	"github.com/corneldeal/corneldeal/pkg/steady"
 )
 
@@ -62,6 +63,8 @@
 	failing    bool
 	// failedAt is the start of the present failure.
 	failedAt time.Time
+	// freshness is when the store last proved that this copy is complete.
+	freshness freshness.Tracker
 }
 
 func newStreamState() *streamState {
@@ -166,25 +169,42 @@
 	}
 	ctx, cancel := context.WithTimeout(g.ctx, wait+storeTimeout)
 	defer cancel()
+	started := steady.Now()
 	records, end, err := g.platform.Store.Read(ctx, s, next, wait)
+	answered := steady.Now()
 	if errors.Is(err, ErrRecordsExpired) {
 		g.log.info(partStore).Str("stream", s.String()).Int64("from", next).Msg("records expired, reading all")
 		return g.readNewest(s)
 	}
 	g.recordStoreResult(s, err)
+	if errors.Is(err, context.DeadlineExceeded) {
+		g.logLostAnswer(s, wait, started, answered)
+	}
 	if err != nil {
 		return err
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.applyRecords(s, records, end)
+	g.streams[s].freshness.Verified(freshness.VerifiedAt(started, answered, wait, len(records)))
 	return nil
 }
 
+// logLostAnswer logs that a read, which started at the given time, is given up because no answer came.
+func (g *Gateway) logLostAnswer(s Stream, wait time.Duration, started, now time.Time) {
+	g.metrics.count("store_answers_lost_total")
+	g.mu.Lock()
+	age, next := g.streams[s].verifiedAge(now), g.streams[s].next
+	g.mu.Unlock()
+	g.log.warn(partStore).Str("stream", s.String()).Dur("wait_ms", wait).Dur("waited_ms", now.Sub(started)).
+		Int64("from", next).Dur("verified_age_ms", age).Msg("read given up, its answer was lost")
+}
+
 // readNewest reads the newest record of each key of a stream from the store.
 func (g *Gateway) readNewest(s Stream) error {
 	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
 	defer cancel()
+	started := steady.Now()
 	records, end, err := g.platform.Store.Newest(ctx, s)
 	g.recordStoreResult(s, err)
 	if err != nil {
@@ -197,6 +217,7 @@
 	}
 	g.applyRecords(s, records, end)
 	g.streams[s].synced = true
+	g.streams[s].freshness.Verified(started)
 	return nil
 }
 
