Notice reads of the store whose answers were lost

Callers were refused with 404 or 401, or served by an older version, long after a newer configuration was acknowledged. Cause: every VM of a small system waits up to 21.2 s for the answer to one read, and a connection that lost the answer returns nothing and no error. Peers help only if one of them has the record, so a loss that hits all readers at once was noticed by nobody. A shorter wait would still leave VMs of a large system, which do not read themselves, with readers that are all hit.

Each VM now records when the store last proved its copy complete, by its own reads or by the digests of peers. One VM reads with a wait of 0.5 s and so proves it for all; a VM without a proof for 1.1 s (1.8 s in a large system) gives up its read and asks at once. What a peer proves is never passed on. The same rule holds for the endpoints' records, whose readers noticed after 2.7 s.

--- a/pkg/gateway/announcements_test.go
+++ b/pkg/gateway/announcements_test.go
@@ -60,7 +60,7 @@
 	for _, p := range g.peers {
 		p.lastSeen = p.lastSeen.Add(-2 * peerSilenceLimit)
 	}
-	g.recordStoreResult(EndpointStream, context.DeadlineExceeded)
+	g.recordStoreResult(EndpointStream, context.DeadlineExceeded, steady.Now())
 	g.applyWeights(&Weights{Model: "m", Version: 2})
 	if sent := g.announcementReports(steady.Now()); len(sent) > 0 {
 		t.Errorf("a VM that reaches neither peers nor the store reports that the version was announced %d ms ago", sent[0].GetAgeMs())
--- a/pkg/gateway/digest.go
+++ b/pkg/gateway/digest.go
@@ -55,6 +55,7 @@
 		loading = append(loading, p.loading...)
 	}
 	g.placer.SetLoading(loading)
+	g.checkFreshness(now)
 	for s, st := range g.streams {
 		st.dropTombstones()
 		g.metrics.set(s.String()+"_verified_age_ms", float64(st.verifiedAge(now).Milliseconds()))
@@ -78,7 +79,9 @@
 		Loading:        g.enginesOutOfService(),
 		LinkMbps:       float32(g.settings.LinkMbps),
 		// Peers that do not read the records themselves request them when this exceeds their own offset.
-		EndpointChanged: endpoint.changedEnd,
+		EndpointChanged:       endpoint.changedEnd,
+		OperatorVerifiedAgeMs: operator.proofAge(now),
+		EndpointVerifiedAgeMs: endpoint.proofAge(now),
 	}
 	if last := g.lease.LastOrder(); !last.IsZero() {
 		d.LastOrderAgeMs = proto.Int64(now.Sub(last).Milliseconds())
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -91,12 +91,17 @@
 		if err != nil {
 			return
 		}
-		g.sendBatches(g.applyBatch(b, steady.Now()))
+		forward, source := g.applyBatch(b, steady.Now())
+		g.sendBatches(forward)
+		if source != nil {
+			go g.fetchState(source.vm, source.address)
+		}
 	}
 }
 
-// applyBatch applies a batch and returns the batches to forward.
-func (g *Gateway) applyBatch(b *gossip.Batch, now time.Time) []outgoingBatch {
+// applyBatch applies a batch. It returns the batches to forward, and the peer to ask for operator records that this VM
+// lacks or nil.
+func (g *Gateway) applyBatch(b *gossip.Batch, now time.Time) (forward []outgoingBatch, source *peerState) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	direct := len(b.GetDigests()) == 1 && b.GetSpread() == gossip.Spread_SPREAD_NONE
@@ -105,6 +110,9 @@
 			continue
 		}
 		back := g.applyDigest(d, now)
+		if ahead := g.peerToFetchFrom(g.peers[d.GetVm()], now); ahead != nil {
+			source = ahead
+		}
 		if b.GetSpread() == gossip.Spread_SPREAD_ALL {
 			g.collectedDigests[d.GetVm()] = d
 		}
@@ -113,9 +121,9 @@
 		}
 	}
 	if b.GetSpread() != gossip.Spread_SPREAD_DATA_CENTRE {
-		return nil
+		return nil, source
 	}
-	return []outgoingBatch{{batch: &gossip.Batch{Digests: b.GetDigests()}, recipients: g.localVMs(now)}}
+	return []outgoingBatch{{batch: &gossip.Batch{Digests: b.GetDigests()}, recipients: g.localVMs(now)}}, source
 }
 
 // applyDigest applies the digest of a peer. It reports whether the peer was not live before. The caller holds the lock.
@@ -160,7 +168,7 @@
 	}
 	g.applyDigestContents(p, d, now)
 	g.compareCrashState(p, d, appeared, now)
-	g.fetchIfBehind(p, now)
+	g.applyPeerProofs(p, d, now)
 	return appeared
 }
 
@@ -209,16 +217,18 @@
 	}
 }
 
-// fetchIfBehind requests the operator records that peers have held for a while and this VM lacks. The caller holds the
-// lock.
-func (g *Gateway) fetchIfBehind(p *peerState, now time.Time) {
+// peerToFetchFrom returns the peer to ask for operator records now that a digest of p has arrived, or nil. A peer is
+// asked if others have held records for a while that this VM lacks. The caller holds the lock.
+func (g *Gateway) peerToFetchFrom(p *peerState, now time.Time) *peerState {
 	if !g.shouldFetchFrom(p, now) {
-		return
+		return nil
 	}
+	// The store would have answered this VM's own read with the records that the peer has.
+	g.streams[OperatorStream].endWait(errAnswerLost)
 	if ahead := g.peerAhead(OperatorStream, now); ahead != nil {
-		p = ahead
+		return ahead
 	}
-	go g.fetchState(p.vm, p.address)
+	return p
 }
 
 // shouldFetchFrom reports whether records are to be requested now: the peer is ahead, peers have been ahead for
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -59,6 +59,7 @@
 	g.mu.Lock()
 	req := g.stateRequest(vm)
 	g.mu.Unlock()
+	asked := steady.Now()
 	resp, err := g.relayClients.State(g.ctx, g.peerAddress(address), req)
 	if err != nil {
 		g.metrics.count("relay_errors_total")
@@ -68,6 +69,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.applyState(vm, req, resp, steady.Now())
+	// The answer was made after the question, so this is not later than what it proves.
+	g.applyPeerProof(OperatorStream, resp.OperatorVerifiedAgeMs, asked)
+	g.applyPeerProof(EndpointStream, resp.EndpointVerifiedAgeMs, asked)
 	return true
 }
 
@@ -112,7 +116,7 @@
 func (g *Gateway) syncFromReader() bool {
 	now := steady.Now()
 	g.mu.Lock()
-	if !g.streams[EndpointStream].synced {
+	if !g.streams[EndpointStream].synced || g.isOverdue(EndpointStream, now) {
 		g.mu.Unlock()
 		return false
 	}
@@ -160,20 +164,20 @@
 
 // stateResponse returns the answer to a peer's state request. The caller holds the lock.
 func (g *Gateway) stateResponse(req *gossip.StateRequest) *gossip.StateResponse {
-	operator, endpoint := g.streams[OperatorStream], g.streams[EndpointStream]
+	operator, endpoint, now := g.streams[OperatorStream], g.streams[EndpointStream], steady.Now()
 	resp := &gossip.StateResponse{
 		Operator:  operator.changedSince(req.GetOperatorOffset()),
 		Endpoints: endpoint.changedSince(req.GetEndpointOffset()),
 		Limits:    limitsToProto(g.limits.States()),
 	}
 	if operator.synced {
-		resp.OperatorOffset = operator.next
+		resp.OperatorOffset, resp.OperatorVerifiedAgeMs = operator.next, operator.proofAge(now)
 	}
 	if endpoint.synced {
-		resp.EndpointOffset = endpoint.next
+		resp.EndpointOffset, resp.EndpointVerifiedAgeMs = endpoint.next, endpoint.proofAge(now)
 	}
 	if req.GetCrashes() {
-		resp.Crashes = g.allCrashes(steady.Now())
+		resp.Crashes = g.allCrashes(now)
 	}
 	return resp
 }
--- a/pkg/gateway/simulation_test.go
+++ b/pkg/gateway/simulation_test.go
@@ -195,7 +195,11 @@
 		if err != nil {
 			s.t.Fatal(err)
 		}
-		s.send(to, to.gateway.applyBatch(batch, s.now))
+		forward, source := to.gateway.applyBatch(batch, s.now)
+		s.send(to, forward)
+		if source != nil {
+			s.fetchState(to, source)
+		}
 	}
 	s.queue = append(s.queue, later...)
 }
--- a/pkg/gateway/streamsync.go
+++ b/pkg/gateway/streamsync.go
@@ -14,9 +14,6 @@
 const (
 	// operatorReadWait is the longest time that a read waits for new operator records, which are rare.
 	operatorReadWait = 20 * time.Second
-	// endpointReadWait is the longest time that a read waits for new endpoint records. It is short so that a reader whose
-	// calls hang notices.
-	endpointReadWait = 1500 * time.Millisecond
 	// endpointReadInterval is the pause between two reads, so that many changes arrive in few calls.
 	endpointReadInterval = 300 * time.Millisecond
 	// readerPollInterval is the interval between two checks by a VM that does not read a stream from the store itself.
@@ -63,12 +60,18 @@
 	failing    bool
 	// failedAt is the start of the present failure.
 	failedAt time.Time
-	// freshness is when the store last proved that this copy is complete.
+	// freshness is when the copy was last proved complete, by the store or by a peer that has a proof of the store.
+	// provenAt is when the store itself last proved it to this VM, or zero.
 	freshness freshness.Tracker
+	provenAt  time.Time
+	// cancelWait ends the last read that waited for records. It is nil before the first.
+	cancelWait context.CancelCauseFunc
+	// wake ends the pause between two reads.
+	wake chan struct{}
 }
 
 func newStreamState() *streamState {
-	return &streamState{records: map[string]Record{}, changedOffsets: map[string]int64{}}
+	return &streamState{records: map[string]Record{}, changedOffsets: map[string]int64{}, wake: make(chan struct{}, 1)}
 }
 
 // recordChange records that a key changed by more than a heartbeat.
@@ -95,18 +98,19 @@
 	g.bootstrapFromPeers()
 	pause := minRetryDelay
 	for g.ctx.Err() == nil {
-		if g.operatorReadByOthers(steady.Now()) {
-			if !g.sleep(jitter(readerPollInterval)) {
+		wait, read := g.nextOperatorRead(steady.Now())
+		if !read {
+			if !g.pause(OperatorStream, jitter(readerPollInterval)) {
 				return
 			}
 			continue
 		}
-		err := g.readStream(OperatorStream, operatorReadWait)
+		err := g.readStream(OperatorStream, wait)
 		if err == nil {
 			pause = minRetryDelay
 			continue
 		}
-		if !g.sleep(jitter(pause)) {
+		if !g.pause(OperatorStream, jitter(pause)) {
 			return
 		}
 		pause = min(2*pause, maxRetryDelay)
@@ -114,12 +118,32 @@
 	}
 }
 
-// operatorReadByOthers reports whether other VMs of the data centre read the operator records, so that this one need
-// not.
-func (g *Gateway) operatorReadByOthers(now time.Time) bool {
+// nextOperatorRead reports whether this VM reads the operator records from the store now, and how long that read may
+// wait for records.
+func (g *Gateway) nextOperatorRead(now time.Time) (wait time.Duration, read bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.isLargeSystem() || !g.streams[OperatorStream].synced {
+	st := g.streams[OperatorStream]
+	switch {
+	case !st.synced || g.isOverdue(OperatorStream, now):
+		return 0, true
+	case g.isPreferredVM(now):
+		wait = verifyReadWait
+	case g.operatorReadByOthers(now):
+		return 0, false
+	default:
+		wait = operatorReadWait
+	}
+	if st.failing {
+		wait = 0
+	}
+	return wait, true
+}
+
+// operatorReadByOthers reports whether other VMs of the data centre read the operator records, so that this one need
+// not. The caller holds the lock.
+func (g *Gateway) operatorReadByOthers(now time.Time) bool {
+	if !g.isLargeSystem() {
 		return false
 	}
 	readers := g.widestLinks(g.settings.DataCentre, operatorReadersPerDataCentre, func(name string, _ *knownVM) bool {
@@ -159,7 +183,7 @@
 }
 
 // readStream reads the new records of a stream from the store, or all records if the stream is not synced or the offset
-// has expired.
+// has expired. A read that waits and gets no answer is followed by one that does not wait.
 func (g *Gateway) readStream(s Stream, wait time.Duration) error {
 	g.mu.Lock()
 	synced, next := g.streams[s].synced, g.streams[s].next
@@ -167,26 +191,52 @@
 	if !synced {
 		return g.readNewest(s)
 	}
+	err := g.readRecords(s, wait)
+	if wait > 0 && isLostAnswer(err) {
+		err = g.readRecords(s, 0)
+	}
+	if errors.Is(err, ErrRecordsExpired) {
+		g.log.info(partStore).Str("stream", s.String()).Int64("from", next).Msg("records expired, reading all")
+		return g.readNewest(s)
+	}
+	if err != nil {
+		g.recordStoreResult(s, err, steady.Now())
+	}
+	return err
+}
+
+// isLostAnswer reports whether a read ended because it got no answer.
+func isLostAnswer(err error) bool {
+	return errors.Is(err, errAnswerLost) || errors.Is(err, context.DeadlineExceeded)
+}
+
+// readRecords sends one read to the store, which may wait for records, and applies the answer.
+func (g *Gateway) readRecords(s Stream, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(g.ctx, wait+storeTimeout)
 	defer cancel()
+	g.mu.Lock()
+	st := g.streams[s]
+	next := st.next
+	if wait > 0 {
+		var stop func()
+		ctx, stop = st.startWait(ctx)
+		defer stop()
+	}
+	g.mu.Unlock()
 	started := steady.Now()
 	records, end, err := g.platform.Store.Read(ctx, s, next, wait)
 	answered := steady.Now()
-	if errors.Is(err, ErrRecordsExpired) {
-		g.log.info(partStore).Str("stream", s.String()).Int64("from", next).Msg("records expired, reading all")
-		return g.readNewest(s)
-	}
-	g.recordStoreResult(s, err)
-	if errors.Is(err, context.DeadlineExceeded) {
+	if isLostAnswer(err) {
 		g.logLostAnswer(s, wait, started, answered)
 	}
 	if err != nil {
 		return err
 	}
+	g.recordStoreResult(s, nil, answered)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.applyRecords(s, records, end)
-	g.streams[s].freshness.Verified(freshness.VerifiedAt(started, answered, wait, len(records)))
+	st.recordProof(freshness.VerifiedAt(started, answered, wait, len(records)))
 	return nil
 }
 
@@ -206,7 +256,7 @@
 	defer cancel()
 	started := steady.Now()
 	records, end, err := g.platform.Store.Newest(ctx, s)
-	g.recordStoreResult(s, err)
+	g.recordStoreResult(s, err, steady.Now())
 	if err != nil {
 		return err
 	}
@@ -217,7 +267,7 @@
 	}
 	g.applyRecords(s, records, end)
 	g.streams[s].synced = true
-	g.streams[s].freshness.Verified(started)
+	g.streams[s].recordProof(started)
 	return nil
 }
 
@@ -241,11 +291,10 @@
 }
 
 // recordStoreResult records the result of a call to the store and logs when the store is lost and when it is back.
-func (g *Gateway) recordStoreResult(s Stream, err error) {
+func (g *Gateway) recordStoreResult(s Stream, err error, now time.Time) {
 	if g.ctx.Err() != nil {
 		return
 	}
-	now := steady.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	st := g.streams[s]
@@ -265,6 +314,11 @@
 			g.endpoints.StoreRecovered(now)
 		}
 	}
+	for _, other := range g.streams {
+		if other != st && other.failing {
+			other.endPause()
+		}
+	}
 	st.failing = false
 	st.answeredAt = now
 }
@@ -275,13 +329,13 @@
 	pause := minRetryDelay
 	for g.ctx.Err() == nil {
 		if g.syncFromReader() {
-			if !g.sleep(jitter(readerPollInterval)) {
+			if !g.pause(EndpointStream, jitter(readerPollInterval)) {
 				return
 			}
 			continue
 		}
-		if err := g.readStream(EndpointStream, endpointReadWait); err != nil {
-			if !g.sleep(jitter(pause)) {
+		if err := g.readStream(EndpointStream, g.endpointReadWait(steady.Now())); err != nil {
+			if !g.pause(EndpointStream, jitter(pause)) {
 				return
 			}
 			pause = min(2*pause, maxRetryDelay)
@@ -294,3 +348,13 @@
 		}
 	}
 }
+
+// endpointReadWait returns how long the next read of the endpoint records may wait for records.
+func (g *Gateway) endpointReadWait(now time.Time) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.streams[EndpointStream].failing || g.isOverdue(EndpointStream, now) {
+		return 0
+	}
+	return verifyReadWait
+}
--- /dev/null
+++ b/pkg/gateway/verify.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/corneldeal/corneldeal/pkg/gossip"
+)
+
+// A read that waits for records looks the same whether there are none or its answer was lost, and no error ever ends the
+// wait. So each VM records when its copy of a stream was last proved complete. A few VMs read with short waits, and their
+// digests state the age of their proof, which holds for every VM that has the records they know. A VM without a recent
+// proof gives up the read that it waits on and asks the store at once. This needs no agreement on who reads: if the VMs
+// that read for all lose their answers, are cut off or stop, every other VM checks for itself.
+
+const (
+	// verifyReadWait is the longest time that a read waits on the VMs that verify a stream for all.
+	verifyReadWait = 500 * time.Millisecond
+	// maxVerifiedAge is the age of the last proof at which a VM checks a stream itself. It leaves time for the check within
+	// the 2 s in which small deployments want a configuration in force and an endpoint out of use.
+	maxVerifiedAge = 1100 * time.Millisecond
+	// maxVerifiedAgeLarge is the same in a large system, where proofs arrive through hubs and 3 s are allowed.
+	maxVerifiedAgeLarge = 1800 * time.Millisecond
+	// verifiedAgeSpread is the largest random extension of both.
+	verifiedAgeSpread = 300 * time.Millisecond
+)
+
+// errAnswerLost ends a read that waits although the copy of its stream has to be verified.
+var errAnswerLost = errors.New("gateway: the answer to a read was lost")
+
+// isOverdue reports whether this VM has to verify its copy of a stream itself. The caller holds the lock.
+func (g *Gateway) isOverdue(s Stream, now time.Time) bool {
+	limit := maxVerifiedAge
+	if g.isLargeSystem() {
+		limit = maxVerifiedAgeLarge
+	}
+	return g.streams[s].freshness.Overdue(now, limit, verifiedAgeSpread)
+}
+
+// checkFreshness ends the waiting reads of streams that have to be verified, and ends the pause of a VM that leaves the
+// reading to others. Reads that have failed are repeated after their own pauses. The caller holds the lock.
+func (g *Gateway) checkFreshness(now time.Time) {
+	for s, st := range g.streams {
+		if st.synced && !st.failing && g.isOverdue(s, now) {
+			st.endWait(errAnswerLost)
+			st.endPause()
+		}
+	}
+}
+
+// recordProof records that the store itself proved the copy complete as of the given time. The caller holds the lock.
+func (st *streamState) recordProof(at time.Time) {
+	st.freshness.Verified(at)
+	if at.After(st.provenAt) {
+		st.provenAt = at
+	}
+}
+
+// proofAge returns the time since the store itself last proved the copy complete, for peers. It is nil if it never did.
+func (st *streamState) proofAge(now time.Time) *int64 {
+	if st.provenAt.IsZero() {
+		return nil
+	}
+	age := max(0, now.Sub(st.provenAt)).Milliseconds()
+	return &age
+}
+
+// applyPeerProofs records what the store proved to a peer, for the streams of which this VM holds all records that the
+// peer knows. The caller holds the lock.
+func (g *Gateway) applyPeerProofs(p *peerState, d *gossip.Digest, now time.Time) {
+	if p.operatorOffset <= g.streams[OperatorStream].next {
+		g.applyPeerProof(OperatorStream, d.OperatorVerifiedAgeMs, now)
+	}
+	if p.endpointChanged <= g.streams[EndpointStream].next {
+		g.applyPeerProof(EndpointStream, d.EndpointVerifiedAgeMs, now)
+	}
+}
+
+// applyPeerProof records that the store proved a stream complete to a peer, the given number of milliseconds before the
+// given time. It ends the pause after a failed read if this VM had no recent proof: the store is back. The caller holds
+// the lock.
+func (g *Gateway) applyPeerProof(s Stream, ageMs *int64, now time.Time) {
+	if ageMs == nil {
+		return
+	}
+	st := g.streams[s]
+	wasOverdue := g.isOverdue(s, now)
+	st.freshness.Verified(now.Add(-time.Duration(max(0, *ageMs)) * time.Millisecond))
+	if wasOverdue && !g.isOverdue(s, now) {
+		st.endPause()
+	}
+}
+
+// startWait returns a context for a read that waits for records. Until stop is called, endWait ends the read.
+func (st *streamState) startWait(ctx context.Context) (waitCtx context.Context, stop func()) {
+	waitCtx, cancel := context.WithCancelCause(ctx)
+	st.cancelWait = cancel
+	return waitCtx, func() { cancel(context.Canceled) }
+}
+
+// endWait ends the read that waits for records, if there is one.
+func (st *streamState) endWait(cause error) {
+	if st.cancelWait != nil {
+		st.cancelWait(cause)
+	}
+}
+
+// endPause ends the present or next pause between two reads.
+func (st *streamState) endPause() {
+	select {
+	case st.wake <- struct{}{}:
+	default:
+	}
+}
+
+// pause waits until d has passed or endPause is called. It reports false if the process is ending.
+func (g *Gateway) pause(s Stream, d time.Duration) bool {
+	g.mu.Lock()
+	wake := g.streams[s].wake
+	g.mu.Unlock()
+	select {
+	case <-g.ctx.Done():
+		return false
+	case <-wake:
+	case <-time.After(d):
+	}
+	return true
+}
