Close the pooled connections to an address where a call on one got no answer

Connections may fall silent together, without a reset and while new ones work. The pool then handed out one silent connection after another: four idle connections cost four calls to the store, or four requests of callers at an endpoint, which wait until their time limits.

A call on a pooled connection that ends by its time limit now closes the other idle ones to that address. A caller that leaves says nothing about them. TestSilentConnectionIsTheOnlyOneUsed failed before for both ways to send: the second call was lost as well.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"time"
 
@@ -16,7 +17,7 @@
 )
 
 // errTimeLimit cancels an attempt at the request's deadline.
-var errTimeLimit = errors.New("gateway: time limit reached")
+var errTimeLimit = fmt.Errorf("gateway: time limit reached: %w", httpcall.ErrNoAnswer)
 
 // errPanic is the result of an attempt whose handling panicked.
 var errPanic = errors.New("gateway: panic while the attempt was handled")
--- a/pkg/gateway/silence.go
+++ b/pkg/gateway/silence.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
 	"sync"
 	"time"
 
+	"github.com/corneldeal/corneldeal/pkg/httpcall"
 	"github.com/corneldeal/corneldeal/pkg/steady"
 )
 
@@ -22,7 +23,7 @@
 )
 
 // errEndpointSilent cancels an attempt at a silent endpoint.
-var errEndpointSilent = errors.New("gateway: endpoint is silent")
+var errEndpointSilent = fmt.Errorf("gateway: endpoint is silent: %w", httpcall.ErrNoAnswer)
 
 // silenceTimer cancels an attempt at an endpoint that stays silent if the request may continue at another one. Bytes
 // that complete no event do not reset it, so an endpoint that sends a byte now and then counts as silent. The zero
--- a/pkg/gateway/verify.go
+++ b/pkg/gateway/verify.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
 	"time"
 
 	"github.com/corneldeal/corneldeal/pkg/gossip"
+	"github.com/corneldeal/corneldeal/pkg/httpcall"
 )
 
 // A read that waits for records looks the same whether there are none or its answer was lost, and no error ever ends the
@@ -27,7 +28,7 @@
 )
 
 // errAnswerLost ends a read that waits although the copy of its stream has to be verified.
-var errAnswerLost = errors.New("gateway: the answer to a read was lost")
+var errAnswerLost = fmt.Errorf("gateway: the answer to a read was lost: %w", httpcall.ErrNoAnswer)
 
 // isOverdue reports whether this VM has to verify its copy of a stream itself. The caller holds the lock.
 func (g *Gateway) isOverdue(s Stream, now time.Time) bool {
--- a/pkg/httpcall/httpcall.go
+++ b/pkg/httpcall/httpcall.go
@@ -42,6 +42,10 @@
 	writeBufferBytes = 4 << 10
 )
 
+// ErrNoAnswer is to be wrapped by the causes of cancelled contexts that mean that no answer came in time. The end of a
+// context's deadline means the same.
+var ErrNoAnswer = errors.New("httpcall: no answer in time")
+
 // Error describes the failure of one call.
 type Error struct {
 	// Address is the IP:port of the server.
@@ -119,6 +123,21 @@
 	return nil
 }
 
+// closeSilent closes the idle connections to address if a call on a pooled connection got no answer in time. Connections
+// may fall silent together, without a reset and while new ones work, so the others are likely to be silent too.
+func (c *Client) closeSilent(ctx context.Context, address string, conn *persistConn) {
+	cause := context.Cause(ctx)
+	if conn.reuseUntil.IsZero() || !errors.Is(cause, ErrNoAnswer) && !errors.Is(cause, context.DeadlineExceeded) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, idle := range c.idle[address] {
+		_ = idle.Close()
+	}
+	delete(c.idle, address)
+}
+
 // putIdle adds a connection to the pool for at most the time idle, or closes it if the pool for address is full.
 func (c *Client) putIdle(address string, conn *persistConn, idle time.Duration) {
 	conn.reuseUntil = time.Now().Add(idle)
@@ -173,6 +192,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	err = resp.ReadLimitBody(conn.reader, opts.MaxBody)
 	if !stop() {
+		c.closeSilent(ctx, address, conn)
 		return &Error{Address: address, Written: true, Err: context.Cause(ctx)}
 	}
 	if err != nil {
@@ -233,6 +253,7 @@
 		err = conn.writer.Flush()
 	}
 	if !stop() {
+		c.closeSilent(ctx, address, conn)
 		return nil, &Error{Address: address, Written: true, Err: context.Cause(ctx)}
 	}
 	if err != nil {
@@ -276,6 +297,7 @@
 		stop()
 		_ = conn.Close()
 		if ctx.Err() != nil {
+			c.closeSilent(ctx, address, conn)
 			err = context.Cause(ctx)
 		}
 		return nil, &Error{Address: address, Written: true, Err: err}
--- a/pkg/httpcall/httpcall_test.go
+++ b/pkg/httpcall/httpcall_test.go
@@ -6,6 +6,8 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -100,3 +102,139 @@
 		t.Fatal("a stream without its last chunk was read as complete")
 	}
 }
+
+// silentServer answers requests until its connections are silenced; new connections work.
+type silentServer struct {
+	mu       sync.Mutex
+	conns    []*mutableConn
+	listener net.Listener
+}
+
+// mutableConn is a connection that returns nothing once it is muted.
+type mutableConn struct {
+	net.Conn
+	muted atomic.Bool
+}
+
+// Write implements net.Conn.
+func (c *mutableConn) Write(p []byte) (int, error) {
+	if c.muted.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Accept implements net.Listener.
+func (s *silentServer) Accept() (net.Conn, error) {
+	c, err := s.listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns = append(s.conns, &mutableConn{Conn: c})
+	return s.conns[len(s.conns)-1], nil
+}
+
+// Close implements net.Listener.
+func (s *silentServer) Close() error { return s.listener.Close() }
+
+// Addr implements net.Listener.
+func (s *silentServer) Addr() net.Addr { return s.listener.Addr() }
+
+// silence mutes all connections that are open.
+func (s *silentServer) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		c.muted.Store(true)
+	}
+}
+
+// newSilentServer starts a server whose connections can be silenced, and a client that has idle connections to it.
+func newSilentServer(t *testing.T, idle int) (s *silentServer, client *Client) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s = &silentServer{listener: ln}
+	var together sync.WaitGroup
+	together.Add(idle)
+	go func() {
+		_ = (&fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+			if string(ctx.Path()) == "/together" {
+				together.Done()
+				together.Wait()
+			}
+		}}).Serve(s)
+	}()
+	client = NewClient()
+	t.Cleanup(func() {
+		client.Close()
+		_ = ln.Close()
+	})
+	var calls sync.WaitGroup
+	for range idle {
+		calls.Go(func() {
+			if err := client.Do(context.Background(), ln.Addr().String(), request("/together"), &fasthttp.Response{}, Options{}); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	calls.Wait()
+	return s, client
+}
+
+// Guards against one call after another being lost on pooled connections that all fell silent at the same moment.
+func TestSilentConnectionIsTheOnlyOneUsed(t *testing.T) {
+	const callTime = 100 * time.Millisecond
+	t.Run("Do", func(t *testing.T) {
+		s, client := newSilentServer(t, 4)
+		s.silence()
+		call := func() error {
+			ctx, cancel := context.WithTimeout(context.Background(), callTime)
+			defer cancel()
+			return client.Do(ctx, s.Addr().String(), request("/"), &fasthttp.Response{}, Options{})
+		}
+		if err := call(); !errors.Is(err, context.DeadlineExceeded) {
+			t.Fatalf("error %v on a silent connection", err)
+		}
+		if err := call(); err != nil {
+			t.Errorf("the call after a lost answer: %v", err)
+		}
+	})
+	t.Run("OpenRaw", func(t *testing.T) {
+		s, client := newSilentServer(t, 4)
+		s.silence()
+		head := []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		call := func() error {
+			ctx, cancel := context.WithTimeout(context.Background(), callTime)
+			defer cancel()
+			stream, err := client.OpenRaw(ctx, s.Addr().String(), RawRequest{Head: head})
+			if err == nil {
+				stream.Close()
+			}
+			return err
+		}
+		if err := call(); !errors.Is(err, context.DeadlineExceeded) {
+			t.Fatalf("error %v on a silent connection", err)
+		}
+		if err := call(); err != nil {
+			t.Errorf("the call after a lost answer: %v", err)
+		}
+	})
+}
+
+// Guards against closing good connections because a caller cancelled a call.
+func TestCancelledCallLeavesTheOtherConnections(t *testing.T) {
+	s, client := newSilentServer(t, 4)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := client.Do(ctx, s.Addr().String(), request("/"), &fasthttp.Response{}, Options{}); err == nil {
+		t.Fatal("a cancelled call succeeded")
+	}
+	if idle := len(client.idle[s.Addr().String()]); idle < 3 {
+		t.Errorf("%d idle connections remain, want at least 3 of 4", idle)
+	}
+}
--- a/pkg/httpcall/raw.go
+++ b/pkg/httpcall/raw.go
@@ -37,6 +37,7 @@
 		s.stop()
 		_ = conn.Close()
 		if ctx.Err() != nil {
+			c.closeSilent(ctx, address, conn)
 			err = context.Cause(ctx)
 		}
 		return nil, &Error{Address: address, Written: true, Err: err}
