Put a configuration in force although one of its elements cannot be decoded

A configuration with one field of another type than expected, or a version written as 8.0, was not put in force at all: the record was stored as the newest and passed, the VM stayed on the older version with one log line, and its digests said that it was current.

Routes, services, workspaces and the limits are now decoded one by one. One that cannot be decoded is left out, logged by list and index, and counted; a limit or restriction that cannot be read is never lifted, and keys stay required if no workspace can be read. Records without a version or with lists that are no lists stay errors.

--- a/pkg/gateway/platform.go
+++ b/pkg/gateway/platform.go
@@ -70,10 +70,12 @@
 	Append(ctx context.Context, s Stream, key string, value []byte, at int64) (offset int64, err error)
 }
 
-// OperatorChange is a decoded operator record. One field is set, or none if the key is unknown.
+// OperatorChange is a decoded operator record. Config or Weights is set, or neither if the key is unknown.
 type OperatorChange struct {
 	Config  *traffic.Config
 	Weights *Weights
+	// Skipped names the elements of the configuration that could not be decoded and are missing from Config.
+	Skipped []error
 }
 
 // Weights is the weight version that a model should run.
--- a/pkg/gateway/records.go
+++ b/pkg/gateway/records.go
@@ -46,9 +46,15 @@
 	st.recordChange(r.Key, r.Offset)
 	change, err := g.platform.Decoder.DecodeOperator(r.Key, r.Value)
 	if err != nil {
+		g.metrics.count("operator_records_unreadable_total")
 		g.log.warn(partConfig).Str("key", r.Key).Int64("offset", r.Offset).Err(err).Msg("record is unreadable")
 		return
 	}
+	for _, err := range change.Skipped {
+		g.metrics.count("configuration_elements_skipped_total")
+		g.log.warn(partConfig).Int64("version", change.Config.Version).Int64("offset", r.Offset).Err(err).
+			Msg("element of the configuration is unreadable, left out")
+	}
 	if change.Config != nil {
 		g.applyConfig(change.Config, r.Offset)
 	}
--- a/pkg/traffic/config.go
+++ b/pkg/traffic/config.go
@@ -157,7 +157,9 @@
 	Routes     []Route
 	Services   map[string]*Service
 	Workspaces []Workspace
-	Limits     Limits
+	// KeyRequired is set if requests need a key even if there is no workspace that could be read.
+	KeyRequired bool
+	Limits      Limits
 
 	byHost map[string][]*Route
 	byKey  map[string]*Workspace
@@ -204,7 +206,7 @@
 
 // RequiresKey reports whether requests need a key, except on public routes.
 func (c *Config) RequiresKey() bool {
-	return len(c.Workspaces) > 0
+	return c.KeyRequired || len(c.Workspaces) > 0
 }
 
 // WorkspaceByKey returns the workspace that a key belongs to, or nil.
