Ask the store sooner after its return

A call that hangs as the store returns ends after 1.2 s, and the pause after it was up to 1.8 s: 3.0 s, when every bound holds again 3 s after the return. TestStoreIsAskedSoonAfterItsReturn fails with the old pause (3 s of 2.5 s).

--- a/pkg/gateway/streamsync.go
+++ b/pkg/gateway/streamsync.go
@@ -20,9 +20,10 @@
 	readerPollInterval = 500 * time.Millisecond
 	// storeTimeout limits a call to the store, in addition to the time that the call may wait for records.
 	storeTimeout = 1200 * time.Millisecond
-	// minRetryDelay and maxRetryDelay limit the pause after a failed call.
+	// minRetryDelay and maxRetryDelay limit the pause after a failed call, before it is jittered. A call that hangs as the
+	// store returns and the longest pause after it must fit into the 3 s after which every bound holds again.
 	minRetryDelay = 100 * time.Millisecond
-	maxRetryDelay = 1200 * time.Millisecond
+	maxRetryDelay = 800 * time.Millisecond
 	// endpointReaderCount is the number of VMs that read the endpoint records from the store; the others ask them.
 	endpointReaderCount = 2
 	// operatorReadersPerDataCentre is the number of VMs in each data centre of a large system that read the operator
@@ -177,7 +178,10 @@
 	}
 }
 
-// jitter returns a random duration between half and one and a half times d.
+// maxJitter is the largest factor of jitter.
+const maxJitter = 1.5
+
+// jitter returns a random duration between half of d and maxJitter times d.
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d)
 }
--- a/pkg/gateway/verify_test.go
+++ b/pkg/gateway/verify_test.go
@@ -378,3 +378,17 @@
 		t.Error("a VM that lacks records counts as verified")
 	}
 }
+
+// Guards against a VM that is alone, or among others that fail like it, and asks the store so late after its return that a
+// configuration published meanwhile is not in force when every bound holds again.
+func TestStoreIsAskedSoonAfterItsReturn(t *testing.T) {
+	const margin = 500 * time.Millisecond
+	if latest := storeTimeout + time.Duration(maxJitter*float64(maxRetryDelay)); latest+margin > simStabilityWindow {
+		t.Errorf("asked %v after the return, want at most %v", latest, simStabilityWindow-margin)
+	}
+	for range 1000 {
+		if d := jitter(time.Second); d < 500*time.Millisecond || d > time.Duration(maxJitter*float64(time.Second)) {
+			t.Fatalf("jitter gives %v for 1s", d)
+		}
+	}
+}
