--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -59,7 +59,8 @@
 		Str("fetch_from", t.choice.FetchFrom).Dur("list_age_ms", listAge).
 		Dur("expected_ms", t.choice.Expected).Dur("took_ms", now.Sub(started)).Str("outcome", outcomeNames[res.outcome]).
 		Bool("not_run", res.notRun).Str("limit", t.limit.Kind.String()).Float64("limit_per_s", t.limit.PerSecond).
-		Bool("under_limit", t.underLimit).Int("at_limit", t.choice.AtLimit).Strs("fingerprints", formatFingerprints(r.fingerprints))
+		Bool("under_limit", t.underLimit).Int("at_limit", t.choice.AtLimit).Strs("fingerprints", formatFingerprints(r.fingerprints)).
+		Strs("parts", formatParts(r.call.Chain))
 	if res.err != nil {
 		line.Err(res.err)
 	}
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -71,6 +71,18 @@
 	return out
 }
 
+// maxLoggedParts limits the parts of a prompt in one log line.
+const maxLoggedParts = 8
+
+// formatParts returns the ids of the first parts of a prompt in hexadecimal, as in logs.
+func formatParts(chain []place.Part) []string {
+	out := make([]string, 0, min(len(chain), maxLoggedParts))
+	for _, part := range chain[:min(len(chain), maxLoggedParts)] {
+		out = append(out, strconv.FormatUint(part.ID, 16))
+	}
+	return out
+}
+
 // isCrashSuspect reports whether a request must not be sent to another endpoint because it crashes them. The caller
 // holds the lock.
 func (g *Gateway) isCrashSuspect(r *request, now time.Time) bool {
