Count crashes of endpoints under the parts of prompts, and refuse the part at fault

Callers lost answers by the dozen: requests with one part in their prompts crashed engine after engine, up to 59 in a minute, and sound requests with the same caller found no engine. Cause: crashes were counted under a fingerprint of workspace, target and body, and these requests never repeat. The class is an accusation at the wrong grain.

The tally, which all VMs exchange until equal, now also counts under each shared part of a prompt. A crash accuses the parts of all requests that the engine had not answered; an answer clears them on all VMs, and parts answered in the last 2 s are not accused. Three crashes refuse a part, but a crash that also ended an engine under a refused part with more crashes does not count, so that parts that rode along are not refused. With three or four crashes a part is probed by single requests, in turns over all VMs, so that an innocent one returns in seconds; from five on nothing is sent. Refusals are kept in the platform's store as for requests.

--- a/pkg/crashguard/tally.go
+++ b/pkg/crashguard/tally.go
@@ -47,6 +47,8 @@
 	cleared map[string]bool
 	// usedAt is when a VM last saw a crash of the request or last refused it.
 	usedAt time.Time
+	// crashedAt is when this VM learned of the last crash that counted.
+	crashedAt time.Time
 }
 
 // countedCrashes returns the number of crashes that were not cleared.
@@ -60,22 +62,30 @@
 	return n
 }
 
-// refused reports whether the request crashed too many endpoints.
-func (r *requestCrashes) refused() bool {
+// hasTooMany reports whether the request crashed too many endpoints.
+func (r *requestCrashes) hasTooMany() bool {
 	return r.countedCrashes() >= endpointsToRefuse
 }
 
-// Tally counts, over all VMs, the endpoints that ended while they ran a request. A request is refused once it has
-// three such endpoints and none has answered it. Unlike Guard, Tally does not isolate accused requests: an innocent
-// request is refused only after it was in flight on three endpoints that crashed, and a clean run clears it.
+// Tally counts, over all VMs, the endpoints that ended while they ran a request, or a request with one part in its
+// prompt. A request or part is refused once it has three such endpoints and none has answered it. Unlike Guard, Tally does
+// not isolate accused requests: an innocent request is refused only after it was in flight on three endpoints that
+// crashed, and a clean run clears it. What "request" says below holds for parts as well.
 //
 // Tallies that exchange their crashes in any order and any number of times become equal, because crashes are only
 // added and only change to cleared. A Tally is not safe for concurrent use.
 type Tally struct {
 	// requests holds the crashes by fingerprint.
 	requests map[uint64]*requestCrashes
-	// checksum and refusedChecksum cover all crashes and all refused requests. See Checksum and RefusedChecksum.
-	checksum, refusedChecksum uint64
+	// checksum covers all crashes, and refusedRequestsChecksum all refused requests without the parts. See Checksum and
+	// RefusedChecksum.
+	checksum, refusedRequestsChecksum uint64
+	// suspectParts are the parts with enough crashes to be refused, and refusedParts those that are.
+	suspectParts, refusedParts map[uint64]bool
+	// partsChanged is set if refusedParts has to be determined anew, and changedParts are the parts whose refusal began or
+	// ended since TakeChangedParts was called.
+	partsChanged bool
+	changedParts []uint64
 	// lastExpiry is when expire last removed requests.
 	lastExpiry time.Time
 	// evicted counts the requests that were evicted from a full tally.
@@ -84,7 +94,9 @@
 
 // NewTally returns an empty Tally.
 func NewTally() *Tally {
-	return &Tally{requests: map[uint64]*requestCrashes{}}
+	return &Tally{
+		requests: map[uint64]*requestCrashes{}, suspectParts: map[uint64]bool{}, refusedParts: map[uint64]bool{},
+	}
 }
 
 // Record adds a crash that this VM or another saw. It reports whether the crash or its clearing was new and is held
@@ -115,6 +127,10 @@
 	r.cleared[c.Endpoint] = c.Cleared
 	r.dropExcessEndpoints()
 	t.addToChecksums(c.Fingerprint, r)
+	if !c.Cleared {
+		r.crashedAt = now
+	}
+	t.updateSuspectPart(c.Fingerprint, r)
 	_, kept := r.cleared[c.Endpoint]
 	return kept
 }
@@ -122,14 +138,32 @@
 // addToChecksums adds a request to the checksums. The checksums are XOR sums, so adding a request a second time
 // removes it.
 func (t *Tally) addToChecksums(fingerprint uint64, r *requestCrashes) {
-	if r.refused() {
-		t.refusedChecksum ^= fingerprint
+	if !IsPart(fingerprint) && r.hasTooMany() {
+		t.refusedRequestsChecksum ^= fingerprint
 	}
 	for endpoint, cleared := range r.cleared {
 		t.checksum ^= crashChecksum(fingerprint, endpoint, cleared)
 	}
 }
 
+// updateSuspectPart updates the parts that may be refused after the crashes of a request have changed; r is nil if it was
+// removed.
+func (t *Tally) updateSuspectPart(fingerprint uint64, r *requestCrashes) {
+	if !IsPart(fingerprint) {
+		return
+	}
+	suspect := r != nil && r.hasTooMany()
+	if !suspect && !t.suspectParts[fingerprint] {
+		return
+	}
+	t.partsChanged = true
+	if suspect {
+		t.suspectParts[fingerprint] = true
+		return
+	}
+	delete(t.suspectParts, fingerprint)
+}
+
 // removeFromChecksums removes a request from the checksums before it changes.
 func (t *Tally) removeFromChecksums(fingerprint uint64, r *requestCrashes) {
 	t.addToChecksums(fingerprint, r)
@@ -191,18 +225,21 @@
 // request is kept.
 func (t *Tally) ShouldRefuse(fingerprint uint64, now time.Time) bool {
 	t.expire(now)
-	r := t.requests[fingerprint]
-	if r == nil || !r.refused() {
+	if !t.IsRefused(fingerprint) {
 		return false
 	}
-	r.usedAt = now
+	t.requests[fingerprint].usedAt = now
 	return true
 }
 
 // IsRefused reports whether a request is refused, without renewing the time for which it is kept.
 func (t *Tally) IsRefused(fingerprint uint64) bool {
+	if IsPart(fingerprint) {
+		t.refreshRefusedParts()
+		return t.refusedParts[fingerprint]
+	}
 	r := t.requests[fingerprint]
-	return r != nil && r.refused()
+	return r != nil && r.hasTooMany()
 }
 
 // CrashCount returns the number of crashes that count against a request.
@@ -228,7 +265,12 @@
 // RefusedChecksum returns a checksum over the refused requests. It is zero if there are none, and differs between tallies
 // that refuse different requests.
 func (t *Tally) RefusedChecksum() uint64 {
-	return t.refusedChecksum
+	t.refreshRefusedParts()
+	sum := t.refusedRequestsChecksum
+	for part := range t.refusedParts {
+		sum ^= part
+	}
+	return sum
 }
 
 // TopCrashes returns the crashes of at most the given number of requests, those with the most crashes first.
@@ -253,13 +295,16 @@
 	return out
 }
 
-// byCrashCount returns the fingerprints of at most the given number of requests, those with the most crashes first
-// and, among equals, the last used first.
+// byCrashCount returns the fingerprints of at most the given number of requests, those with the most crashes first. Among
+// equals, parts come first, since a crash adds many requests that never repeat, and then the last used.
 func (t *Tally) byCrashCount(most int) []uint64 {
 	all := slices.Collect(maps.Keys(t.requests))
 	slices.SortFunc(all, func(a, b uint64) int {
 		ra, rb := t.requests[a], t.requests[b]
-		return cmp.Or(cmp.Compare(rb.countedCrashes(), ra.countedCrashes()), rb.usedAt.Compare(ra.usedAt), cmp.Compare(a, b))
+		return cmp.Or(
+			cmp.Compare(rb.countedCrashes(), ra.countedCrashes()), cmp.Compare(b&partBit, a&partBit),
+			rb.usedAt.Compare(ra.usedAt), cmp.Compare(a, b),
+		)
 	})
 	return all[:min(len(all), most)]
 }
@@ -279,6 +324,7 @@
 func (t *Tally) remove(fingerprint uint64) {
 	t.removeFromChecksums(fingerprint, t.requests[fingerprint])
 	delete(t.requests, fingerprint)
+	t.updateSuspectPart(fingerprint, nil)
 }
 
 // expire removes requests whose retention is over.
@@ -289,7 +335,7 @@
 	t.lastExpiry = now
 	for fingerprint, r := range t.requests {
 		retention := suspectRetention
-		if r.refused() {
+		if r.hasTooMany() {
 			retention = refusedRetention
 		}
 		if now.Sub(r.usedAt) > retention {
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -83,21 +83,11 @@
 	return out
 }
 
-// isCrashSuspect reports whether a request must not be sent to another endpoint because it crashes them. The caller
-// holds the lock.
-func (g *Gateway) isCrashSuspect(r *request, now time.Time) bool {
-	refuse := false
-	for _, fingerprint := range r.fingerprints {
-		// ShouldRefuse is called for every fingerprint because the call also keeps it from expiring.
-		refuse = g.crashes.ShouldRefuse(fingerprint, now) || refuse
-	}
-	return refuse
-}
-
 // recordCrashEvidence records what the end of an attempt, which began at the given time, shows about crashes: a broken
 // attempt counts as a crash, a clean run clears the request, and an attempt that was given up counts if the endpoint
 // turns out to have ended. The caller holds the lock.
 func (g *Gateway) recordCrashEvidence(r *request, t *target, res attemptResult, began, now time.Time) {
+	g.endProbes(r)
 	if res.notRun {
 		return
 	}
@@ -105,13 +95,17 @@
 	if res.outcome == place.Answered || res.outcome == place.Failed {
 		g.unansweredAttempts.RecordAnswer(endpoint, began)
 	}
-	for _, fingerprint := range r.fingerprints {
-		switch res.outcome {
-		case place.Answered:
+	switch res.outcome {
+	case place.Answered:
+		for _, fingerprint := range r.fingerprints {
 			g.clearCrashes(fingerprint, now)
-		case place.Broken:
+		}
+	case place.Broken:
+		for _, fingerprint := range g.accusedBy(r) {
 			g.recordOwnCrash(crashguard.Crash{Fingerprint: fingerprint, Endpoint: endpoint.Name()}, now)
-		case place.TimedOut, place.Neutral:
+		}
+	case place.TimedOut, place.Neutral:
+		for _, fingerprint := range g.accusedBy(r) {
 			g.unansweredAttempts.Add(fingerprint, endpoint, began, now)
 		}
 	}
@@ -129,17 +123,26 @@
 
 // recordOwnCrash counts a crash that this VM observed and reports it to the peers. The caller holds the lock.
 func (g *Gateway) recordOwnCrash(c crashguard.Crash, now time.Time) {
-	c.Cleared = g.cleanRuns.Contains(c.Fingerprint)
-	if g.addCrash(c, g.settings.VM, now) {
-		g.reportCrash(c, now)
-		g.scheduleRefusalWrite(c.Fingerprint)
+	if g.isPresumedClean(c.Fingerprint, now) {
+		g.metrics.count("crash_parts_excused_total")
+		return
+	}
+	c.Cleared = !crashguard.IsPart(c.Fingerprint) && g.cleanRuns.Contains(c.Fingerprint, now)
+	if !g.addCrash(c, g.settings.VM, now) {
+		return
+	}
+	g.reportCrash(c, now)
+	if crashguard.IsPart(c.Fingerprint) {
+		g.scheduleChangedParts(c.Fingerprint, now)
+		return
 	}
+	g.scheduleRefusalWrite(c.Fingerprint)
 }
 
 // clearCrashes clears the crashes of a request that ran cleanly and reports that to the peers. The caller holds the
 // lock.
 func (g *Gateway) clearCrashes(fingerprint uint64, now time.Time) {
-	g.cleanRuns.Add(fingerprint)
+	g.cleanRunsOf(fingerprint).Add(fingerprint, now)
 	cleared := g.crashes.Clear(fingerprint, now)
 	if len(cleared) == 0 {
 		return
@@ -150,6 +153,7 @@
 	for _, c := range cleared {
 		g.reportCrash(c, now)
 	}
+	g.scheduleChangedParts(fingerprint, now)
 	g.scheduleRefusalWrite(fingerprint)
 }
 
--- /dev/null
+++ b/pkg/gateway/crashparts.go
@@ -0,0 +1,184 @@
+package gateway
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/corneldeal/corneldeal/pkg/crashguard"
+	"github.com/corneldeal/corneldeal/pkg/fleet"
+	"github.com/corneldeal/corneldeal/pkg/place"
+	"github.com/corneldeal/corneldeal/pkg/rendezvous"
+)
+
+// A part of a prompt that crashes endpoints may come in requests that never repeat. The crash of an endpoint accuses the
+// shared parts of every request that it had not answered, over all VMs; sound parts are cleared by the answers to other
+// requests. A refused part that may be innocent is tried again by single requests, the probes.
+
+const (
+	// cleanPartValidity is the time for which an answer excuses the parts of its prompt. Parts that many requests share are
+	// answered all the time, so only rare and new parts are accused. It is shorter than the 3 s within which a part must be
+	// refused, so that a part that begins to crash endpoints is accused in time.
+	cleanPartValidity = 2 * time.Second
+	// maxSharedParts limits the parts of one prompt that are looked at. A prompt with more exceeds the usual limits of
+	// headers.
+	maxSharedParts = 1024
+	// maxAccusedParts limits the parts of one request that a crash accuses, so that prompts of hundreds of parts do not fill
+	// the tally.
+	maxAccusedParts = 64
+	// probeStep is the interval between the times at which VMs may send a probe, in a fixed order of the VMs for each part.
+	// The outcome of a probe reaches the other VMs within it.
+	probeStep = 500 * time.Millisecond
+	// probeStepLarge is the same in a large system, whose digests go through hubs.
+	probeStepLarge = 1500 * time.Millisecond
+)
+
+// partFingerprints returns the fingerprints of the parts of a prompt that requests share: all but the last, without
+// repetitions.
+func partFingerprints(chain []place.Part) []uint64 {
+	shared := chain[:max(len(chain)-1, 0)]
+	shared = shared[max(len(shared)-maxSharedParts, 0):]
+	out := make([]uint64, 0, len(shared))
+	for _, part := range shared {
+		out = append(out, crashguard.PartFingerprint(part.ID))
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// accusedBy returns the fingerprints that a crash of an endpoint under a request accuses: those of the request and of
+// at most maxAccusedParts parts of its prompt. Parts that are accused already come first; the others are drawn, so that a
+// part that is in many crashes is accused by some of them wherever it stands in the prompt. The caller holds the lock.
+func (g *Gateway) accusedBy(r *request) []uint64 {
+	first := slices.IndexFunc(r.fingerprints, crashguard.IsPart)
+	if first < 0 || len(r.fingerprints)-first <= maxAccusedParts {
+		return r.fingerprints
+	}
+	out, parts := slices.Clone(r.fingerprints[:first]), slices.Clone(r.fingerprints[first:])
+	rand.Shuffle(len(parts), func(i, j int) { parts[i], parts[j] = parts[j], parts[i] })
+	slices.SortStableFunc(parts, func(a, b uint64) int {
+		return cmp.Compare(g.crashes.CrashCount(b), g.crashes.CrashCount(a))
+	})
+	return append(out, parts[:maxAccusedParts]...)
+}
+
+// cleanRunsOf returns the clean runs of requests or of parts, whichever the fingerprint is of. The caller holds the lock.
+func (g *Gateway) cleanRunsOf(fingerprint uint64) *crashguard.CleanRuns {
+	if crashguard.IsPart(fingerprint) {
+		return g.cleanParts
+	}
+	return g.cleanRuns
+}
+
+// probeTime returns when this VM may send a request with a refused part as a probe, and whether it may at all. VMs take
+// turns in an order that is the same on all of them. The caller holds the lock.
+func (g *Gateway) probeTime(part uint64, now time.Time) (at time.Time, allowed bool) {
+	at, allowed = g.crashes.ProbeAt(part)
+	if !allowed {
+		return time.Time{}, false
+	}
+	step := probeStep
+	if g.isLargeSystem() {
+		step = probeStepLarge
+	}
+	turn := rendezvous.Rank(part, g.settings.VM, g.livePeers(now))
+	return at.Add(time.Duration(turn) * step), true
+}
+
+// mayProbe reports whether a request may be sent now as the probe of a refused part, and if not, when one may be sent. The
+// time is zero if none may. The caller holds the lock.
+func (g *Gateway) mayProbe(r *request, part uint64, now time.Time) (probe bool, at time.Time) {
+	at, allowed := g.probeTime(part, now)
+	if !allowed {
+		return false, time.Time{}
+	}
+	if sender, running := g.partProbes[part]; running && sender != r.id {
+		return false, now.Add(crashRetryAfter)
+	}
+	return !now.Before(at), at
+}
+
+// startProbes records that a request is the probe of the refused parts in its prompt. The caller holds the lock.
+func (g *Gateway) startProbes(r *request, t *target) {
+	for _, fingerprint := range r.fingerprints {
+		if !crashguard.IsPart(fingerprint) || !g.crashes.IsRefused(fingerprint) {
+			continue
+		}
+		g.partProbes[fingerprint] = r.id
+		g.metrics.count("crash_probes_total")
+		g.log.info(partCrash).Str("request", r.call.ID).Str("fingerprint", formatFingerprint(fingerprint)).
+			Str("endpoint", t.choice.Endpoint.ID).Int("endpoints", g.crashes.CrashCount(fingerprint)).
+			Msg("request with a refused part sent as a probe")
+	}
+}
+
+// probeEndpoints returns the endpoint for a probe out of those that may be chosen: the one that runs the fewest requests,
+// which a crash would take along. The caller holds the lock.
+func (g *Gateway) probeEndpoints(endpoints []*fleet.Endpoint, excluded []string) []*fleet.Endpoint {
+	var best *fleet.Endpoint
+	for _, e := range endpoints {
+		if slices.Contains(excluded, e.ID) {
+			continue
+		}
+		if best == nil || g.placer.Running(e.ID) < g.placer.Running(best.ID) {
+			best = e
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return []*fleet.Endpoint{best}
+}
+
+// endProbes records that an attempt at a request has ended, which may have been a probe. The caller holds the lock.
+func (g *Gateway) endProbes(r *request) {
+	for _, fingerprint := range r.fingerprints {
+		if sender, running := g.partProbes[fingerprint]; running && sender == r.id {
+			delete(g.partProbes, fingerprint)
+		}
+	}
+}
+
+// scheduleChangedParts schedules the writes of the records of parts whose refusal began or ended. Own is the fingerprint
+// of a crash that this VM observed, or zero. The caller holds the lock.
+func (g *Gateway) scheduleChangedParts(own uint64, now time.Time) {
+	for _, part := range g.crashes.TakeChangedParts() {
+		refused := g.crashes.IsRefused(part)
+		g.log.info(partCrash).Str("fingerprint", formatFingerprint(part)).Bool("refused", refused).
+			Int("endpoints", g.crashes.CrashCount(part)).Msg("refusal of a part changed")
+		if part == own || g.crashSync.savedRefusals[part] || g.isPreferredVM(now) {
+			g.scheduleRefusalWrite(part)
+		}
+	}
+}
+
+// crashSuspicion returns whether a request must not be sent because it, or a part of its prompt, crashes endpoints, and
+// the time after which its caller may come back. The caller holds the lock.
+func (g *Gateway) crashSuspicion(r *request, now time.Time) (after time.Duration, refuse bool) {
+	for _, fingerprint := range r.fingerprints {
+		// ShouldRefuse is called for every fingerprint because the call also keeps it from expiring.
+		if !g.crashes.ShouldRefuse(fingerprint, now) {
+			continue
+		}
+		wait := crashRetryAfter
+		if crashguard.IsPart(fingerprint) {
+			probe, at := g.mayProbe(r, fingerprint, now)
+			if probe {
+				r.probe = true
+				continue
+			}
+			if !at.IsZero() {
+				wait = min(wait, max(at.Sub(now), noEndpointRetryAfter))
+			}
+		}
+		after, refuse = max(after, wait), true
+	}
+	return after, refuse
+}
+
+// isPresumedClean reports whether a part is not to be accused because an answer lately showed that it crashes nothing. The
+// caller holds the lock.
+func (g *Gateway) isPresumedClean(fingerprint uint64, now time.Time) bool {
+	return crashguard.IsPart(fingerprint) && g.cleanParts.Contains(fingerprint, now)
+}
--- a/pkg/gateway/crashrefusals.go
+++ b/pkg/gateway/crashrefusals.go
@@ -53,12 +53,14 @@
 		peerTally.Record(c, now)
 		added := g.addCrash(c, vm, now)
 		switch {
-		case added && g.cleanRuns.Contains(c.Fingerprint):
+		case added && g.cleanRunsOf(c.Fingerprint).Contains(c.Fingerprint, now):
 			g.clearCrashes(c.Fingerprint, now)
+		case crashguard.IsPart(c.Fingerprint):
 		case added && !peerTally.IsRefused(c.Fingerprint) && g.isPreferredVM(now):
 			g.scheduleRefusalWrite(c.Fingerprint)
 		}
 	}
+	g.scheduleChangedParts(0, now)
 }
 
 // scheduleRefusalWrite schedules a write of a request's record if the stored one no longer matches whether it is
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -17,7 +17,7 @@
 const (
 	// maxNotRunAttempts limits the attempts of one request that endpoints refuse without running it.
 	maxNotRunAttempts = 3
-	// crashRetryAfter is the Retry-After for callers of requests that crash endpoints.
+	// crashRetryAfter is the longest Retry-After for callers of requests that crash endpoints.
 	crashRetryAfter = 30 * time.Second
 	// minTimeToSend is the time before the deadline below which a request is not sent, because an answer in time is too
 	// unlikely.
@@ -82,9 +82,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.lastRequestAt = now
-	if g.isCrashSuspect(r, now) {
+	if after, refuse := g.crashSuspicion(r, now); refuse {
 		return nil, refusal.New(fasthttp.StatusServiceUnavailable, refusal.CodeCrashSuspect, "the request crashes endpoints").
-			WithRetryAfter(crashRetryAfter)
+			WithRetryAfter(after)
 	}
 	var waitUntil time.Time
 	r.atLimit = 0
@@ -110,6 +110,9 @@
 // placeOn places the request on the endpoints of a service of the configuration. The caller holds the lock.
 func (g *Gateway) placeOn(r *request, c *traffic.Config, s *traffic.Service, now time.Time) *target {
 	endpoints := g.endpoints.Usable(s.Name)
+	if r.probe {
+		endpoints = g.probeEndpoints(endpoints, r.excluded)
+	}
 	p := g.placementRequest(r, s)
 	choice := g.placer.Place(p, endpoints, g.serviceProperties(c, s, p, endpoints), now)
 	r.atLimit += choice.AtLimit
@@ -125,6 +128,7 @@
 	r.attempts++
 	g.placer.RecordSend(t.request, t.choice, t.sentAt)
 	t.underLimit = g.recordLimitedSend(t.choice.Endpoint, t.sentAt)
+	g.startProbes(r, t)
 }
 
 // lateRefusal returns the refusal of a request whose answer would be late on the chosen endpoint, or nil.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -106,7 +106,11 @@
 	unansweredAttempts *crashguard.UnansweredAttempts
 	// cleanRuns are the requests that endpoints answered for this VM.
 	cleanRuns *crashguard.CleanRuns
-	crashSync crashSync
+	// cleanParts are the parts of prompts that were in requests which endpoints answered for this VM.
+	cleanParts *crashguard.CleanRuns
+	// partProbes are the ids of the running requests that were sent as probes of refused parts, by the parts' fingerprints.
+	partProbes map[uint64]uint64
+	crashSync  crashSync
 	// limits are the rate limits that endpoints named.
 	limits *endpointlimit.Table
 	// lastRequestAt is when this VM last placed a request, or zero.
@@ -167,7 +171,9 @@
 			retries:            map[string]*admit.RetryBudget{},
 			crashes:            crashguard.NewTally(),
 			unansweredAttempts: crashguard.NewUnansweredAttempts(),
-			cleanRuns:          crashguard.NewCleanRuns(),
+			cleanRuns:          crashguard.NewCleanRuns(0),
+			cleanParts:         crashguard.NewCleanRuns(cleanPartValidity),
+			partProbes:         map[uint64]uint64{},
 			crashSync:          newCrashSync(),
 			limits:             endpointlimit.New(s.VM),
 			lease:              issuer.NewLease(s.Lease()),
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -52,8 +52,11 @@
 	eventsSent int
 	// endpointFailure is an endpoint's failure answer that is forwarded if no other attempt succeeds.
 	endpointFailure *fasthttp.Response
-	// fingerprints identify the request when its caller sends it again.
+	// fingerprints identify the request when its caller sends it again, and the shared parts of its prompt.
 	fingerprints []uint64
+	// probe is set if the request is sent although a part of its prompt is refused, to learn whether the part crashes
+	// endpoints.
+	probe bool
 	// atLimit is the number of endpoints that the last placement left out because of their rate limits.
 	atLimit int
 	// expectedDuration is the duration predicted by the last placement.
@@ -97,9 +100,10 @@
 	g.forward(r)
 }
 
-// fingerprintsOf returns the fingerprints that identify a request when its caller sends it again, by workspace, target
-// and body. A caller may repeat a request with another query, so the path without the query counts too; clean runs with
-// any query clear that fingerprint.
+// fingerprintsOf returns the fingerprints under which crashes of endpoints count against a request. The first identify
+// the request when its caller sends it again, by workspace, target and body. A caller may repeat a request with another
+// query, so the path without the query counts too; clean runs with any query clear that fingerprint. The others are those
+// of the parts that its prompt shares with other requests.
 func fingerprintsOf(r *request) []uint64 {
 	workspace := ""
 	if r.workspace != nil {
@@ -107,11 +111,11 @@
 	}
 	target, body := r.exchange.Request.Header.RequestURI(), r.exchange.Request.Body()
 	path, _, hasQuery := bytes.Cut(target, []byte("?"))
-	out := []uint64{crashguard.Fingerprint(workspace, string(path), body)}
+	out := []uint64{crashguard.RequestFingerprint(crashguard.Fingerprint(workspace, string(path), body))}
 	if hasQuery {
-		out = append(out, crashguard.Fingerprint(workspace, string(target), body))
+		out = append(out, crashguard.RequestFingerprint(crashguard.Fingerprint(workspace, string(target), body)))
 	}
-	return out
+	return append(out, partFingerprints(r.call.Chain)...)
 }
 
 // refusesNewRequests reports whether this VM is stopping and refuses a request that arrived at the given time.
--- a/pkg/rendezvous/rendezvous.go
+++ b/pkg/rendezvous/rendezvous.go
@@ -33,3 +33,15 @@
 	}
 	return count > 0
 }
+
+// Rank returns how many of the other names have a higher weight for the key than name.
+func Rank(key uint64, name string, others []string) int {
+	own := Weight(key, name)
+	rank := 0
+	for _, other := range others {
+		if other != name && Weight(key, other) > own {
+			rank++
+		}
+	}
+	return rank
+}
