--- a/pkg/gateway/announcements.go
+++ b/pkg/gateway/announcements.go
@@ -22,20 +22,23 @@
 	UnixMs  int64 `json:"unix_ms"`
 }
 
-// applyWeights adds a version from the operator's records. The records carry no time, so a version announced before
-// this process started is assumed to be old until a peer or the store supplies its time. The caller holds the lock.
+// applyWeights adds a version from the operator's records. The records carry no time. A version is taken for announced now
+// only by a VM whose copy of the records was known to be complete a moment ago; one that read none for a while, or that
+// starts, assumes the earliest time at which it may have been announced until a peer or the store supplies the actual one.
+// The caller holds the lock.
 func (g *Gateway) applyWeights(w *Weights) {
-	now := steady.Now()
-	live := g.streams[OperatorStream].synced
+	at := steady.Now()
+	st := g.streams[OperatorStream]
+	live := st.synced && !g.isOverdue(OperatorStream, at)
 	if !live {
-		now = now.Add(-assumedAnnouncementAge)
+		at = at.Add(-min(st.verifiedAge(at), assumedAnnouncementAge))
 	}
-	if !g.addAnnouncement(w.Model, place.Announcement{Version: w.Version, At: now, Estimated: !live}) {
+	if !g.addAnnouncement(w.Model, place.Announcement{Version: w.Version, At: at, Estimated: !live}) {
 		return
 	}
-	g.log.info(partOrder).Str("model", w.Model).Int64("version", w.Version).Msg("weights announced")
-	if live && g.isPreferredVM(now) {
-		value := g.encodeAnnouncements(w.Model, now)
+	g.log.info(partOrder).Str("model", w.Model).Int64("version", w.Version).Bool("estimated", !live).Msg("weights announced")
+	if live && g.isPreferredVM(at) {
+		value := g.encodeAnnouncements(w.Model, at)
 		go g.storeAnnouncements(w.Model, value)
 	}
 }
--- a/pkg/gateway/announcements_test.go
+++ b/pkg/gateway/announcements_test.go
@@ -66,3 +66,23 @@
 		t.Errorf("a VM that reaches neither peers nor the store reports that the version was announced %d ms ago", sent[0].GetAgeMs())
 	}
 }
+
+// Guards against an assumed announcement time that is later than the actual one, or much earlier: a VM that read the records
+// last some seconds ago assumes that time.
+func TestVersionReadLateIsAssumedOlder(t *testing.T) {
+	for _, c := range []struct{ verified, want time.Duration }{
+		{100 * time.Millisecond, 0}, {4 * time.Second, 4 * time.Second}, {time.Minute, assumedAnnouncementAge},
+	} {
+		g := newTestGateway(0)
+		st := g.streams[OperatorStream]
+		st.synced = true
+		now := steady.Now()
+		st.recordProof(now.Add(-c.verified))
+		// Nothing is written, since this VM leaves the records to another.
+		g.peers["a"] = &peerState{vm: "a", lastSeen: now, storeAnsweredAt: now, started: g.started}
+		g.applyWeights(&Weights{Model: "m", Version: 2})
+		if age := announcedAge(t, g, 2, steady.Now()); age < c.want || age > c.want+time.Second {
+			t.Errorf("last verified %v ago: assumed age %v, want %v", c.verified, age, c.want)
+		}
+	}
+}
--- a/pkg/gateway/streamsync.go
+++ b/pkg/gateway/streamsync.go
@@ -38,7 +38,8 @@
 	registrationWait = 100 * time.Millisecond
 	// maxAnnouncementsPerModel limits the stored versions of a model; no engine runs older ones any more.
 	maxAnnouncementsPerModel = 32
-	// assumedAnnouncementAge is the assumed age of a version that was announced before this process started.
+	// assumedAnnouncementAge is the largest assumed age of a version that was announced while this VM did not read the
+	// records.
 	assumedAnnouncementAge = 8 * time.Second
 )
 
