Release the memory of a request's body before the end of its answer is written

A caller that sent its next body as soon as it had the answer could get 503 although the body fits, since the memory of the first one was released after the answer was sent.

--- a/pkg/ingress/body.go
+++ b/pkg/ingress/body.go
@@ -93,9 +93,10 @@
 	return true
 }
 
-// release returns the reserved bytes to the server. It is called after the request was answered.
+// release returns the reserved bytes to the server. Further calls do nothing.
 func (b *bodyReader) release() {
 	b.conn.server.release(b.reserved)
+	b.reserved = 0
 }
 
 // bodyStatus returns the HTTP status for a body that could not be read, or 0 if err is nil.
--- a/pkg/ingress/connection.go
+++ b/pkg/ingress/connection.go
@@ -112,12 +112,12 @@
 	if status, err := body.read(req); err != nil {
 		return c.rejectRequest(status, err.Error())
 	}
-	return c.handleRequest(req, arrived)
+	return c.handleRequest(req, body, arrived)
 }
 
 // handleRequest runs the handler and cancels its context if the caller disconnects meanwhile. It reports whether the
 // connection stays open.
-func (c *connection) handleRequest(req *fasthttp.Request, arrived time.Time) bool {
+func (c *connection) handleRequest(req *fasthttp.Request, body *bodyReader, arrived time.Time) bool {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
 	_ = c.conn.SetReadDeadline(time.Time{})
@@ -128,7 +128,7 @@
 			cancel(ErrCallerDisconnected)
 		}
 	}()
-	x := &Exchange{Request: req, Arrived: arrived, conn: c, ctx: ctx, close: req.Header.ConnectionClose()}
+	x := &Exchange{Request: req, Arrived: arrived, conn: c, body: body, ctx: ctx, close: req.Header.ConnectionClose()}
 	c.server.handler.Serve(x)
 	_ = c.conn.SetReadDeadline(time.Unix(1, 0))
 	<-watchDone
--- a/pkg/ingress/exchange.go
+++ b/pkg/ingress/exchange.go
@@ -20,6 +20,9 @@
 	Arrived time.Time
 
 	conn *connection
+	// body holds the memory of the request's body. It is released before the last bytes of the response are written, since
+	// the caller may send its next body as soon as it has them.
+	body *bodyReader
 	ctx  context.Context
 	// close is set if the connection must close after the response.
 	close bool
@@ -41,6 +44,7 @@
 	if x.close {
 		resp.SetConnectionClose()
 	}
+	x.body.release()
 	x.writeDeadline()
 	err := resp.Write(x.conn.writer)
 	if err == nil {
@@ -84,6 +88,7 @@
 
 // Finish completes a streamed response by writing the last chunk.
 func (x *Exchange) Finish() {
+	x.body.release()
 	x.writeDeadline()
 	_, err := x.conn.writer.WriteString("0\r\n\r\n")
 	if err == nil {
