--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -62,8 +62,12 @@
 	return strconv.FormatUint(fingerprint, 16)
 }
 
-// formatFingerprints returns fingerprints in hexadecimal, as in logs.
+// maxLoggedFingerprints limits the fingerprints of a request in one log line.
+const maxLoggedFingerprints = 10
+
+// formatFingerprints returns the first fingerprints in hexadecimal, as in logs.
 func formatFingerprints(fingerprints []uint64) []string {
+	fingerprints = fingerprints[:min(len(fingerprints), maxLoggedFingerprints)]
 	out := make([]string, 0, len(fingerprints))
 	for _, fingerprint := range fingerprints {
 		out = append(out, formatFingerprint(fingerprint))
--- a/pkg/gateway/crashparts.go
+++ b/pkg/gateway/crashparts.go
@@ -173,6 +173,7 @@
 			}
 		}
 		after, refuse = max(after, wait), true
+		r.refusedFingerprint = fingerprint
 	}
 	return after, refuse
 }
--- a/pkg/gateway/refuse.go
+++ b/pkg/gateway/refuse.go
@@ -50,6 +50,9 @@
 	line.Dur("config_age_ms", ages.config).Dur("config_verified_age_ms", ages.configVerified).Dur("list_age_ms", ages.list).
 		Int("peers", ages.peers).Int("at_limit", r.atLimit).
 		Strs("fingerprints", formatFingerprints(r.fingerprints)).Strs("parts", formatParts(r.call.Chain))
+	if r.refusedFingerprint != 0 {
+		line.Str("refused_fingerprint", formatFingerprint(r.refusedFingerprint))
+	}
 	if r.route != nil {
 		line.Str("route", r.route.Name)
 	}
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -54,6 +54,8 @@
 	endpointFailure *fasthttp.Response
 	// fingerprints identify the request when its caller sends it again, and the shared parts of its prompt.
 	fingerprints []uint64
+	// refusedFingerprint is the fingerprint for whose crashes the request is refused, or zero.
+	refusedFingerprint uint64
 	// probe is set if the request is sent although a part of its prompt is refused, to learn whether the part crashes
 	// endpoints.
 	probe bool
