Let more VMs probe a refused part with each step

Simulation of 195 VMs with four rounds of unrelated crashes: two sound requests were still refused 12 s after the last crash, since a rare part waited until a request with it came to the one VM whose turn it was; with hundreds of VMs the last turn is minutes away. Twice as many VMs may now probe with each step. The check of the simulation counts from the time at which all VMs may probe a part with four crashes, before from 12 s, which held at 30 VMs only.

The simulation has a file of its own.

--- /dev/null
+++ b/pkg/gateway/crash_simulation_test.go
@@ -0,0 +1,274 @@
+package gateway
+
+import (
+	"fmt"
+	"math/bits"
+	"testing"
+	"time"
+
+	"github.com/corneldeal/corneldeal/pkg/fleet"
+	"github.com/corneldeal/corneldeal/pkg/httpcall"
+	"github.com/corneldeal/corneldeal/pkg/place"
+)
+
+// simEngine is one engine over its restarts.
+type simEngine struct {
+	endpoint *fleet.Endpoint
+	// startsAt is the end of the present downtime.
+	startsAt time.Time
+	running  []*simRequest
+}
+
+// simRequest is a request on its way.
+type simRequest struct {
+	vm      *simVM
+	request *request
+	target  *target
+	sentAt  time.Time
+	// endsAt is when the engine has answered, or crashes if guilty is not zero.
+	endsAt time.Time
+	guilty uint64
+}
+
+// crashSimulation adds engines and requests to a simulation.
+type crashSimulation struct {
+	*simulation
+	engines []*simEngine
+	nextID  uint64
+	// guiltyParts are the parts that crash engines, and rates of requests are per second over all VMs.
+	guiltyParts           []uint64
+	guiltyRate, soundRate float64
+	// oddParts is the number of parts that no other request has, in each prompt.
+	oddParts int
+	// rareSubjects is the number of subjects that few sound requests have.
+	rareSubjects int
+	// crashes are the times of the crashes and sends those of the requests, by guilty part. Sends of VMs that started less
+	// than simStabilityWindow before are left out, since no deployment counts them.
+	crashes, sends map[uint64][]time.Time
+	// startedAt are the times of the last starts of VMs that restarted or joined.
+	startedAt map[*simVM]time.Time
+	// soundSent, soundRefused and soundBroken count sound requests.
+	soundSent, soundRefused, soundBroken int
+	// stored are the refusals that are kept in the platform's store.
+	stored map[string][]byte
+}
+
+// simulateCrashes starts VMs and engines.
+func simulateCrashes(t *testing.T, vms int) *crashSimulation {
+	t.Helper()
+	s := &crashSimulation{
+		simulation: simulate(t, vms), soundRate: max(24, float64(vms)*3), rareSubjects: 40 + 4*vms,
+		crashes: map[uint64][]time.Time{}, sends: map[uint64][]time.Time{}, stored: map[string][]byte{}, startedAt: map[*simVM]time.Time{},
+	}
+	for i := range max(9, vms*7/10) {
+		s.engines = append(s.engines, &simEngine{endpoint: &fleet.Endpoint{ID: fmt.Sprint("e", i), StartTimeMs: 1}})
+	}
+	s.advance(3 * time.Second)
+	return s
+}
+
+// advance runs VMs, engines and callers for d.
+func (s *crashSimulation) advance(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.arrive(s.soundRate, func() { s.send(0) })
+		for _, part := range s.guiltyParts {
+			s.arrive(s.guiltyRate/float64(len(s.guiltyParts)), func() { s.send(part) })
+		}
+		for _, e := range s.engines {
+			s.stepEngine(e)
+		}
+		s.keepRefusals()
+		s.run(simStep)
+	}
+}
+
+// arrive calls send as often as requests arrive in one step at a rate.
+func (s *crashSimulation) arrive(rate float64, send func()) {
+	for expected := rate * simStep.Seconds(); expected > 0; expected-- {
+		if s.rng.Float64() < expected {
+			send()
+		}
+	}
+}
+
+// keepRefusals writes the refusals that are due to the store.
+func (s *crashSimulation) keepRefusals() {
+	for _, vm := range s.vms {
+		if vm.down {
+			continue
+		}
+		for _, change := range vm.gateway.refusalsToWrite(s.now) {
+			s.stored[crashRefusalPrefix+formatFingerprint(change.fingerprint)] = change.value
+			vm.gateway.recordRefusalWrite(change, nil)
+		}
+		vm.gateway.crashSync.saving = false
+	}
+}
+
+// send sends a request with a guilty part, or a sound one if it is zero, through one of the running VMs.
+func (s *crashSimulation) send(guilty uint64) {
+	vm := s.vms[s.rng.IntN(len(s.vms))]
+	if vm.down {
+		return
+	}
+	s.nextID++
+	subject := uint64(0xb0000) + uint64(s.rng.IntN(12))
+	if s.rng.IntN(4) == 0 {
+		subject = 0xc0000 + uint64(s.rng.IntN(s.rareSubjects))
+	}
+	chain := []place.Part{{ID: simCommonPart}, {ID: subject}}
+	if guilty != 0 {
+		chain[1].ID = guilty
+	}
+	for i := range s.oddParts + 1 {
+		chain = append(chain, place.Part{ID: s.nextID<<16 + uint64(i)})
+	}
+	r := &request{id: s.nextID, call: Call{Chain: chain}}
+	r.fingerprints = append([]uint64{s.nextID}, partFingerprints(chain)...)
+	_, refuse := vm.gateway.crashSuspicion(r, s.now)
+	if guilty == 0 {
+		s.soundSent++
+		if refuse {
+			s.soundRefused++
+		}
+	}
+	e := s.idlestEngine()
+	if refuse || e == nil {
+		return
+	}
+	x := &simRequest{vm: vm, request: r, sentAt: s.now, guilty: guilty, target: &target{choice: place.Choice{Endpoint: e.endpoint}}}
+	x.endsAt = s.now.Add(100*time.Millisecond + time.Duration(s.rng.IntN(1000))*time.Millisecond)
+	if guilty != 0 {
+		x.endsAt = s.now.Add(100*time.Millisecond + time.Duration(s.rng.IntN(200))*time.Millisecond)
+		if s.now.Sub(s.startedAt[vm]) >= simStabilityWindow {
+			s.sends[guilty] = append(s.sends[guilty], s.now)
+		}
+	}
+	vm.gateway.startProbes(r, x.target)
+	e.running = append(e.running, x)
+}
+
+// idlestEngine returns one of the engines that run, with few requests, or nil.
+func (s *crashSimulation) idlestEngine() *simEngine {
+	var best *simEngine
+	for range 6 {
+		e := s.engines[s.rng.IntN(len(s.engines))]
+		if s.now.Before(e.startsAt) {
+			continue
+		}
+		if best == nil || len(e.running) < len(best.running) {
+			best = e
+		}
+	}
+	return best
+}
+
+// stepEngine answers the requests that are due on an engine, or ends it under a guilty one.
+func (s *crashSimulation) stepEngine(e *simEngine) {
+	left := e.running[:0:0]
+	for _, x := range e.running {
+		switch {
+		case s.now.Before(x.endsAt):
+			left = append(left, x)
+		case x.guilty != 0:
+			s.crash(e, x)
+			return
+		default:
+			s.finish(x, place.Answered)
+		}
+	}
+	e.running = left
+}
+
+// crash ends an engine under a request.
+func (s *crashSimulation) crash(e *simEngine, cause *simRequest) {
+	s.crashes[cause.guilty] = append(s.crashes[cause.guilty], s.now)
+	for _, x := range e.running {
+		if x.guilty == 0 {
+			s.soundBroken++
+		}
+		s.finish(x, place.Broken)
+	}
+	e.running = nil
+	e.endpoint = &fleet.Endpoint{ID: e.endpoint.ID, StartTimeMs: e.endpoint.StartTimeMs + 1}
+	e.startsAt = s.now.Add(simEngineDowntime)
+}
+
+// finish ends an attempt with an outcome.
+func (s *crashSimulation) finish(x *simRequest, outcome place.Outcome) {
+	if x.vm.down {
+		return
+	}
+	x.vm.gateway.recordCrashEvidence(x.request, x.target, attemptResult{outcome: outcome}, x.sentAt, s.now)
+}
+
+// restart replaces a VM by a new process, which reads the refusals that are kept in the store.
+func (s *crashSimulation) restart(vm *simVM) {
+	s.startedAt[vm] = s.now
+	old := vm.gateway
+	vm.gateway = New(old.settings, func(*httpcall.Client) Platform { return Platform{} })
+	for name, known := range old.vms {
+		vm.gateway.addVM(name, *known, s.now)
+	}
+	for key, value := range s.stored {
+		if len(value) > 0 {
+			vm.gateway.restoreCrashRefusal(Record{Key: key, Value: value})
+		}
+	}
+	for _, e := range s.engines {
+		for _, x := range e.running {
+			if x.vm == vm {
+				// The requests of the old process end with it.
+				x.vm = &simVM{down: true}
+			}
+		}
+	}
+}
+
+// requireStopped fails unless each guilty part was sent rarely enough after its fifth crash.
+func (s *crashSimulation) requireStopped() {
+	s.t.Helper()
+	limit := stopLimitSmall
+	if len(s.vms) >= largeSystemVMs {
+		limit = stopLimitLarge
+	}
+	for _, part := range s.guiltyParts {
+		crashes := s.crashes[part]
+		if len(crashes) < 2 {
+			s.t.Errorf("part %x crashed %d engines, want some", part, len(crashes))
+			continue
+		}
+		bound, late := crashes[min(len(crashes), crashesBeforeLimit)-1].Add(limit), 0
+		for _, at := range s.sends[part] {
+			if len(crashes) >= crashesBeforeLimit && at.After(bound) {
+				late++
+			}
+		}
+		s.t.Logf("part %x: %d crashes, %d sends, %d of them late", part, len(crashes), len(s.sends[part]), late)
+		if late > lateSendsAllowed {
+			s.t.Errorf("part %x: %d sends later than %v after its fifth crash, want at most %d", part, late, limit, lateSendsAllowed)
+		}
+	}
+}
+
+// requireNoneRefusedForGood fails if a sound request is refused once all VMs may send probes of parts with four crashes,
+// the most that parts which are not refused for good have.
+func (s *crashSimulation) requireNoneRefusedForGood() {
+	s.t.Helper()
+	const (
+		nextProbeWait = 20 * time.Second
+		watched       = 8 * time.Second
+	)
+	step := probeStep
+	if len(s.vms) >= largeSystemVMs {
+		step = probeStepLarge
+	}
+	rate := s.soundRate
+	s.soundRate = rate / 10
+	s.advance(nextProbeWait + time.Duration(bits.Len(uint(len(s.vms))))*step)
+	s.soundRate, s.soundRefused = rate, 0
+	s.advance(watched)
+	if s.soundRefused > 0 {
+		s.t.Errorf("%d sound requests are refused long after the last crash", s.soundRefused)
+	}
+}
--- a/pkg/gateway/crashparts.go
+++ b/pkg/gateway/crashparts.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -27,8 +28,8 @@
 	// maxAccusedParts limits the parts of one request that a crash accuses, so that prompts of hundreds of parts do not fill
 	// the tally.
 	maxAccusedParts = 64
-	// probeStep is the interval between the times at which VMs may send a probe, in a fixed order of the VMs for each part.
-	// The outcome of a probe reaches the other VMs within it.
+	// probeStep is the time after which twice as many VMs may send a probe, in a fixed order of the VMs for each part. The
+	// outcome of a probe reaches the other VMs within it.
 	probeStep = 500 * time.Millisecond
 	// probeStepLarge is the same in a large system, whose digests go through hubs.
 	probeStepLarge = 1500 * time.Millisecond
@@ -71,8 +72,9 @@
 	return g.cleanRuns
 }
 
-// probeTime returns when this VM may send a request with a refused part as a probe, and whether it may at all. VMs take
-// turns in an order that is the same on all of them. The caller holds the lock.
+// probeTime returns when this VM may send a request with a refused part as a probe, and whether it may at all. One VM may
+// begin, and twice as many may with each step, in an order that is the same on all of them: so few send one at the same
+// time, and a rare part does not wait until a request with it comes to one VM of hundreds. The caller holds the lock.
 func (g *Gateway) probeTime(part uint64, now time.Time) (at time.Time, allowed bool) {
 	at, allowed = g.crashes.ProbeAt(part)
 	if !allowed {
@@ -82,8 +84,8 @@
 	if g.isLargeSystem() {
 		step = probeStepLarge
 	}
-	turn := rendezvous.Rank(part, g.settings.VM, g.livePeers(now))
-	return at.Add(time.Duration(turn) * step), true
+	rank := rendezvous.Rank(part, g.settings.VM, g.livePeers(now))
+	return at.Add(time.Duration(bits.Len(uint(rank))) * step), true
 }
 
 // mayProbe reports whether a request may be sent now as the probe of a refused part, and if not, when one may be sent. The
