--- /dev/null
+++ b/pkg/gateway/storeread.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/corneldeal/corneldeal/pkg/freshness"
+	"github.com/corneldeal/corneldeal/pkg/steady"
+)
+
+// readStream reads the new records of a stream from the store, or all records if the stream is not synced or the offset
+// has expired. A read that waits and gets no answer is followed by one that does not wait.
+func (g *Gateway) readStream(s Stream, wait time.Duration) error {
+	g.mu.Lock()
+	synced, next := g.streams[s].synced, g.streams[s].next
+	g.mu.Unlock()
+	if !synced {
+		return g.readNewest(s)
+	}
+	err := g.readRecords(s, wait)
+	if wait > 0 && isLostAnswer(err) {
+		err = g.readRecords(s, 0)
+	}
+	if errors.Is(err, ErrRecordsExpired) {
+		g.log.info(partStore).Str("stream", s.String()).Int64("from", next).Msg("records expired, reading all")
+		return g.readNewest(s)
+	}
+	if err != nil {
+		g.recordStoreResult(s, err, steady.Now())
+	}
+	return err
+}
+
+// isLostAnswer reports whether a read ended because it got no answer.
+func isLostAnswer(err error) bool {
+	return errors.Is(err, errAnswerLost) || errors.Is(err, context.DeadlineExceeded)
+}
+
+// readRecords sends one read to the store, which may wait for records, and applies the answer.
+func (g *Gateway) readRecords(s Stream, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(g.ctx, wait+storeTimeout)
+	defer cancel()
+	g.mu.Lock()
+	st := g.streams[s]
+	next := st.next
+	if wait > 0 {
+		var stop func()
+		ctx, stop = st.startWait(ctx)
+		defer stop()
+	}
+	g.mu.Unlock()
+	started := steady.Now()
+	records, end, err := g.platform.Store.Read(ctx, s, next, wait)
+	answered := steady.Now()
+	if isLostAnswer(err) {
+		g.logLostAnswer(s, wait, started, answered)
+	}
+	if err != nil {
+		return err
+	}
+	g.recordStoreResult(s, nil, answered)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.applyRecords(s, records, end)
+	st.recordProof(freshness.VerifiedAt(started, answered, wait, len(records)))
+	return nil
+}
+
+// logLostAnswer logs that a read, which started at the given time, is given up because no answer came.
+func (g *Gateway) logLostAnswer(s Stream, wait time.Duration, started, now time.Time) {
+	g.metrics.count("store_answers_lost_total")
+	g.mu.Lock()
+	age, next := g.streams[s].verifiedAge(now), g.streams[s].next
+	g.mu.Unlock()
+	g.log.warn(partStore).Str("stream", s.String()).Dur("wait_ms", wait).Dur("waited_ms", now.Sub(started)).
+		Int64("from", next).Dur("verified_age_ms", age).Msg("read given up, its answer was lost")
+}
+
+// readNewest reads the newest record of each key of a stream from the store.
+func (g *Gateway) readNewest(s Stream) error {
+	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
+	defer cancel()
+	started := steady.Now()
+	records, end, err := g.platform.Store.Newest(ctx, s)
+	g.recordStoreResult(s, err, steady.Now())
+	if err != nil {
+		return err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s == EndpointStream {
+		g.removeUnlisted(records, end)
+	}
+	g.applyRecords(s, records, end)
+	g.streams[s].synced = true
+	g.streams[s].recordProof(started)
+	return nil
+}
+
+// removeUnlisted removes the endpoints that are missing from a complete listing. End is the end of the log before the
+// listing began. The caller holds the lock.
+func (g *Gateway) removeUnlisted(records []Record, end int64) {
+	listed := make(map[string]bool, len(records))
+	for _, r := range records {
+		listed[r.Key] = true
+	}
+	for _, id := range g.endpoints.RemoveUnlisted(listed, end, steady.Now()) {
+		g.announceDeparture(id, "not listed", end)
+	}
+	st := g.streams[EndpointStream]
+	for key, r := range st.records {
+		if !listed[key] && r.Offset < end && len(r.Value) > 0 {
+			st.records[key] = Record{Key: key, Offset: end - 1}
+			st.recordChange(key, end-1)
+		}
+	}
+}
+
+// recordStoreResult records the result of a call to the store and logs when the store is lost and when it is back.
+func (g *Gateway) recordStoreResult(s Stream, err error, now time.Time) {
+	if g.ctx.Err() != nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	st := g.streams[s]
+	if err != nil {
+		g.metrics.count("store_errors_total")
+		g.storeFailedAt = now
+		if !st.failing {
+			st.failing = true
+			st.failedAt = now
+			g.log.warn(partStore).Str("stream", s.String()).Err(err).Msg("store lost")
+		}
+		return
+	}
+	if st.failing {
+		g.log.info(partStore).Str("stream", s.String()).Dur("down_ms", now.Sub(st.failedAt)).Msg("store back")
+		if s == EndpointStream {
+			g.endpoints.StoreRecovered(now)
+		}
+	}
+	for _, other := range g.streams {
+		if other != st && other.failing {
+			other.endPause()
+		}
+	}
+	st.failing = false
+	st.answeredAt = now
+}
