Take only complete answers of the store for proof of a copy

A read whose answer the store cut at its largest size counted as proof that there are no more records, until the next read some milliseconds later. Found by reading. The answer names the end of the log, which decides now.

--- a/pkg/gateway/platform.go
+++ b/pkg/gateway/platform.go
@@ -45,6 +45,16 @@
 	Value  []byte
 }
 
+// Page is the answer to a read of a stream.
+type Page struct {
+	Records []Record
+	// Next is the offset after the last of the records.
+	Next int64
+	// Complete is set if the stream held no more records when the store answered. An answer has a largest size, so it may
+	// lack some.
+	Complete bool
+}
+
 // ErrRecordsExpired means that the store no longer holds the records after the requested offset.
 var ErrRecordsExpired = errors.New("gateway: records are no longer stored")
 
@@ -62,9 +72,9 @@
 type Store interface {
 	// Newest returns the newest record of each key, and the end of the log before the first of them was read.
 	Newest(ctx context.Context, s Stream) (records []Record, end int64, err error)
-	// Read returns the records from an offset on and the offset after the last of them. It waits up to wait for the first
-	// record. The error is ErrRecordsExpired if records from the offset on are no longer stored.
-	Read(ctx context.Context, s Stream, from int64, wait time.Duration) (records []Record, next int64, err error)
+	// Read returns the records from an offset on. It waits up to wait for the first record. The error is ErrRecordsExpired if
+	// records from the offset on are no longer stored.
+	Read(ctx context.Context, s Stream, from int64, wait time.Duration) (Page, error)
 	// Append adds a record and returns its offset. If at >= 0, it fails with a *ConflictError unless the log ends at that
 	// offset.
 	Append(ctx context.Context, s Stream, key string, value []byte, at int64) (offset int64, err error)
--- a/pkg/gateway/storeread.go
+++ b/pkg/gateway/storeread.go
@@ -51,7 +51,7 @@
 	}
 	g.mu.Unlock()
 	started := steady.Now()
-	records, end, err := g.platform.Store.Read(ctx, s, next, wait)
+	page, err := g.platform.Store.Read(ctx, s, next, wait)
 	answered := steady.Now()
 	if isLostAnswer(err) {
 		g.logLostAnswer(s, wait, started, answered)
@@ -62,8 +62,10 @@
 	g.recordStoreResult(s, nil, answered)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.applyRecords(s, records, end)
-	st.recordProof(freshness.VerifiedAt(started, answered, wait, len(records)))
+	g.applyRecords(s, page.Records, page.Next)
+	if page.Complete {
+		st.recordProof(freshness.VerifiedAt(started, answered, wait, len(page.Records)))
+	}
 	return nil
 }
 
