Accuse the parts of long prompts in turns

Parts take turns now, so that each is accused within three crashes. While a probe runs, callers were told to come back after 30 s, now 1 s.

--- a/pkg/gateway/crashparts.go
+++ b/pkg/gateway/crashparts.go
@@ -1,9 +1,7 @@
 package gateway
 
 import (
-	"cmp"
 	"math/bits"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -27,10 +25,12 @@
 	maxSharedParts = 1024
 	// maxAccusedParts limits the parts of one request that a crash accuses, so that prompts of hundreds of parts do not fill
 	// the tally.
-	maxAccusedParts = 64
+	maxAccusedParts = 128
 	// probeStep is the time after which twice as many VMs may send a probe, in a fixed order of the VMs for each part. The
 	// outcome of a probe reaches the other VMs within it.
 	probeStep = 500 * time.Millisecond
+	// probeTimeEstimate is the time after which callers may come back while a probe runs.
+	probeTimeEstimate = time.Second
 	// probeStepLarge is the same in a large system, whose digests go through hubs.
 	probeStepLarge = 1500 * time.Millisecond
 )
@@ -49,21 +49,28 @@
 }
 
 // accusedBy returns the fingerprints that a crash of an endpoint under a request accuses: those of the request and of
-// at most maxAccusedParts parts of its prompt. Parts that are accused already come first; the others are drawn, so that a
-// part that is in many crashes is accused by some of them wherever it stands in the prompt. The caller holds the lock.
+// about maxAccusedParts parts of its prompt. Of a longer prompt the parts that are accused already come first, and the
+// others take turns, so that a part that is in all crashes is soon accused wherever it stands. The caller holds the lock.
 func (g *Gateway) accusedBy(r *request) []uint64 {
 	first := slices.IndexFunc(r.fingerprints, crashguard.IsPart)
 	if first < 0 || len(r.fingerprints)-first <= maxAccusedParts {
 		return r.fingerprints
 	}
-	out, parts := slices.Clone(r.fingerprints[:first]), slices.Clone(r.fingerprints[first:])
-	rand.Shuffle(len(parts), func(i, j int) { parts[i], parts[j] = parts[j], parts[i] })
-	slices.SortStableFunc(parts, func(a, b uint64) int {
-		return cmp.Compare(g.crashes.CrashCount(b), g.crashes.CrashCount(a))
-	})
-	return append(out, parts[:maxAccusedParts]...)
+	parts := r.fingerprints[first:]
+	turns := uint64((len(parts) + maxAccusedParts - 1) / maxAccusedParts)
+	g.accusationTurn++
+	out := slices.Clone(r.fingerprints[:first])
+	for _, part := range parts {
+		if rendezvous.Weight(part, accusationTurnName)%turns == g.accusationTurn%turns || g.crashes.CrashCount(part) > 0 {
+			out = append(out, part)
+		}
+	}
+	return out
 }
 
+// accusationTurnName is the name under which the turn of a part is drawn.
+const accusationTurnName = "turn"
+
 // cleanRunsOf returns the clean runs of requests or of parts, whichever the fingerprint is of. The caller holds the lock.
 func (g *Gateway) cleanRunsOf(fingerprint uint64) *crashguard.CleanRuns {
 	if crashguard.IsPart(fingerprint) {
@@ -96,7 +103,7 @@
 		return false, time.Time{}
 	}
 	if sender, running := g.partProbes[part]; running && sender != r.id {
-		return false, now.Add(crashRetryAfter)
+		return false, now.Add(probeTimeEstimate)
 	}
 	return !now.Before(at), at
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -110,7 +110,9 @@
 	cleanParts *crashguard.CleanRuns
 	// partProbes are the ids of the running requests that were sent as probes of refused parts, by the parts' fingerprints.
 	partProbes map[uint64]uint64
-	crashSync  crashSync
+	// accusationTurn is the turn of the parts that the last crash under a long prompt accused.
+	accusationTurn uint64
+	crashSync      crashSync
 	// limits are the rate limits that endpoints named.
 	limits *endpointlimit.Table
 	// lastRequestAt is when this VM last placed a request, or zero.
