Report all crashes to peers in turn

With more than 128 new crashes each digest held the same ones, the newest, for as long as they were new. Crashes that were reported least often come first now, after those of the requests with the most crashes.

--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -36,12 +36,14 @@
 type recentCrash struct {
 	crashguard.Crash
 	recordedAt time.Time
+	// reports is the number of digests that contained it.
+	reports int
 }
 
 // crashSync is the state of the exchange of crashes with peers and of the writes of refused requests to the store.
 type crashSync struct {
 	// recent are oldest first.
-	recent []recentCrash
+	recent []*recentCrash
 	// sourcePeer is a peer that may hold crashes which this VM lacks, or empty.
 	sourcePeer string
 	askedAt    time.Time
@@ -163,7 +165,7 @@
 
 // reportCrash adds a crash to the next digests. The caller holds the lock.
 func (g *Gateway) reportCrash(c crashguard.Crash, now time.Time) {
-	g.crashSync.recent = append(g.crashSync.recent, recentCrash{Crash: c, recordedAt: now})
+	g.crashSync.recent = append(g.crashSync.recent, &recentCrash{Crash: c, recordedAt: now})
 	g.requestDigest()
 }
 
@@ -187,22 +189,24 @@
 	return true
 }
 
-// crashReports returns the recent crashes for a digest. If there are too many for one digest, those of requests with
-// the most crashes come first, and among these the newest. The caller holds the lock.
+// crashReports returns the crashes for the next digest. If there are too many, those of requests with the most crashes
+// come first, then those that were reported least often, so that all are reported in turn, and among these the newest.
+// The caller holds the lock.
 func (g *Gateway) crashReports(now time.Time) []*gossip.Accusation {
-	recent := slices.DeleteFunc(g.crashSync.recent, func(n recentCrash) bool { return now.Sub(n.recordedAt) >= crashReportPeriod })
+	recent := slices.DeleteFunc(g.crashSync.recent, func(n *recentCrash) bool { return now.Sub(n.recordedAt) >= crashReportPeriod })
 	g.crashSync.recent = recent
 	if omitted := len(recent) - maxCrashesPerDigest; omitted > 0 {
 		g.metrics.counters.Add("crash_news_left_out_total", int64(omitted))
 		recent = slices.Clone(recent)
-		slices.SortFunc(recent, func(a, b recentCrash) int {
+		slices.SortStableFunc(recent, func(a, b *recentCrash) int {
 			danger := cmp.Compare(g.crashes.CrashCount(b.Fingerprint), g.crashes.CrashCount(a.Fingerprint))
-			return cmp.Or(danger, b.recordedAt.Compare(a.recordedAt))
+			return cmp.Or(danger, cmp.Compare(a.reports, b.reports), b.recordedAt.Compare(a.recordedAt))
 		})
 		recent = recent[:maxCrashesPerDigest]
 	}
 	out := make([]*gossip.Accusation, 0, len(recent))
 	for _, n := range recent {
+		n.reports++
 		out = append(out, newAccusation(n.Crash, now.Sub(n.recordedAt)))
 	}
 	return out
--- a/pkg/gateway/crashes_test.go
+++ b/pkg/gateway/crashes_test.go
@@ -165,6 +165,25 @@
 	t.Error("the request with the most crashes is missing")
 }
 
+// Guards against crashes that no digest contains because there are always others that come first.
+func TestAllCrashesAreReportedInTurn(t *testing.T) {
+	g := newTestGateway(1)
+	now := steady.Now()
+	const count = 10 * maxCrashesPerDigest
+	for i := range uint64(count) {
+		g.recordOwnCrash(crashguard.Crash{Fingerprint: i + 1, Endpoint: "a/1"}, now)
+	}
+	reported := map[uint64]bool{}
+	for i := range uint64(count / maxCrashesPerDigest) {
+		for _, a := range g.digest(i+1, now).GetAccusations() {
+			reported[a.GetFingerprint()] = true
+		}
+	}
+	if len(reported) != count {
+		t.Errorf("%d of %d crashes are reported in %d digests", len(reported), count, count/maxCrashesPerDigest)
+	}
+}
+
 // Guards against a request of many callers being refused for an hour, with no clean run left to clear it, because
 // several endpoints that ran it crashed for another reason at about the same time.
 func TestCleanRequestIsNotRefusedAfterCrashBurst(t *testing.T) {
