--- a/pkg/gateway/store_simulation_test.go
+++ b/pkg/gateway/store_simulation_test.go
@@ -24,8 +24,6 @@
 // simReader is the loop that keeps the operator records of one VM current, as in syncOperatorRecords.
 type simReader struct {
 	read *simRead
-	// look is set while the read follows one without an answer, and therefore does not wait.
-	look bool
 	// resumeAt is the end of the present pause, and delay the next one after a failure.
 	resumeAt time.Time
 	delay    time.Duration
@@ -120,14 +118,14 @@
 		r.resumeAt = s.now.Add(jitter(readerPollInterval))
 		return
 	}
-	s.startRead(i, wait, false)
+	s.startRead(i, wait)
 }
 
 // startRead sends a read of a VM to the store.
-func (s *storeSimulation) startRead(i int, wait time.Duration, look bool) {
+func (s *storeSimulation) startRead(i int, wait time.Duration) {
 	s.calls++
 	read := &simRead{started: s.now, wait: wait}
-	s.readers[i].read, s.readers[i].look = read, look
+	s.readers[i].read = read
 	if wait > 0 {
 		s.vms[i].gateway.streams[OperatorStream].cancelWait = func(error) { read.ended = true }
 	}
@@ -156,7 +154,7 @@
 func (s *storeSimulation) giveUpRead(i int) {
 	g, r := s.vms[i].gateway, s.readers[i]
 	if r.read.wait > 0 {
-		s.startRead(i, 0, true)
+		s.startRead(i, 0)
 		return
 	}
 	g.recordStoreResult(OperatorStream, context.DeadlineExceeded, s.now)
