Review case 1: no machine takes precedence after three were added, so no orders are given

Cause: the precedence of machines (a start over 2 s later, else the name) is no order; with three starts 1.4 s apart each machine finds one that goes before it, and nobody claims the order lease.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -21,10 +21,11 @@
 
 // cases are the cases by name. Each gets whether the disruption is played, and returns whether the rule was broken.
 var cases = map[string]func(l *lab, trouble bool) (bool, error){
-	"drill":   drillCase,
-	"sigterm": sigtermCase,
-	"unheard": unheardCase,
-	"wall":    wallCase,
+	"drill":      drillCase,
+	"precedence": precedenceCase,
+	"sigterm":    sigtermCase,
+	"unheard":    unheardCase,
+	"wall":       wallCase,
 }
 
 func main() {
