--- a/review/stand/caller.go
+++ b/review/stand/caller.go
@@ -47,6 +47,8 @@
 	tokens   string
 	deadline time.Duration
 	body     string
+	// more holds further header lines.
+	more string
 }
 
 // send sends an attempt to a machine on a new channel and reads the answer.
@@ -63,6 +65,7 @@
 	if q.prompt != "" {
 		fmt.Fprintf(&b, "Model: m\r\nToken-Counts: %s\r\nPrompt-Prefix: %s\r\n", q.tokens, q.prompt)
 	}
+	b.WriteString(q.more)
 	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(q.body), q.body)
 	if _, err := c.Write([]byte(b.String())); err != nil {
 		return answer{err: err}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -25,6 +25,7 @@
 	"precedence": precedenceCase,
 	"sigterm":    sigtermCase,
 	"unheard":    unheardCase,
+	"rollout":    rolloutCase,
 	"wall":       wallCase,
 }
 
