--- a/review/stand/lab.go
+++ b/review/stand/lab.go
@@ -304,15 +304,6 @@
 	}
 }
 
-// log returns what the gateway wrote so far.
-func (v *vm) log() string {
-	data, err := os.ReadFile(filepath.Join(v.lab.dir, v.name+".log"))
-	if err != nil {
-		return ""
-	}
-	return string(data)
-}
-
 // ready asks for readiness as the platform does.
 func (v *vm) ready() bool {
 	c, err := net.DialTimeout("tcp4", fmt.Sprint(v.ip, ":", v.lab.readyPort), time.Second)
