Rank VMs by one total order, and take over duties that stay undone

Cause: peerPreferred was no order. A VM that started over 2 s later came first, else the name decided; starts at 0, 1.4 and 2.8 s form a circle, so no VM is the first and Lease.Next claims on none. Announcement times, records after a restore, baselines and refusals hung on the same relation, and nothing noticed that nobody did them.

Change: each VM has one key (settled, the time of day of its start as it says itself, its name), compared whole. A duty that no VM is known to have done is taken over by the next ranks after 2 s, 4 s, and 10 ms apart after that. Digests tell which announcement times and refusals were stored.

Ruled out: a first VM that does not see that orders are due: with the order alone, without takeovers, the new test passes.

Evidence: TestWeightsAreOrderedAfterStartsInARow failed on ("not within 20s: every engine has its order") and passes in 7.6 s.

--- a/pkg/affinity/baseline.go
+++ b/pkg/affinity/baseline.go
@@ -157,11 +157,16 @@
 	Write
 )
 
-// Next returns what a process does about the baseline of a service that has endpoints. Only the preferred VM writes. The
-// stored baselines were last read at lastRead.
-func (t *Table) Next(service string, preferred bool, lastRead, now time.Time) Step {
+// NeedsWrite reports whether a service has no baseline, or another has to be written.
+func (t *Table) NeedsWrite(service string, now time.Time) bool {
+	return t.needsWrite(t.baselines[service], now)
+}
+
+// Next returns what a process does about the baseline of a service that has endpoints. Writes is set if it is the one to
+// write a baseline. The stored baselines were last read at lastRead.
+func (t *Table) Next(service string, writes bool, lastRead, now time.Time) Step {
 	b, sinceRead := t.baselines[service], now.Sub(lastRead)
-	if preferred && t.needsWrite(b, now) {
+	if writes && t.needsWrite(b, now) {
 		return Write
 	}
 	switch {
--- a/pkg/gateway/announcements.go
+++ b/pkg/gateway/announcements.go
@@ -15,6 +15,13 @@
 // stored.
 const announcementPrefix = "announced/"
 
+const (
+	// announcementRetryDelay is the pause after a write of announcement times.
+	announcementRetryDelay = 1500 * time.Millisecond
+	// storedReportPeriod is the time for which a VM reports in its digests what it has stored for all.
+	storedReportPeriod = 3 * time.Second
+)
+
 // announcementRecord is the stored announcement time of one version. It uses the time of day because times since boot
 // mean nothing to another VM.
 type announcementRecord struct {
@@ -37,10 +44,75 @@
 		return
 	}
 	g.log.info(partOrder).Str("model", w.Model).Int64("version", w.Version).Bool("estimated", !live).Msg("weights announced")
-	if live && g.isPreferredVM(at) {
-		value := g.encodeAnnouncements(w.Model, at)
-		go g.storeAnnouncements(w.Model, value)
+	g.requestDigest()
+}
+
+// announcementDuty is what a VM knows of the store's record of the announcement times of a model.
+type announcementDuty struct {
+	// storedVersion is the newest version whose time is stored. If this VM stored it itself, storedAt is when it did.
+	storedVersion int64
+	storedAt      time.Time
+	// undoneSince is since when this VM knows a time that is not known to be stored, or zero.
+	undoneSince time.Time
+	// retryAt is the earliest time of the next write.
+	retryAt time.Time
+}
+
+// announcementDutyOf returns the duty for a model. The caller holds the lock.
+func (g *Gateway) announcementDutyOf(model string) *announcementDuty {
+	duty := g.announcementDuties[model]
+	if duty == nil {
+		duty = &announcementDuty{}
+		g.announcementDuties[model] = duty
+	}
+	return duty
+}
+
+// recordStored records that the times of the versions up to the given one are stored. The caller holds the lock.
+func (g *Gateway) recordStored(model string, version int64) {
+	duty := g.announcementDutyOf(model)
+	duty.storedVersion = max(duty.storedVersion, version)
+	if duty.storedVersion >= g.newestTimedVersion(model) {
+		duty.undoneSince = time.Time{}
+	}
+}
+
+// newestTimedVersion returns the newest version of a model whose announcement time is not estimated, or 0. The caller holds
+// the lock.
+func (g *Gateway) newestTimedVersion(model string) int64 {
+	for _, n := range slices.Backward(g.announcements[model]) {
+		if !n.Estimated {
+			return n.Version
+		}
+	}
+	return 0
+}
+
+// announcementWrite is one record of announcement times to write.
+type announcementWrite struct {
+	model string
+	// version is the newest version in the value.
+	version int64
+	value   []byte
+}
+
+// announcementsToStore returns the announcement times that no VM is known to have stored, if this VM is the one to write
+// them now. The caller holds the lock.
+func (g *Gateway) announcementsToStore(now time.Time) []announcementWrite {
+	if g.leaving.Load() || g.storeAge(now) >= storeFreshness {
+		return nil
+	}
+	var out []announcementWrite
+	for model, duty := range g.announcementDuties {
+		if duty.undoneSince.IsZero() || now.Before(duty.retryAt) || !g.takesOver(duty.undoneSince, now) {
+			continue
+		}
+		duty.retryAt = now.Add(announcementRetryDelay)
+		out = append(out, announcementWrite{
+			model: model, version: g.newestTimedVersion(model), value: g.encodeAnnouncements(model, now),
+		})
 	}
+	return out
 }
 
 // addAnnouncement records the earliest reported time at which a version was announced. A reported time replaces a
@@ -60,6 +132,9 @@
 		next = slices.Insert(next, i, n)
 	}
 	g.announcements[model] = next[max(len(next)-maxAnnouncementsPerModel, 0):]
+	if duty := g.announcementDutyOf(model); !n.Estimated && n.Version > duty.storedVersion {
+		duty.undoneSince = startedAt(duty.undoneSince, steady.Now())
+	}
 	return !found
 }
 
@@ -104,14 +179,37 @@
 	return value
 }
 
-// storeAnnouncements writes announcement times to the platform's store, because nothing on the VMs survives a power
-// loss of all of them.
-func (g *Gateway) storeAnnouncements(model string, value []byte) {
+// storeAnnouncements writes announcement times to the platform's store, because nothing on the VMs survives a power loss of
+// all of them.
+func (g *Gateway) storeAnnouncements(w announcementWrite) {
 	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
 	defer cancel()
-	if _, err := g.platform.Store.Append(ctx, VMStream, announcementPrefix+model, value); err != nil {
-		g.log.warn(partOrder).Str("model", model).Err(err).Msg("announcement times not stored")
+	at, err := g.platform.Store.Append(ctx, VMStream, announcementPrefix+w.model, w.value)
+	if err != nil {
+		g.log.warn(partOrder).Str("model", w.model).Err(err).Msg("announcement times not stored")
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if at.Era != g.storeEra {
+		// A restore may have lost it. The duty began anew with the era.
+		return
+	}
+	g.recordStored(w.model, w.version)
+	g.announcementDutyOf(w.model).storedAt = steady.Now()
+	g.log.info(partOrder).Str("model", w.model).Int64("version", w.version).Int64("era", at.Era).Msg("announcement times stored")
+	g.requestDigest()
+}
+
+// reportsAnnouncements reports whether this VM tells its peers announcement times although they are no concern of every
+// digest: it stored some lately, and the others must not write them too. The caller holds the lock.
+func (g *Gateway) reportsAnnouncements(now time.Time) bool {
+	for _, duty := range g.announcementDuties {
+		if now.Sub(duty.storedAt) < storedReportPeriod {
+			return true
+		}
 	}
+	return false
 }
 
 // restoreAnnouncements adds the announcement times of a stored record. The caller holds the lock.
@@ -126,5 +224,6 @@
 	for _, k := range kept {
 		age := max(timeOfDay.Sub(time.UnixMilli(k.UnixMs)), 0)
 		g.addAnnouncement(model, place.Announcement{Version: k.Version, At: now.Add(-age)})
+		g.recordStored(model, k.Version)
 	}
 }
--- a/pkg/gateway/baselines.go
+++ b/pkg/gateway/baselines.go
@@ -56,8 +56,8 @@
 	g.origins.SetBaseline(service, b, steady.Now())
 }
 
-// maintainBaselines keeps the baselines of the services with resumable streams known, and writes them while this VM is the
-// preferred one.
+// maintainBaselines keeps the baselines of the services with resumable streams known, and writes those that are this VM's to
+// write.
 func (g *Gateway) maintainBaselines() {
 	removed := false
 	for g.sleep(jitter(baselineCheckInterval)) {
@@ -117,20 +117,30 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	preferred := g.isPreferredVM(now)
 	for _, service := range c.ResumableServices() {
 		versions := softwareVersions(g.endpoints.Usable(service))
 		if len(versions) == 0 {
 			continue
 		}
 		g.origins.Observe(service, versions, now)
-		if step := g.origins.Next(service, preferred, g.originSync.listedAt, now); step != affinity.Keep {
+		if step := g.origins.Next(service, g.writesBaseline(service, now), g.originSync.listedAt, now); step != affinity.Keep {
 			steps[service] = step
 		}
 	}
 	return steps
 }
 
+// writesBaseline reports whether this VM is the one to write the baseline of a service now. The caller holds the lock.
+func (g *Gateway) writesBaseline(service string, now time.Time) bool {
+	undone := g.originSync.baselineUndoneSince
+	if !g.origins.NeedsWrite(service, now) {
+		delete(undone, service)
+		return false
+	}
+	undone[service] = startedAt(undone[service], now)
+	return g.takesOver(undone[service], now)
+}
+
 // softwareVersions returns the software versions of endpoints, that of most endpoints first.
 func softwareVersions(endpoints []*fleet.Endpoint) []string {
 	counts := map[string]int{}
--- a/pkg/gateway/broadcast.go
+++ b/pkg/gateway/broadcast.go
@@ -56,6 +56,7 @@
 	out := g.heartbeatBatches(g.nextDigestSequence(), now)
 	crashPeer := g.peerToAskForCrashes(now)
 	refusals := g.refusalsToWrite(now)
+	announcements := g.announcementsToStore(now)
 	g.mu.Unlock()
 	g.sendBatches(out)
 	if crashPeer != nil {
@@ -64,6 +65,9 @@
 	if len(refusals) > 0 {
 		go g.writeCrashRefusals(refusals)
 	}
+	for _, w := range announcements {
+		go g.storeAnnouncements(w)
+	}
 }
 
 // nextDigestSequence returns the sequence number of the next digest of this process. The caller holds the lock.
@@ -163,6 +167,7 @@
 		func() { d.Versions = nil },
 		func() { d.Loads = nil },
 		func() { d.Accusations = nil },
+		func() { d.SavedRefusals = nil },
 		func() { d.Announcements = nil },
 		func() { d.Departures = nil },
 		func() { d.Limits = nil },
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -50,13 +50,26 @@
 	// savedRefusals are the refused requests that are stored in the platform's store; unsavedRefusals are those to write
 	// or remove there.
 	savedRefusals, unsavedRefusals map[uint64]bool
+	// awaitedRefusals are the records that another VM is to write, and since when they are undone. written are those that
+	// this VM wrote lately.
+	awaitedRefusals map[uint64]time.Time
+	written         []writtenRefusal
 	// saving is set while this VM writes them. The last write began at savingSince.
 	saving      bool
 	savingSince time.Time
 }
 
+// writtenRefusal is a record of a refused request that this VM wrote to the store.
+type writtenRefusal struct {
+	fingerprint uint64
+	refused     bool
+	at          time.Time
+}
+
 func newCrashSync() crashSync {
-	return crashSync{savedRefusals: map[uint64]bool{}, unsavedRefusals: map[uint64]bool{}}
+	return crashSync{
+		savedRefusals: map[uint64]bool{}, unsavedRefusals: map[uint64]bool{}, awaitedRefusals: map[uint64]time.Time{},
+	}
 }
 
 // formatFingerprint returns a fingerprint in hexadecimal, as in logs and store keys.
--- a/pkg/gateway/crashparts.go
+++ b/pkg/gateway/crashparts.go
@@ -159,9 +159,11 @@
 		refused := g.crashes.IsRefused(part)
 		g.log.info(partCrash).Str("fingerprint", formatFingerprint(part)).Bool("refused", refused).
 			Int("endpoints", g.crashes.CrashCount(part)).Msg("refusal of a part changed")
-		if part == own || g.crashSync.savedRefusals[part] || g.isPreferredVM(now) {
+		if part == own || g.crashSync.savedRefusals[part] {
 			g.scheduleRefusalWrite(part)
+			continue
 		}
+		g.awaitRefusalWrite(part, now)
 	}
 }
 
--- a/pkg/gateway/crashrefusals.go
+++ b/pkg/gateway/crashrefusals.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -15,7 +16,8 @@
 
 // Requests that are refused because they crash endpoints are recorded in the platform's store, since all VMs may lose
 // their memory at once. The VM that observed the last crash writes the record; if only the crashes of several VMs together
-// lead to the refusal, the preferred VM writes it (see isPreferredVM). Every VM reads these records when it starts.
+// lead to the refusal, the preferred VM writes it (see isPreferredVM). A record that no VM reports as written is written by
+// another VM. Every VM reads these records when it starts.
 
 const (
 	// crashRefusalPrefix is the prefix of the store keys of refused requests. The fingerprint follows.
@@ -24,6 +26,8 @@
 	crashRefusalTTL = 24 * time.Hour
 	// crashRefusalRetryInterval is the interval between two attempts to write records.
 	crashRefusalRetryInterval = time.Second
+	// observerWriteTime is the time for which other VMs leave a record to the VM that observed the last crash.
+	observerWriteTime = 2 * time.Second
 )
 
 // crashRefusalRecord is the stored value of a refused request. It uses the time of day because times since boot mean
@@ -56,8 +60,10 @@
 		case added && g.cleanRunsOf(c.Fingerprint).Contains(c.Fingerprint, now):
 			g.clearCrashes(c.Fingerprint, now)
 		case crashguard.IsPart(c.Fingerprint):
-		case added && !peerTally.IsRefused(c.Fingerprint) && g.isPreferredVM(now):
-			g.scheduleRefusalWrite(c.Fingerprint)
+		case added && peerTally.IsRefused(c.Fingerprint):
+			g.awaitRefusalWrite(c.Fingerprint, now.Add(observerWriteTime))
+		case added:
+			g.awaitRefusalWrite(c.Fingerprint, now)
 		}
 	}
 	g.scheduleChangedParts(0, now)
@@ -73,6 +79,60 @@
 	g.crashSync.unsavedRefusals[fingerprint] = true
 }
 
+// awaitRefusalWrite makes the record of a request due, undone since the given time, unless it matches what is stored. The
+// caller holds the lock.
+func (g *Gateway) awaitRefusalWrite(fingerprint uint64, undoneSince time.Time) {
+	awaited := g.crashSync.awaitedRefusals
+	if g.crashes.IsRefused(fingerprint) == g.crashSync.savedRefusals[fingerprint] {
+		delete(awaited, fingerprint)
+		return
+	}
+	if _, known := awaited[fingerprint]; !known {
+		awaited[fingerprint] = undoneSince
+	}
+}
+
+// takeOverRefusalWrites schedules the writes of records that no VM reported as written, if this VM is the one to do so now.
+// The caller holds the lock.
+func (g *Gateway) takeOverRefusalWrites(now time.Time) {
+	for fingerprint, since := range g.crashSync.awaitedRefusals {
+		if g.takesOver(since, now) {
+			delete(g.crashSync.awaitedRefusals, fingerprint)
+			g.scheduleRefusalWrite(fingerprint)
+		}
+	}
+}
+
+// recordSavedRefusal records whether the store holds the record of a request. The caller holds the lock.
+func (g *Gateway) recordSavedRefusal(fingerprint uint64, refused bool) {
+	g.crashSync.savedRefusals[fingerprint] = refused
+	if g.crashes.IsRefused(fingerprint) == refused {
+		delete(g.crashSync.unsavedRefusals, fingerprint)
+		delete(g.crashSync.awaitedRefusals, fingerprint)
+	}
+}
+
+// applyPeerRefusals applies the records that a peer reports as written. The caller holds the lock.
+func (g *Gateway) applyPeerRefusals(d *gossip.Digest) {
+	if d.StoreEra == nil || d.GetStoreEra() != g.storeEra {
+		return
+	}
+	for _, r := range d.GetSavedRefusals() {
+		g.recordSavedRefusal(r.GetFingerprint(), r.GetRefused())
+	}
+}
+
+// savedRefusalReports returns the records that this VM wrote lately. The caller holds the lock.
+func (g *Gateway) savedRefusalReports(now time.Time) []*gossip.SavedRefusal {
+	sync := &g.crashSync
+	sync.written = slices.DeleteFunc(sync.written, func(w writtenRefusal) bool { return now.Sub(w.at) >= storedReportPeriod })
+	var out []*gossip.SavedRefusal
+	for _, w := range sync.written[max(len(sync.written)-maxCrashesPerDigest, 0):] {
+		out = append(out, &gossip.SavedRefusal{Fingerprint: w.fingerprint, Refused: w.refused})
+	}
+	return out
+}
+
 // refusalsToWrite returns the records to write now. The caller holds the lock.
 func (g *Gateway) refusalsToWrite(now time.Time) []crashRefusalWrite {
 	sync := &g.crashSync
@@ -133,10 +193,9 @@
 	g.metrics.count("crash_verdicts_kept_total")
 	g.log.info(partCrash).Str("fingerprint", formatFingerprint(change.fingerprint)).Bool("refused", refused).
 		Int("endpoints", g.crashes.CrashCount(change.fingerprint)).Msg("refused request kept")
-	g.crashSync.savedRefusals[change.fingerprint] = refused
-	if g.crashes.IsRefused(change.fingerprint) == refused {
-		delete(g.crashSync.unsavedRefusals, change.fingerprint)
-	}
+	g.recordSavedRefusal(change.fingerprint, refused)
+	g.crashSync.written = append(g.crashSync.written, writtenRefusal{fingerprint: change.fingerprint, refused: refused, at: steady.Now()})
+	g.requestDigest()
 }
 
 // restoreCrashRefusal adds the crashes of a stored record. It reports whether the record is unreadable or so old that
--- a/pkg/gateway/digest.go
+++ b/pkg/gateway/digest.go
@@ -40,6 +40,7 @@
 	}
 	g.addUnansweredCrashes(now)
 	g.origins.Expire(now)
+	g.takeOverRefusalWrites(now)
 	g.shareRetries(now)
 	g.updateLimits(now)
 	g.placer.ForgetEndpoints(func(id string) bool { return g.endpoints.Get(id) != nil })
@@ -78,6 +79,7 @@
 		EndpointOffset: endpoint.next.Offset,
 		StoreAgeMs:     g.storeAge(now).Milliseconds(),
 		UptimeMs:       now.Sub(g.started).Milliseconds(),
+		StartedUnixMs:  g.startedUnixMs,
 		Leaving:        g.leaving.Load(),
 		Loading:        g.enginesOutOfService(),
 		LinkMbps:       float32(g.settings.LinkMbps),
@@ -102,6 +104,7 @@
 	}
 	d.Departures = g.departureReports(now)
 	d.Accusations = g.crashReports(now)
+	d.SavedRefusals = g.savedRefusalReports(now)
 	d.CrashSum, d.CrashVerdicts = g.crashes.Checksum(), g.crashes.RefusedChecksum()
 	if placed := g.placer.TakeSentParts(); len(g.peers) >= minPeersToSharePlacements {
 		for _, x := range placed {
@@ -112,7 +115,7 @@
 	reachesAll := !g.isLargeSystem() || g.isHub(now)
 	d.Limits = limitsToProto(g.limits.Reports(reachesAll || sequence%allLimitsInterval == 0, now))
 	d.TakesRequests = g.takesRequests(now)
-	if reachesAll {
+	if reachesAll || g.reportsAnnouncements(now) {
 		// The digests of hubs reach every VM, so the others need not repeat these.
 		d.Announcements = g.announcementReports(now)
 	}
@@ -175,7 +178,8 @@
 	for model, known := range g.announcements {
 		for _, n := range known {
 			if age := now.Sub(n.At); age < announcementReportPeriod && !n.Estimated {
-				out = append(out, &gossip.Announcement{Model: model, Version: n.Version, AgeMs: age.Milliseconds()})
+				stored := g.announcementDutyOf(model).storedVersion >= n.Version
+				out = append(out, &gossip.Announcement{Model: model, Version: n.Version, AgeMs: age.Milliseconds(), Stored: stored})
 			}
 		}
 	}
--- a/pkg/gateway/era.go
+++ b/pkg/gateway/era.go
@@ -63,7 +63,7 @@
 		st.endWait(errStoreRestored)
 		st.endPause()
 	}
-	clear(g.crashSync.savedRefusals)
+	g.requestRewrites(now)
 	g.origins.StoreRestored(now)
 	signal(g.originRequests)
 	signal(g.rewriteRequests)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -47,22 +47,24 @@
 // Gateway routes callers' requests to endpoints and exchanges state with the gateways of other VMs. Create it with New,
 // then call Provision, Start and Shutdown.
 type Gateway struct {
-	settings     settings.Gateway
-	ownIP        netip.Addr
-	platform     Platform
-	boot         uint64
-	started      time.Time
-	log          *limitedLogger
-	metrics      *metrics
-	http         *httpcall.Client
-	ingress      *ingress.Server
-	adminServer  *fasthttp.Server
-	gossipSocket *gossip.Socket
-	relayServer  *http.Server
-	relayClients *gossip.RelayClients
-	answerMemory memoryBudget
-	config       atomic.Pointer[traffic.Config]
-	leaving      atomic.Bool
+	settings settings.Gateway
+	ownIP    netip.Addr
+	platform Platform
+	boot     uint64
+	started  time.Time
+	// startedUnixMs is the time of day of the start, see precedence.Key.
+	startedUnixMs int64
+	log           *limitedLogger
+	metrics       *metrics
+	http          *httpcall.Client
+	ingress       *ingress.Server
+	adminServer   *fasthttp.Server
+	gossipSocket  *gossip.Socket
+	relayServer   *http.Server
+	relayClients  *gossip.RelayClients
+	answerMemory  memoryBudget
+	config        atomic.Pointer[traffic.Config]
+	leaving       atomic.Bool
 	// leavingSince is the time of SIGTERM in nanoseconds of the steady clock.
 	leavingSince atomic.Int64
 	nextID       atomic.Uint64
@@ -125,8 +127,12 @@
 	streams       map[Stream]*streamState
 	// announcements are the weight versions of each model, oldest first. The slices are never modified in place.
 	announcements map[string][]place.Announcement
+	// announcementDuties are the models whose announcement times were or are to be stored.
+	announcementDuties map[string]*announcementDuty
 	// orderClaim is the newest known claim of the order lease.
 	orderClaim issuer.Claim
+	// ordersUndoneSince is since when orders are due without an active holder, or zero.
+	ordersUndoneSince time.Time
 	// weightLoads are the engines that this VM, as the lease holder, drains or loads, by id.
 	weightLoads          map[string]*weightLoad
 	loadDurationEstimate loadDurationEstimate
@@ -160,6 +166,7 @@
 		platform:          platform(client),
 		boot:              boot,
 		started:           steady.Now(),
+		startedUnixMs:     time.Now().UnixMilli(),
 		log:               newLimitedLogger(s.VM, boot, s.LogLevel, standardOutput),
 		metrics:           newMetrics(),
 		http:              client,
@@ -190,11 +197,12 @@
 			digestsForHub:      map[string]*gossip.Digest{},
 			streams:            map[Stream]*streamState{OperatorStream: newStreamState(), EndpointStream: newStreamState()},
 			announcements:      map[string][]place.Announcement{},
+			announcementDuties: map[string]*announcementDuty{},
 			orderClaim:         issuer.Claim{At: issuer.NoClaim},
 			weightLoads:        map[string]*weightLoad{},
 			storeEra:           unknownEra,
 			origins:            affinity.NewTable(),
-			originSync:         originSync{written: make(chan struct{})},
+			originSync:         originSync{written: make(chan struct{}), baselineUndoneSince: map[string]time.Time{}},
 		},
 	}
 	if g.platform.Store != nil {
--- a/pkg/gateway/orders.go
+++ b/pkg/gateway/orders.go
@@ -22,10 +22,6 @@
 	claimTimeout = 2 * orderTimeout
 	// holderSilenceLimit is the age of the holder's last digest at which another VM claims the lease.
 	holderSilenceLimit = 1100 * time.Millisecond
-	// sameStartTolerance is the difference between two start times up to which the VMs count as started together.
-	sameStartTolerance = 2 * time.Second
-	// settledUptime is the uptime from which a VM takes precedence over older ones as holder of the lease.
-	settledUptime = 2 * time.Second
 	// claimKey is the record key of all claims.
 	claimKey = "orders"
 )
@@ -60,46 +56,35 @@
 		Pending:   g.ordersDue() && !g.leaving.Load(),
 		Reachable: g.storeAge(now) < storeFreshness,
 		Holder:    g.orderClaim,
-		First:     g.isPreferredVM(now),
 	}
 	s.HolderIsSelf = g.orderClaim.Holder == g.settings.VM && g.orderClaim.Boot == g.boot
-	if p := g.peers[g.orderClaim.Holder]; p != nil {
-		s.HolderActive = p.canUseLease(g.orderClaim, now)
-	}
 	if !s.Pending {
 		clear(g.weightLoads)
+		g.ordersUndoneSince = time.Time{}
+		return s
+	}
+	s.HolderActive = g.holderActive(g.orderClaim, now)
+	if s.HolderActive {
+		g.ordersUndoneSince = time.Time{}
+		return s
 	}
+	g.ordersUndoneSince = startedAt(g.ordersUndoneSince, now)
+	s.First = g.takesOver(g.ordersUndoneSince, now)
 	return s
 }
 
-// canUseLease reports whether the peer made the claim and can give orders under it.
-func (p *peerState) canUseLease(claim issuer.Claim, now time.Time) bool {
-	return p.boot == claim.Boot && p.reachesStore(now) && now.Sub(p.lastSeen) < holderSilenceLimit
-}
-
-// isPreferredVM reports whether this VM is the one of those in reach of the store that acts when one of them has to.
-// The caller holds the lock.
-func (g *Gateway) isPreferredVM(now time.Time) bool {
-	for _, p := range g.peers {
-		if p.reachesStore(now) && g.peerPreferred(p, now) {
-			return false
-		}
+// startedAt returns when a state that holds now began, given when it began so far, or zero if it did not hold before.
+func startedAt(since, now time.Time) time.Time {
+	if since.IsZero() {
+		return now
 	}
-	return true
+	return since
 }
 
-// peerPreferred reports whether a peer takes precedence over this VM as the next holder. In a rolling restart VMs that
-// have already restarted keep running, so a VM that started clearly later takes precedence; otherwise the name decides.
-func (g *Gateway) peerPreferred(p *peerState, now time.Time) bool {
-	later := p.started.Sub(g.started)
-	settled := now.Sub(p.started) > settledUptime
-	switch {
-	case later > sameStartTolerance:
-		return settled
-	case later < -sameStartTolerance:
-		return now.Sub(g.started) <= settledUptime
-	}
-	return p.vm < g.settings.VM
+// holderActive reports whether a peer made the claim and can give orders under it. The caller holds the lock.
+func (g *Gateway) holderActive(claim issuer.Claim, now time.Time) bool {
+	p := g.peers[claim.Holder]
+	return p != nil && p.boot == claim.Boot && p.reachesStore(now) && now.Sub(p.lastSeen) < holderSilenceLimit
 }
 
 // ordersDue reports whether an engine runs an older version than the newest announced. The caller holds the lock.
@@ -204,7 +189,7 @@
 	g.lease.Claimed(at, predecessor, lastOrder, now)
 	g.orderClaim = issuer.Claim{Holder: g.settings.VM, Boot: g.boot, At: at}
 	g.log.info(partOrder).Int64("era", at.Era).Int64("offset", at.Offset).Str("after", claim.Holder).Str("predecessor", predecessor.String()).
-		Msg("order lease acquired")
+		Int("rank", g.rank(now)).Msg("order lease acquired")
 }
 
 // predecessorOf returns what is known about the holder of an older claim, and the latest time at which it may have
@@ -242,8 +227,7 @@
 
 // checkClaimable returns errLeaseHeld if the holder of the newest claim can use it. The caller holds the lock.
 func (g *Gateway) checkClaimable(claim issuer.Claim, now time.Time) error {
-	p := g.peers[claim.Holder]
-	if p != nil && p.canUseLease(claim, now) {
+	if g.holderActive(claim, now) {
 		return errLeaseHeld
 	}
 	return nil
--- a/pkg/gateway/originsync.go
+++ b/pkg/gateway/originsync.go
@@ -39,6 +39,8 @@
 	oldKeys []string
 	// listedAt is when the last complete listing was requested.
 	listedAt time.Time
+	// baselineUndoneSince is since when this VM knows of no baseline for a service, or of one that has to be replaced.
+	baselineUndoneSince map[string]time.Time
 }
 
 // originListing serializes the listings of stream origins, so that one serves all requests that wait for it. Its lock is
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -44,8 +44,9 @@
 	// takesRequests is set if the peer recently received requests.
 	takesRequests bool
 	loading       []string
-	// started is when the peer's process started.
-	started time.Time
+	// started is when the peer's process started, and startedUnixMs the time of day then by its own clock.
+	started       time.Time
+	startedUnixMs int64
 	// lastOrder is when the peer's process or a holder before it may have given its last order, or the start of the
 	// process if there was none.
 	lastOrder time.Time
@@ -165,6 +166,7 @@
 	p.takesRequests = d.GetTakesRequests()
 	p.loading = d.GetLoading()
 	p.started = now.Add(-time.Duration(d.GetUptimeMs()) * time.Millisecond)
+	p.startedUnixMs = d.GetStartedUnixMs()
 	p.lastOrder = p.started
 	if d.LastOrderAgeMs != nil {
 		p.lastOrder = now.Add(-time.Duration(d.GetLastOrderAgeMs()) * time.Millisecond)
@@ -206,10 +208,14 @@
 	}
 	g.applyPeerDepartures(p, d.GetDepartures(), now)
 	g.addPeerCrashes(d.GetAccusations(), p.vm, now)
+	g.applyPeerRefusals(d)
 	g.addPeerLimits(d.GetLimits(), p.vm, now)
 	for _, n := range d.GetAnnouncements() {
 		at := now.Add(-time.Duration(n.GetAgeMs()) * time.Millisecond)
 		g.addAnnouncement(n.GetModel(), place.Announcement{Version: n.GetVersion(), At: at})
+		if n.GetStored() && d.StoreEra != nil && d.GetStoreEra() == g.storeEra {
+			g.recordStored(n.GetModel(), n.GetVersion())
+		}
 	}
 	for _, v := range d.GetVersions() {
 		if e := g.endpoints.Get(v.GetEndpoint()); e != nil && e.StartTimeMs == v.GetBorn() {
--- a/pkg/gateway/rewrite.go
+++ b/pkg/gateway/rewrite.go
@@ -1,11 +1,7 @@
 package gateway
 
 import (
-	"maps"
-	"slices"
 	"time"
-
-	"github.com/corneldeal/corneldeal/pkg/steady"
 )
 
 // A restore of the store loses what the gateways wrote after its copy was made. Nobody else writes that again, so each VM
@@ -31,27 +27,22 @@
 	if !g.writeRegistration() {
 		return false
 	}
-	now := steady.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	preferred := g.isPreferredVM(now)
-	g.log.info(partStore).Int64("era", g.storeEra).Bool("for_all", preferred).Msg("records written again")
-	if preferred {
-		g.rewriteForAll(now)
-	}
+	g.log.info(partStore).Int64("era", g.storeEra).Msg("registration written again")
 	return true
 }
 
-// rewriteForAll writes the announcement times and the refused requests again. The caller holds the lock.
-func (g *Gateway) rewriteForAll(now time.Time) {
-	for _, model := range slices.Sorted(maps.Keys(g.announcements)) {
-		if !g.knowsAnnouncementTimes(model) {
-			continue
+// requestRewrites makes the records that concern the whole system due again: the announcement times and the refused
+// requests. The preferred VM writes them, and another one if it does not. The caller holds the lock.
+func (g *Gateway) requestRewrites(now time.Time) {
+	for model := range g.announcements {
+		if duty := g.announcementDutyOf(model); g.knowsAnnouncementTimes(model) {
+			*duty = announcementDuty{undoneSince: now}
 		}
-		value := g.encodeAnnouncements(model, now)
-		go g.storeAnnouncements(model, value)
 	}
+	clear(g.crashSync.savedRefusals)
 	for _, crash := range g.crashes.TopCrashes(maxRequestsPerReply) {
-		g.scheduleRefusalWrite(crash.Fingerprint)
+		g.awaitRefusalWrite(crash.Fingerprint, now)
 	}
 }
--- a/pkg/gateway/simulation_test.go
+++ b/pkg/gateway/simulation_test.go
@@ -95,6 +95,7 @@
 		VM: fmt.Sprint("vm-", i), Address: ip.String(), DataCentre: fmt.Sprint("z", i%simDataCentres), PeerPort: 7000,
 		LinkMbps: link, RetrySlack: simRetrySlack, LogLevel: "error",
 	}, func(*httpcall.Client) Platform { return Platform{} })
+	vm.gateway.started, vm.gateway.startedUnixMs = s.now, s.now.UnixMilli()
 	for _, other := range s.vms {
 		vm.gateway.addVM(other.gateway.settings.VM, knownVM{
 			ip: other.ip, dataCentre: other.gateway.settings.DataCentre, linkMbps: other.gateway.settings.LinkMbps,
--- a/pkg/gateway/store_simulation_test.go
+++ b/pkg/gateway/store_simulation_test.go
@@ -78,7 +78,6 @@
 func (s *storeSimulation) start() {
 	vm := s.add()
 	vm.gateway.platform = Platform{Decoder: simDecoder{}}
-	vm.gateway.started = s.now
 	vm.gateway.applyEra(s.era, "store", s.now)
 	if err := vm.gateway.applyListing(OperatorStream, s.listing(), s.now); err != nil {
 		s.t.Fatal(err)
@@ -258,7 +257,7 @@
 	for i, vm := range s.vms {
 		old := vm.gateway
 		vm.gateway = New(old.settings, func(*httpcall.Client) Platform { return Platform{Decoder: simDecoder{}} })
-		vm.gateway.started = s.now
+		vm.gateway.started, vm.gateway.startedUnixMs = s.now, s.now.UnixMilli()
 		for name, known := range old.vms {
 			vm.gateway.addVM(name, *known, s.now)
 		}
--- a/pkg/issuer/issuer.go
+++ b/pkg/issuer/issuer.go
@@ -78,12 +78,19 @@
 	// HolderIsSelf reports whether this process made that claim. It may not hold the lease, if the claim is from before a
 	// restore.
 	HolderIsSelf bool
-	// HolderActive reports whether the holder's process is alive and reaches the store.
+	// HolderActive reports whether the holder's process is alive, reaches the store, knows that it holds the lease, and gives
+	// orders.
 	HolderActive bool
-	// First reports whether this VM is the first of the live VMs that reach the store.
+	// First reports whether this VM is the one that claims: the first of the live VMs that reach the store, or one that takes
+	// over since none of those before it has claimed.
 	First bool
 }
 
+// SuccessorWait returns how long a VM waits after a claim whose predecessor it knows nothing about.
+func SuccessorWait(orderGap time.Duration) time.Duration {
+	return ReadValidity + maxOrderTransit + orderGap
+}
+
 // Step is the next action of a VM.
 type Step int
 
@@ -187,7 +194,7 @@
 		l.ordersFrom = lastOrder.Add(maxOrderTransit + l.orderGap)
 	case UnknownPredecessor:
 		l.lastOrder = now.Add(ReadValidity)
-		l.ordersFrom = now.Add(ReadValidity + maxOrderTransit + l.orderGap)
+		l.ordersFrom = now.Add(SuccessorWait(l.orderGap))
 	}
 }
 
