Count a holder as active only if it reports its claim and gives orders

Cause: the author of the newest claim counted as the holder while its process lived, whether or not it knew of the claim. After a restore it had forgotten it; the VM that precedes it took it for active and waited.

Change: digests report the claim under which a VM holds the lease. An author that does not report the newest claim within 1.5 s, or that gives no orders while some are due, is passed over; the waits of the fence are unchanged. Other VMs learn the holder from digests instead of from the store.

Ruled out: the order of VMs; in both tests one VM precedes the other.

--- a/pkg/gateway/digest.go
+++ b/pkg/gateway/digest.go
@@ -89,6 +89,7 @@
 		EndpointVerifiedAgeMs: endpoint.proofAge(now),
 	}
 	g.setEras(d)
+	g.setLease(d)
 	if last := g.lease.LastOrder(); !last.IsZero() {
 		d.LastOrderAgeMs = proto.Int64(now.Sub(last).Milliseconds())
 	}
--- a/pkg/gateway/era.go
+++ b/pkg/gateway/era.go
@@ -57,7 +57,7 @@
 		Int64("weight_versions", weights).Msg("store was restored from a copy, its records are listed anew")
 	g.endpoints.StoreRecovered(now)
 	g.lease.Ended()
-	g.orderClaim = issuer.Claim{At: issuer.NoClaim}
+	g.setOrderClaim(issuer.Claim{At: issuer.NoClaim}, now)
 	for _, st := range g.streams {
 		st.relistAt = now.Add(minPeerListingWait + rand.N(peerListingWaitSpread))
 		st.endWait(errStoreRestored)
@@ -117,3 +117,11 @@
 	d.EndpointErasBehind = g.storeEra - endpoint.next.Era
 	d.EndpointChangedErasBehind = g.storeEra - endpoint.changedEnd.Era
 }
+
+// setLease sets what a digest says of the order lease. The caller holds the lock.
+func (g *Gateway) setLease(d *gossip.Digest) {
+	if at := g.lease.Claim(); at != issuer.NoClaim {
+		d.LeaseOffset = proto.Int64(at.Offset)
+		d.LeaseErasBehind = g.storeEra - at.Era
+	}
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -129,10 +129,12 @@
 	announcements map[string][]place.Announcement
 	// announcementDuties are the models whose announcement times were or are to be stored.
 	announcementDuties map[string]*announcementDuty
-	// orderClaim is the newest known claim of the order lease.
-	orderClaim issuer.Claim
-	// ordersUndoneSince is since when orders are due without an active holder, or zero.
-	ordersUndoneSince time.Time
+	// orderClaim is the newest known claim of the order lease, and orderClaimSince is when this VM heard of it first.
+	orderClaim      issuer.Claim
+	orderClaimSince time.Time
+	// ordersDueSince is since when orders are due, and ordersUndoneSince since when they are due without an active holder;
+	// both are zero while that does not hold.
+	ordersDueSince, ordersUndoneSince time.Time
 	// weightLoads are the engines that this VM, as the lease holder, drains or loads, by id.
 	weightLoads          map[string]*weightLoad
 	loadDurationEstimate loadDurationEstimate
--- a/pkg/gateway/orders.go
+++ b/pkg/gateway/orders.go
@@ -22,6 +22,12 @@
 	claimTimeout = 2 * orderTimeout
 	// holderSilenceLimit is the age of the holder's last digest at which another VM claims the lease.
 	holderSilenceLimit = 1100 * time.Millisecond
+	// claimReportLimit is the time after which a live author of the newest claim that does not report the lease in its
+	// digests counts as not knowing of its claim, since the answer to the append or the claim's era was lost.
+	claimReportLimit = 1500 * time.Millisecond
+	// holderIdleMargin is the time beyond the wait for the previous holder after which a holder that gives no orders while
+	// some are due counts as inactive.
+	holderIdleMargin = 3 * time.Second
 	// claimKey is the record key of all claims.
 	claimKey = "orders"
 )
@@ -60,10 +66,11 @@
 	s.HolderIsSelf = g.orderClaim.Holder == g.settings.VM && g.orderClaim.Boot == g.boot
 	if !s.Pending {
 		clear(g.weightLoads)
-		g.ordersUndoneSince = time.Time{}
+		g.ordersDueSince, g.ordersUndoneSince = time.Time{}, time.Time{}
 		return s
 	}
-	s.HolderActive = g.holderActive(g.orderClaim, now)
+	g.ordersDueSince = startedAt(g.ordersDueSince, now)
+	s.HolderActive = g.holderActive(now)
 	if s.HolderActive {
 		g.ordersUndoneSince = time.Time{}
 		return s
@@ -81,10 +88,36 @@
 	return since
 }
 
-// holderActive reports whether a peer made the claim and can give orders under it. The caller holds the lock.
-func (g *Gateway) holderActive(claim issuer.Claim, now time.Time) bool {
+// setOrderClaim records the newest known claim. The caller holds the lock.
+func (g *Gateway) setOrderClaim(claim issuer.Claim, now time.Time) {
+	if claim != g.orderClaim {
+		g.orderClaim, g.orderClaimSince = claim, now
+	}
+}
+
+// holderActive reports whether a peer made the newest known claim and gives orders under it, or will soon. The caller holds
+// the lock.
+func (g *Gateway) holderActive(now time.Time) bool {
+	claim := g.orderClaim
 	p := g.peers[claim.Holder]
-	return p != nil && p.boot == claim.Boot && p.reachesStore(now) && now.Sub(p.lastSeen) < holderSilenceLimit
+	if p == nil || p.boot != claim.Boot || !p.reachesStore(now) || now.Sub(p.lastSeen) >= holderSilenceLimit {
+		return false
+	}
+	if p.leaseAt != claim.At {
+		return now.Sub(g.orderClaimSince) < claimReportLimit
+	}
+	lastProgress := later(p.lastOrder, later(g.ordersDueSince, g.orderClaimSince))
+	return now.Sub(lastProgress) < g.holderIdleLimit(p)
+}
+
+// holderIdleLimit returns the time without an order after which a holder counts as inactive. One that waits for loads to
+// end has longer.
+func (g *Gateway) holderIdleLimit(p *peerState) time.Duration {
+	limit := issuer.SuccessorWait(g.settings.Lease()) + holderIdleMargin
+	if len(p.loading) > 0 {
+		limit += loadTimeout
+	}
+	return limit
 }
 
 // ordersDue reports whether an engine runs an older version than the newest announced. The caller holds the lock.
@@ -154,7 +187,7 @@
 		g.log.warn(partOrder).Err(err).Msg("claim not confirmed")
 		return false
 	}
-	g.orderClaim = claim
+	g.setOrderClaim(claim, steady.Now())
 	g.lease.Confirmed(claim, started)
 	if claim.At != g.lease.Claim() {
 		g.log.info(partOrder).Str("holder", claim.Holder).Int64("era", claim.At.Era).Int64("offset", claim.At.Offset).
@@ -169,8 +202,10 @@
 	now := steady.Now()
 	g.mu.Lock()
 	if err == nil {
-		g.orderClaim = claim
-		err = g.checkClaimable(claim, now)
+		g.setOrderClaim(claim, now)
+		if g.holderActive(now) {
+			err = errLeaseHeld
+		}
 	}
 	g.mu.Unlock()
 	var at logpos.Position
@@ -187,7 +222,8 @@
 	}
 	predecessor, lastOrder := g.predecessorOf(claim, now)
 	g.lease.Claimed(at, predecessor, lastOrder, now)
-	g.orderClaim = issuer.Claim{Holder: g.settings.VM, Boot: g.boot, At: at}
+	g.setOrderClaim(issuer.Claim{Holder: g.settings.VM, Boot: g.boot, At: at}, now)
+	g.requestDigest()
 	g.log.info(partOrder).Int64("era", at.Era).Int64("offset", at.Offset).Str("after", claim.Holder).Str("predecessor", predecessor.String()).
 		Int("rank", g.rank(now)).Msg("order lease acquired")
 }
@@ -222,16 +258,8 @@
 	return g.storeEraSince.Add(issuer.ReadValidity)
 }
 
-// errLeaseHeld means that the holder of the newest claim can use it.
-var errLeaseHeld = errors.New("gateway: the lease holder can still give orders")
-
-// checkClaimable returns errLeaseHeld if the holder of the newest claim can use it. The caller holds the lock.
-func (g *Gateway) checkClaimable(claim issuer.Claim, now time.Time) error {
-	if g.holderActive(claim, now) {
-		return errLeaseHeld
-	}
-	return nil
-}
+// errLeaseHeld means that the holder of the newest claim gives orders.
+var errLeaseHeld = errors.New("gateway: the lease holder is active")
 
 // appendClaim appends a claim of this VM if the claims still end at end. It returns the position of the claim. A claim that
 // a restored store appended to other claims than those that were read does not count.
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/corneldeal/corneldeal/pkg/gossip"
+	"github.com/corneldeal/corneldeal/pkg/issuer"
 	"github.com/corneldeal/corneldeal/pkg/logpos"
 	"github.com/corneldeal/corneldeal/pkg/place"
 	"github.com/corneldeal/corneldeal/pkg/share"
@@ -47,6 +48,8 @@
 	// started is when the peer's process started, and startedUnixMs the time of day then by its own clock.
 	started       time.Time
 	startedUnixMs int64
+	// leaseAt is the position of the claim under which the peer holds the order lease, or issuer.NoClaim.
+	leaseAt logpos.Position
 	// lastOrder is when the peer's process or a holder before it may have given its last order, or the start of the
 	// process if there was none.
 	lastOrder time.Time
@@ -167,6 +170,7 @@
 	p.loading = d.GetLoading()
 	p.started = now.Add(-time.Duration(d.GetUptimeMs()) * time.Millisecond)
 	p.startedUnixMs = d.GetStartedUnixMs()
+	g.applyPeerLease(p, d, now)
 	p.lastOrder = p.started
 	if d.LastOrderAgeMs != nil {
 		p.lastOrder = now.Add(-time.Duration(d.GetLastOrderAgeMs()) * time.Millisecond)
@@ -236,6 +240,19 @@
 	}
 }
 
+// applyPeerLease applies what a digest says of the order lease. A claim that is newer than the known one replaces it, so
+// that VMs that do not claim themselves know the holder without a call to the store. The caller holds the lock.
+func (g *Gateway) applyPeerLease(p *peerState, d *gossip.Digest, now time.Time) {
+	p.leaseAt = issuer.NoClaim
+	if d.LeaseOffset == nil {
+		return
+	}
+	p.leaseAt = logpos.Position{Era: d.GetStoreEra() - d.GetLeaseErasBehind(), Offset: d.GetLeaseOffset()}
+	if p.leaseAt.Era == g.storeEra && (g.orderClaim.At == issuer.NoClaim || p.leaseAt.After(g.orderClaim.At)) {
+		g.setOrderClaim(issuer.Claim{Holder: p.vm, Boot: p.boot, At: p.leaseAt}, now)
+	}
+}
+
 // applyPeerDepartures applies the departures that a peer reports. The caller holds the lock.
 func (g *Gateway) applyPeerDepartures(p *peerState, departures []*gossip.Departure, now time.Time) {
 	for _, reported := range departures {
