Name the shared cache scope after the workspaces that share it

Cause: all workspaces that are not isolated shared one salt for good, so the material of one that leaves them stayed in use.

Change: the shared scope is a hash of the names of the workspaces that share. It changes in both directions and when a workspace is removed, follows from the configuration in force alone, and is taken at each attempt.

--- a/pkg/gateway/placement.go
+++ b/pkg/gateway/placement.go
@@ -26,8 +26,9 @@
 	defaultOutputTokens = 64
 )
 
-// placementRequest returns the placer's view of a request to a service. The caller holds the lock.
-func (g *Gateway) placementRequest(r *request, s *traffic.Service) *place.Request {
+// placementRequest returns the placer's view of a request to a service under the configuration in force, which may be newer
+// than the one that the request began under. The caller holds the lock.
+func (g *Gateway) placementRequest(r *request, c *traffic.Config, s *traffic.Service) *place.Request {
 	p := &place.Request{ID: r.id, Exclude: r.excluded}
 	if s.Engine == nil {
 		return p
@@ -43,28 +44,29 @@
 	if p.Output == 0 {
 		p.Output = defaultOutputTokens
 	}
-	p.Salt = cacheSalts(p.Model, cacheIsolation(r.workspace))
+	p.Salt = cacheSalts(p.Model, c.CacheScope(r.workspaceName()))
 	p.Announced = g.announcements[p.Model]
 	return p
 }
 
-// cacheIsolation returns the name of an isolated workspace, which separates its cached material from others, or "".
-func cacheIsolation(w *traffic.Workspace) string {
-	if w == nil || !w.Isolated {
+// workspaceName returns the name of the request's workspace, or "" if it has none.
+func (r *request) workspaceName() string {
+	if r.workspace == nil {
 		return ""
 	}
-	return w.Name
+	return r.workspace.Name
 }
 
 // cacheSalts returns a function that maps a weight version to the salt of cached material. Salts differ by model,
-// version and isolated workspace. They are memoized because placement requests the same few versions many times.
-func cacheSalts(model, isolation string) func(version int64) string {
+// version and cache scope, see traffic.Config.CacheScope. They are memoized because placement requests the same few versions
+// many times.
+func cacheSalts(model, scope string) func(version int64) string {
 	known := map[int64]string{}
 	return func(version int64) string {
 		salt, ok := known[version]
 		if !ok {
 			h := fnv.New64a()
-			_, _ = fmt.Fprintf(h, "%q %d %q", model, version, isolation)
+			_, _ = fmt.Fprintf(h, "%q %d %q", model, version, scope)
 			salt = strconv.FormatUint(h.Sum64(), 36)
 			known[version] = salt
 		}
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -113,10 +113,7 @@
 // query, so the path without the query counts too; clean runs with any query clear that fingerprint. The others are those
 // of the parts that its prompt shares with other requests.
 func fingerprintsOf(r *request) []uint64 {
-	workspace := ""
-	if r.workspace != nil {
-		workspace = r.workspace.Name
-	}
+	workspace := r.workspaceName()
 	target, body := r.exchange.Request.Header.RequestURI(), r.exchange.Request.Body()
 	path, _, hasQuery := bytes.Cut(target, []byte("?"))
 	out := []uint64{crashguard.RequestFingerprint(crashguard.Fingerprint(workspace, string(path), body))}
--- a/pkg/traffic/config.go
+++ b/pkg/traffic/config.go
@@ -4,9 +4,11 @@
 
 import (
 	"cmp"
+	"fmt"
 	"hash/fnv"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -179,6 +181,9 @@
 	byHost map[string][]*Route
 	byKey  map[string]*Workspace
 	stores []*CacheStore
+	// sharedScope is the cache scope of the workspaces in sharing.
+	sharedScope string
+	sharing     map[string]bool
 }
 
 // Build creates the lookup indexes and returns c. Call it once, before the Config is shared.
@@ -204,9 +209,37 @@
 			c.byKey[key] = &c.Workspaces[i]
 		}
 	}
+	c.buildCacheScopes()
 	return c
 }
 
+// buildCacheScopes sets sharing and sharedScope.
+func (c *Config) buildCacheScopes() {
+	c.sharing = map[string]bool{}
+	for i := range c.Workspaces {
+		if w := &c.Workspaces[i]; !w.Isolated {
+			c.sharing[w.Name] = true
+		}
+	}
+	h := fnv.New64a()
+	for _, name := range slices.Sorted(maps.Keys(c.sharing)) {
+		_, _ = fmt.Fprintf(h, "%q", name)
+	}
+	c.sharedScope = "shared " + strconv.FormatUint(h.Sum64(), 36)
+}
+
+// CacheScope returns the scope within which the requests of a workspace share cached material, for "" that of requests
+// without a workspace. The shared scope is named after the workspaces that share it: when one becomes isolated, or leaves or
+// joins them, the others go on in another scope, so nobody uses what a workspace cached that is no longer among them. A VM
+// needs to know nothing but the configuration in force. An isolated workspace, and one that the configuration does not
+// have, has a scope of its own.
+func (c *Config) CacheScope(workspace string) string {
+	if workspace == "" || c.sharing[workspace] {
+		return c.sharedScope
+	}
+	return "own " + workspace
+}
+
 // Match returns the route with the longest matching prefix for a host and path, or nil. It ignores case and port of the
 // host.
 func (c *Config) Match(host, path string) *Route {
