Recognize leases and stored times where the store tells no era

Cause: the era of a reported claim was told relative to the era of the store, which is unknown where answers have no Store-Era. No VM recognized the holder, and each claimed past it in turn. Stored announcement times were not recognized either, for the same reason.

Change: the claim's era is told as it is, and a store without eras has one.

Ruled out: the shared cache scope; the log shows "order lease acquired" by ever other VMs, each 5 to 8 s, and parts read again rose by a fifth only.

--- a/pkg/gateway/announcements.go
+++ b/pkg/gateway/announcements.go
@@ -191,7 +191,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if at.Era != g.storeEra {
+	if !g.inPresentEra(at) {
 		// A restore may have lost it. The duty began anew with the era.
 		return
 	}
--- a/pkg/gateway/crashrefusals.go
+++ b/pkg/gateway/crashrefusals.go
@@ -114,7 +114,7 @@
 
 // applyPeerRefusals applies the records that a peer reports as written. The caller holds the lock.
 func (g *Gateway) applyPeerRefusals(d *gossip.Digest) {
-	if d.StoreEra == nil || d.GetStoreEra() != g.storeEra {
+	if !g.sharesEra(d) {
 		return
 	}
 	for _, r := range d.GetSavedRefusals() {
--- a/pkg/gateway/era.go
+++ b/pkg/gateway/era.go
@@ -11,6 +11,7 @@
 	"github.com/corneldeal/corneldeal/pkg/gossip"
 	"github.com/corneldeal/corneldeal/pkg/httpcall"
 	"github.com/corneldeal/corneldeal/pkg/issuer"
+	"github.com/corneldeal/corneldeal/pkg/logpos"
 	"github.com/corneldeal/corneldeal/pkg/steady"
 )
 
@@ -118,10 +119,24 @@
 	d.EndpointChangedErasBehind = g.storeEra - endpoint.changedEnd.Era
 }
 
+// inPresentEra reports whether a position is of the store's present era. A store that tells no era has only one. The caller
+// holds the lock.
+func (g *Gateway) inPresentEra(at logpos.Position) bool {
+	return g.storeEra == unknownEra || at.Era == g.storeEra
+}
+
+// sharesEra reports whether the sender of a digest knows of the same era of the store as this VM. The caller holds the lock.
+func (g *Gateway) sharesEra(d *gossip.Digest) bool {
+	if d.StoreEra == nil {
+		return g.storeEra == unknownEra
+	}
+	return d.GetStoreEra() == g.storeEra
+}
+
 // setLease sets what a digest says of the order lease. The caller holds the lock.
 func (g *Gateway) setLease(d *gossip.Digest) {
 	if at := g.lease.Claim(); at != issuer.NoClaim {
 		d.LeaseOffset = proto.Int64(at.Offset)
-		d.LeaseErasBehind = g.storeEra - at.Era
+		d.LeaseEra = at.Era
 	}
 }
--- a/pkg/gateway/orders_test.go
+++ b/pkg/gateway/orders_test.go
@@ -9,6 +9,7 @@
 	"github.com/corneldeal/corneldeal/pkg/gossip"
 	"github.com/corneldeal/corneldeal/pkg/issuer"
 	"github.com/corneldeal/corneldeal/pkg/logpos"
+	"github.com/corneldeal/corneldeal/pkg/place"
 	"github.com/corneldeal/corneldeal/pkg/steady"
 )
 
@@ -42,7 +43,7 @@
 			g.setOrderClaim(issuer.Claim{Holder: "vm-1", Boot: 7, At: claimed}, now.Add(-c.after))
 			g.ordersDueSince = now.Add(-c.after)
 			g.applyDigest(&gossip.Digest{
-				Vm: "vm-1", Boot: 7, Sequence: 1, Address: "10.0.1.1", StoreEra: proto.Int64(2), LeaseOffset: c.lease,
+				Vm: "vm-1", Boot: 7, Sequence: 1, Address: "10.0.1.1", StoreEra: proto.Int64(2), LeaseOffset: c.lease, LeaseEra: 2,
 				LastOrderAgeMs: proto.Int64(c.lastOrder.Milliseconds()), Loading: c.loading, UptimeMs: time.Hour.Milliseconds(),
 			}, now)
 			if got := g.holderActive(now); got != c.active {
@@ -60,7 +61,7 @@
 	g.storeEra = 2
 	report := func(sequence uint64, era, offset int64) {
 		g.applyDigest(&gossip.Digest{
-			Vm: "vm-1", Boot: 7, Sequence: sequence, Address: "10.0.1.1", StoreEra: proto.Int64(era), LeaseOffset: proto.Int64(offset),
+			Vm: "vm-1", Boot: 7, Sequence: sequence, Address: "10.0.1.1", StoreEra: proto.Int64(era), LeaseOffset: proto.Int64(offset), LeaseEra: era,
 		}, now)
 	}
 	for i, c := range []struct{ era, offset, want int64 }{{1, 9, -1}, {2, 0, 0}, {2, 5, 5}, {2, 3, 5}} {
@@ -70,3 +71,27 @@
 		}
 	}
 }
+
+// Guards against a holder, and a stored announcement time, that no VM recognizes where the store tells no era: each VM would
+// claim past the holder in turn and store the time itself.
+func TestDutiesAreReportedWithoutEras(t *testing.T) {
+	now := steady.Now()
+	holder, other := newTestGateway(0), newTestGateway(0)
+	holder.settings.VM, holder.settings.Address = "holder", "10.0.0.2"
+	holder.streams[OperatorStream].answeredAt = now
+	at := logpos.Position{Offset: 3}
+	holder.lease.Claimed(at, issuer.NoPredecessor, time.Time{}, now)
+	holder.addAnnouncement("m", place.Announcement{Version: 2, At: now})
+	other.addAnnouncement("m", place.Announcement{Version: 2, At: now})
+	holder.recordStored("m", 2)
+	other.applyDigest(holder.digest(1, now), now)
+	if got := other.orderClaim; got.Holder != "holder" || got.At != at {
+		t.Errorf("the newest claim is %+v", got)
+	}
+	if !other.holderActive(now) {
+		t.Error("the holder does not count as active")
+	}
+	if !other.announcementDutyOf("m").undoneSince.IsZero() {
+		t.Error("a stored announcement time counts as not stored")
+	}
+}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -217,7 +217,7 @@
 	for _, n := range d.GetAnnouncements() {
 		at := now.Add(-time.Duration(n.GetAgeMs()) * time.Millisecond)
 		g.addAnnouncement(n.GetModel(), place.Announcement{Version: n.GetVersion(), At: at})
-		if n.GetStored() && d.StoreEra != nil && d.GetStoreEra() == g.storeEra {
+		if n.GetStored() && g.sharesEra(d) {
 			g.recordStored(n.GetModel(), n.GetVersion())
 		}
 	}
@@ -247,8 +247,8 @@
 	if d.LeaseOffset == nil {
 		return
 	}
-	p.leaseAt = logpos.Position{Era: d.GetStoreEra() - d.GetLeaseErasBehind(), Offset: d.GetLeaseOffset()}
-	if p.leaseAt.Era == g.storeEra && (g.orderClaim.At == issuer.NoClaim || p.leaseAt.After(g.orderClaim.At)) {
+	p.leaseAt = logpos.Position{Era: d.GetLeaseEra(), Offset: d.GetLeaseOffset()}
+	if g.inPresentEra(p.leaseAt) && (g.orderClaim.At == issuer.NoClaim || p.leaseAt.After(g.orderClaim.At)) {
 		g.setOrderClaim(issuer.Claim{Holder: p.vm, Boot: p.boot, At: p.leaseAt}, now)
 	}
 }
--- a/pkg/gateway/precedence_test.go
+++ b/pkg/gateway/precedence_test.go
@@ -128,11 +128,7 @@
 			successor.gateway.mu.Lock()
 			successor.gateway.recordStored("m", 2)
 			successor.gateway.announcementDutyOf("m").storedAt = s.now
-			successor.gateway.storeEra = 0
 			successor.gateway.mu.Unlock()
-			for _, vm := range s.vms {
-				vm.gateway.storeEra = 0
-			}
 			s.run(reportDelay)
 			for _, vm := range s.vms {
 				if due(vm) {
