Send digests without a hub, and leave former VMs out of the size of a system

Cause: heartbeatBatches took a hub out of an empty list (divide by zero on a goroutine) when a stopping VM knew no other live VM of its data centre. Small systems came there too, since former VMs counted for isLargeSystem for good.

Change: without a hub a VM sends its digest to the other data centres itself.

--- a/pkg/gateway/digest.go
+++ b/pkg/gateway/digest.go
@@ -34,6 +34,7 @@
 
 // expireState removes expired state and updates what depends on elapsed time. The caller holds the lock.
 func (g *Gateway) expireState(now time.Time) {
+	g.countFormerVMs(now)
 	g.limiter.UpdateSilence(now)
 	for _, id := range g.endpoints.Expire(now) {
 		g.announceDeparture(id, "not registered again after the store's return", logpos.Position{Era: g.storeEra})
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -120,6 +120,8 @@
 	digestCount uint64
 	// vms are the VMs known to this one, including those from which it never received a digest.
 	vms map[string]*knownVM
+	// formerVMs is the number of vms that have left long ago.
+	formerVMs int
 	// collectedDigests are the digests that this VM, as a hub, forwards with its next batch.
 	collectedDigests map[string]*gossip.Digest
 	// digestsForHub are digests received directly from VMs that were not live before. They are forwarded to this VM's hub.
--- a/pkg/gateway/hub.go
+++ b/pkg/gateway/hub.go
@@ -53,9 +53,25 @@
 	recipients []netip.AddrPort
 }
 
-// isLargeSystem reports whether digests are sent through hubs. The caller holds the lock.
+// isLargeSystem reports whether digests are sent through hubs. Former VMs, whose registrations stay in the store, do not
+// count. The caller holds the lock.
 func (g *Gateway) isLargeSystem() bool {
-	return len(g.vms) >= largeSystemVMs
+	return len(g.vms)-g.formerVMs >= largeSystemVMs
+}
+
+// countFormerVMs updates the number of known VMs that have sent no digest for infrequentDigestsAfter. The caller holds the
+// lock.
+func (g *Gateway) countFormerVMs(now time.Time) {
+	g.formerVMs = 0
+	for name, vm := range g.vms {
+		heardAt := vm.since
+		if p := g.peers[name]; p != nil {
+			heardAt = p.lastSeen
+		}
+		if now.Sub(heardAt) > infrequentDigestsAfter {
+			g.formerVMs++
+		}
+	}
 }
 
 // addVM adds a VM to the known VMs or updates it; empty fields leave the known values. The caller holds the lock.
@@ -143,6 +159,9 @@
 		return nil
 	}
 	digest := g.digest(sequence, now)
+	if len(hubs) == 0 {
+		return g.batchesWithoutHub(digest, now)
+	}
 	hub := g.vms[hubs[sequence%uint64(len(hubs))]]
 	batch := &gossip.Batch{Digests: []*gossip.Digest{digest}, Spread: gossip.Spread_SPREAD_ALL}
 	for name, d := range g.digestsForHub {
@@ -158,6 +177,16 @@
 	}
 }
 
+// batchesWithoutHub returns the batches of a VM that is stopping while no other VM of its data centre is live: it sends its
+// digest to the other data centres itself. The caller holds the lock.
+func (g *Gateway) batchesWithoutHub(digest *gossip.Digest, now time.Time) []outgoingBatch {
+	digests := []*gossip.Digest{digest}
+	return []outgoingBatch{
+		{batch: &gossip.Batch{Digests: digests}, recipients: g.localVMs(now)},
+		{batch: &gossip.Batch{Digests: digests, Spread: gossip.Spread_SPREAD_DATA_CENTRE}, recipients: g.remoteHubs(now)},
+	}
+}
+
 // hubBatches returns the digests that this VM has collected as a hub, with a digest of its own, and clears them. The
 // caller holds the lock.
 func (g *Gateway) hubBatches(sequence func() uint64, now time.Time) []outgoingBatch {
--- a/pkg/gateway/hub_test.go
+++ b/pkg/gateway/hub_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -154,3 +156,52 @@
 		}
 	}
 }
+
+// Guards against a process that ends by a panic after SIGTERM, when no other VM of its data centre is live to forward its
+// digests, and against other data centres that do not learn that it is stopping.
+func TestStoppingVMWithoutHubTellsOtherDataCentres(t *testing.T) {
+	for _, count := range []int{30, 100} {
+		s := simulate(t, count)
+		s.run(2 * time.Second)
+		var stopping *simVM
+		for _, vm := range s.vms {
+			if vm.gateway.settings.DataCentre != "z1" {
+				continue
+			}
+			if stopping == nil {
+				stopping = vm
+				continue
+			}
+			vm.down = true
+		}
+		s.run(hubRecoveryLimit)
+		stopping.gateway.leaving.Store(true)
+		s.run(hubRecoveryLimit)
+		for _, vm := range s.vms {
+			if vm.down || vm == stopping {
+				continue
+			}
+			if p := vm.gateway.peers[stopping.gateway.settings.VM]; !p.leaving {
+				t.Fatalf("%d VMs: %s does not know that a VM is stopping", count, vm.gateway.settings.VM)
+			}
+		}
+	}
+}
+
+// Guards against a small system that counts as a large one for good, since VMs that were replaced stay registered.
+func TestFormerVMsDoNotMakeASystemLarge(t *testing.T) {
+	s := simulate(t, 9)
+	for i := range largeSystemVMs {
+		ip := netip.AddrFrom4([4]byte{10, 9, 0, byte(i)})
+		s.vms[0].gateway.addVM(fmt.Sprint("former-", i), knownVM{ip: ip, dataCentre: "z0"}, s.now)
+	}
+	s.run(time.Second)
+	if !s.vms[0].gateway.isLargeSystem() {
+		t.Fatal("VMs that may be about to answer do not count")
+	}
+	s.run(infrequentDigestsAfter + time.Second)
+	if s.vms[0].gateway.isLargeSystem() {
+		t.Fatal("VMs that have not been heard of for long still count")
+	}
+	s.requireAllLive("with former VMs")
+}
