Excuse the parts of a prompt once an answer with it has begun

Callers saw: four of nine engines end in the same moment, and in the next seconds sound requests are refused with crashes_endpoints, new ones and those that take a stream up (users' LOST).

Cause: only complete answers excused the shared parts of a prompt, so engines that ended together accused them in all their streams, as if one part had crashed each of them.

Change: two whole events of an answer excuse its parts, and an engine that ends after them accuses only the request. A guilty part crashes an engine as it begins to write.

Ruled out: refusals of the requests themselves; no two have the same body.

--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -120,11 +120,11 @@
 			g.clearCrashes(fingerprint, now)
 		}
 	case place.Broken:
-		for _, fingerprint := range g.accusedBy(r) {
+		for _, fingerprint := range g.accusedBy(r, t) {
 			g.recordOwnCrash(crashguard.Crash{Fingerprint: fingerprint, Endpoint: endpoint.Name()}, now)
 		}
 	case place.TimedOut, place.Neutral:
-		for _, fingerprint := range g.accusedBy(r) {
+		for _, fingerprint := range g.accusedBy(r, t) {
 			g.unansweredAttempts.Add(fingerprint, endpoint, began, now)
 		}
 	}
--- a/pkg/gateway/crashparts.go
+++ b/pkg/gateway/crashparts.go
@@ -20,6 +20,9 @@
 	// answered all the time, so only rare and new parts are accused. It is shorter than the 3 s within which a part must be
 	// refused, so that a part that begins to crash endpoints is accused in time.
 	cleanPartValidity = 2 * time.Second
+	// soundAnswerEvents is the number of whole events after which an answer shows that no part of its prompt crashes
+	// endpoints: a guilty part crashes an endpoint as it begins to write.
+	soundAnswerEvents = 2
 	// maxSharedParts limits the parts of one prompt that are looked at. A prompt with more exceeds the usual limits of
 	// headers.
 	maxSharedParts = 1024
@@ -48,11 +51,25 @@
 	return slices.Compact(out)
 }
 
-// accusedBy returns the fingerprints that a crash of an endpoint under a request accuses: those of the request and of
-// about maxAccusedParts parts of its prompt. Of a longer prompt the parts that are accused already come first, and the
+// clearPartsOf excuses the parts of a prompt on which an endpoint is writing an answer. Streams are excused long before they
+// end, so that several endpoints that end in the same moment do not accuse what their streams share. The caller holds the
+// lock.
+func (g *Gateway) clearPartsOf(r *request, now time.Time) {
+	for _, fingerprint := range r.fingerprints {
+		if crashguard.IsPart(fingerprint) {
+			g.clearCrashes(fingerprint, now)
+		}
+	}
+}
+
+// accusedBy returns the fingerprints that a crash of an endpoint under an attempt accuses: those of the request and, unless
+// the endpoint had written soundAnswerEvents, of about maxAccusedParts parts of its prompt. Of a longer prompt the parts that are accused already come first, and the
 // others take turns, so that a part that is in all crashes is soon accused wherever it stands. The caller holds the lock.
-func (g *Gateway) accusedBy(r *request) []uint64 {
+func (g *Gateway) accusedBy(r *request, t *target) []uint64 {
 	first := slices.IndexFunc(r.fingerprints, crashguard.IsPart)
+	if first >= 0 && t.events >= soundAnswerEvents {
+		return r.fingerprints[:first]
+	}
 	if first < 0 || len(r.fingerprints)-first <= maxAccusedParts {
 		return r.fingerprints
 	}
--- a/pkg/gateway/crashparts_test.go
+++ b/pkg/gateway/crashparts_test.go
@@ -181,7 +181,7 @@
 	accused := map[uint64]bool{}
 	const turns = 4
 	for range turns {
-		got := g.accusedBy(r)
+		got := g.accusedBy(r, &target{})
 		if got[0] != 1 || got[1] != 2 || !slices.Contains(got, known) {
 			t.Errorf("accused %x...; want the request, and the part that is accused already", got[:3])
 		}
@@ -293,3 +293,31 @@
 		}
 	}
 }
+
+// Guards against several engines that end in the same moment while they write answers, and whose streams share a part: the
+// part is neither accused by them nor, since its answers had begun, by others that had not.
+func TestBegunAnswersExcuseTheirParts(t *testing.T) {
+	g := newTestGateway(0)
+	now := steady.Now()
+	part := crashguard.PartFingerprint(0xc0ffee)
+	begun := &request{fingerprints: []uint64{1, part}}
+	if got := g.accusedBy(begun, &target{events: soundAnswerEvents}); slices.Contains(got, part) || !slices.Contains(got, 1) {
+		t.Errorf("an engine that ends after it began an answer accuses %x, want the request only", got)
+	}
+	if got := g.accusedBy(begun, &target{events: soundAnswerEvents - 1}); !slices.Contains(got, part) {
+		t.Errorf("an engine that ends as it begins an answer accuses %x, want the part too", got)
+	}
+	g.clearPartsOf(begun, now)
+	for i := range 5 {
+		g.recordOwnCrash(crashguard.Crash{Fingerprint: part, Endpoint: fmt.Sprint("e", i)}, now.Add(cleanPartValidity))
+	}
+	if g.crashes.IsRefused(part) {
+		t.Error("a part is refused although an answer with it has just begun")
+	}
+	for i := range 5 {
+		g.recordOwnCrash(crashguard.Crash{Fingerprint: part, Endpoint: fmt.Sprint("f", i)}, now.Add(2*cleanPartValidity))
+	}
+	if !g.crashes.IsRefused(part) {
+		t.Error("a part that crashes engines later is not refused")
+	}
+}
--- a/pkg/gateway/eventstream.go
+++ b/pkg/gateway/eventstream.go
@@ -10,6 +10,7 @@
 
 	"github.com/corneldeal/corneldeal/pkg/httpcall"
 	"github.com/corneldeal/corneldeal/pkg/place"
+	"github.com/corneldeal/corneldeal/pkg/steady"
 )
 
 const (
@@ -71,8 +72,7 @@
 	if r.origin == nil {
 		r.origin = originOf(t)
 	}
-	if !t.firstEventSeen {
-		t.firstEventSeen = true
+	if t.events == 0 {
 		g.recordFirstByte(r)
 	}
 	for event := range bytes.SplitSeq(bytes.TrimSuffix(events, eventSeparator), eventSeparator) {
@@ -84,6 +84,12 @@
 // recordEvent records the id of an event and the weight version it states.
 func (g *Gateway) recordEvent(r *request, t *target, event []byte) {
 	r.eventsSent++
+	t.events++
+	if t.events == soundAnswerEvents {
+		g.mu.Lock()
+		g.clearPartsOf(r, steady.Now())
+		g.mu.Unlock()
+	}
 	if version := g.platform.Wire.EventVersion(event); version > 0 {
 		g.applyAnswerHeaders(t, Answer{Version: version})
 	}
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -29,8 +29,8 @@
 	service *traffic.Service
 	choice  place.Choice
 	request *place.Request
-	// firstEventSeen is set once the first event of the attempt has arrived.
-	firstEventSeen bool
+	// events counts the whole events that have arrived in the attempt.
+	events int
 	// limit is what the answer said about the rate limit of the endpoint.
 	limit endpointlimit.Advertisement
 	// sentAt is when the request was sent.
