Use a new connection for further attempts of requests that must run once

Callers saw: a charge runs twice, or is refused as not run although it ran (users' TWICE and REFUSED).

Cause: the id of an answer names the request, not the attempt. The late copy of the 421 that ended the first attempt was read as the answer to the second one, at the endpoint that is at the address now, on the same connection.

Change: a further attempt of a request that is not idempotent dials.

Ruled out: late refusals of other requests; they bear another id or none and count as broken already.

Evidence: TestCopyOfARefusalIsNoRefusalOfTheNextAttempt failed before ("p0-0 ran 2 times") and passes in 2 of 2 runs.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -112,6 +112,7 @@
 	stream, err := g.http.OpenRaw(ctx, t.choice.Endpoint.Address, httpcall.RawRequest{
 		Head:           g.platform.Wire.RequestHead(&r.exchange.Request.Header, a, len(body)),
 		Body:           body,
+		Fresh:          needsFreshConnection(r),
 		NoResponseBody: r.exchange.Request.Header.IsHead(),
 	})
 	if err != nil {
@@ -121,6 +122,12 @@
 	return g.readAnswer(ctx, r, t, stream, silence)
 }
 
+// needsFreshConnection reports whether an attempt must not use a pooled connection: a copy of the answer to an earlier attempt
+// at the same address has the same id, and would pass for that to this one.
+func needsFreshConnection(r *request) bool {
+	return r.attempts > 1 && !r.route.Idempotent()
+}
+
 // classifyFailure returns the result of a call that failed with err before a complete answer was read.
 func (g *Gateway) classifyFailure(ctx context.Context, err error) attemptResult {
 	res := attemptResult{outcome: place.Broken, err: err, notRun: httpcall.NeverWritten(err)}
--- a/pkg/httpcall/raw.go
+++ b/pkg/httpcall/raw.go
@@ -15,6 +15,8 @@
 type RawRequest struct {
 	// Head is the request line and headers with the empty line after them. Body is the encoded body.
 	Head, Body []byte
+	// Fresh requires a new connection instead of a pooled one. Nothing that an earlier request left behind can arrive on it.
+	Fresh bool
 	// NoResponseBody is set if the response has no body whatever its headers announce, as for HEAD.
 	NoResponseBody bool
 }
@@ -22,7 +24,7 @@
 // OpenRaw sends req to address and returns once the response headers were read. Cancelling ctx closes the connection at
 // once, also during later reads. Errors are of type *Error.
 func (c *Client) OpenRaw(ctx context.Context, address string, req RawRequest) (*Stream, error) {
-	conn, err := c.connect(ctx, address, false)
+	conn, err := c.connect(ctx, address, req.Fresh)
 	if err != nil {
 		return nil, err
 	}
