Answer 502 where an endpoint's refusal does not say that it did not run

Callers saw: a charge is answered 503, which promises that it was not run, although the endpoint ran it (users' REFUSED).

Cause: an endpoint's answer was passed on as it was, also a 503 without Not-Executed. That status is a promise to callers; the endpoint gave none.

Change: on routes that are not idempotent, 408, 421, 429 and 503 without a statement end the request with a 502 of the gateway.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -166,6 +166,9 @@
 	if answer.NotRun {
 		return g.handleEndpointRefusal(t, stream, answer)
 	}
+	if promisesNotRun(status) && !r.route.Idempotent() {
+		return attemptResult{outcome: place.Failed, err: errUnprovenRefusal}
+	}
 	if success && r.route.Kind == traffic.Streaming && isEventStream(header) {
 		return g.forwardEvents(ctx, r, t, stream, silence)
 	}
@@ -193,6 +196,20 @@
 	return attemptResult{outcome: outcome, callerAnswered: true}
 }
 
+// errUnprovenRefusal means that an endpoint answered with a status that promises callers that the request was not run, but did
+// not say so itself.
+var errUnprovenRefusal = errors.New("gateway: the endpoint refused the request without saying that it did not run it")
+
+// promisesNotRun reports whether a status tells callers that a request was not run and may be sent again.
+func promisesNotRun(status int) bool {
+	switch status {
+	case fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest, fasthttp.StatusTooManyRequests,
+		fasthttp.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // errEndpointStatus means that an endpoint answered with a server error.
 var errEndpointStatus = errors.New("gateway: the endpoint answered with a failure")
 
