Limit the bytes of a response that bring no part of its body

Callers saw (report of other operators): beside an endpoint that sends bytes without end, sound requests run at half of their pace.

Cause: a chunk extension without end was read at full speed until the caller's deadline; nothing but bodies and heads had a limit.

Change: a connection gives up after 64 KB without a byte of a body, as headers, interim responses and chunk headers. Calls that buffer a body may read their limit beyond that.

--- /dev/null
+++ b/pkg/httpcall/framing.go
@@ -0,0 +1,41 @@
+package httpcall
+
+import (
+	"errors"
+	"net"
+)
+
+// maxFramingBytes is the largest number of bytes that a server may send without any byte of a body among them, as headers,
+// interim responses and chunk headers. Without a limit, a chunk extension without end is read at full speed until the
+// caller's deadline.
+const maxFramingBytes = 64 << 10
+
+// errTooMuchFraming means that a server sent maxFramingBytes without any byte of a body.
+var errTooMuchFraming = errors.New("httpcall: the response has too many bytes that are no body")
+
+// framingLimiter reads from a connection and limits the bytes that bring no part of a body.
+type framingLimiter struct {
+	conn net.Conn
+	// left is the number of bytes that may still be read, or negative if there is no limit.
+	left int
+	// unlimited is set if the number of bytes is not limited.
+	unlimited bool
+}
+
+// allow limits the bytes that may be read from now on to those of a body of the given size and maxFramingBytes.
+func (f *framingLimiter) allow(bodyBytes int) {
+	f.left, f.unlimited = maxFramingBytes+bodyBytes, false
+}
+
+// Read implements io.Reader.
+func (f *framingLimiter) Read(p []byte) (int, error) {
+	if f.unlimited {
+		return f.conn.Read(p)
+	}
+	if f.left <= 0 {
+		return 0, errTooMuchFraming
+	}
+	n, err := f.conn.Read(p[:min(len(p), f.left)])
+	f.left -= n
+	return n, err
+}
--- a/pkg/httpcall/httpcall.go
+++ b/pkg/httpcall/httpcall.go
@@ -77,6 +77,8 @@
 	net.Conn
 	reader *bufio.Reader
 	writer *bufio.Writer
+	// framing is what reader reads from.
+	framing *framingLimiter
 	// reuseUntil is the time until which an idle connection may be reused. It is zero before the first use has ended.
 	reuseUntil time.Time
 }
@@ -166,10 +168,12 @@
 	if err != nil {
 		return nil, &Error{Address: address, Err: err}
 	}
+	framing := &framingLimiter{conn: raw, unlimited: true}
 	return &persistConn{
-		Conn:   raw,
-		reader: bufio.NewReaderSize(raw, readBufferBytes),
-		writer: bufio.NewWriterSize(raw, writeBufferBytes),
+		Conn:    raw,
+		reader:  bufio.NewReaderSize(framing, readBufferBytes),
+		writer:  bufio.NewWriterSize(raw, writeBufferBytes),
+		framing: framing,
 	}, nil
 }
 
@@ -189,6 +193,10 @@
 	if err != nil {
 		return err
 	}
+	conn.framing.unlimited = true
+	if opts.MaxBody > 0 {
+		conn.framing.allow(opts.MaxBody)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	err = resp.ReadLimitBody(conn.reader, opts.MaxBody)
 	if !stop() {
@@ -292,6 +300,7 @@
 		return nil, err
 	}
 	resp := &fasthttp.Response{StreamBody: true}
+	conn.framing.allow(0)
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	if err := resp.Read(conn.reader); err != nil {
 		stop()
@@ -319,6 +328,9 @@
 		return 0, io.EOF
 	}
 	n, err := s.body.Read(p)
+	if n > 0 {
+		s.conn.framing.allow(0)
+	}
 	if errors.Is(err, io.EOF) {
 		s.ended = true
 	}
--- a/pkg/httpcall/raw.go
+++ b/pkg/httpcall/raw.go
@@ -28,6 +28,7 @@
 	if err != nil {
 		return nil, err
 	}
+	conn.framing.allow(0)
 	resp := &fasthttp.Response{StreamBody: true, SkipBody: req.NoResponseBody}
 	s := &Stream{Response: resp, Reused: !conn.reuseUntil.IsZero(), client: c, address: address, conn: conn}
 	s.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
