Take events without end from the budget of answers, and leave room for small ones

Callers saw (report of other operators): a VM runs out of memory beside endpoints that send without end, and the requests of others end with it.

Cause, by reading: an unfinished event was held up to 1 MB on each of any number of streams, outside the budget of answers, and searched whole with each read. Any answer could use up the budget, after which sound ones failed and counted as crashes of their endpoints.

Change: an event buffer of its own takes what exceeds one read from the budget; answers of 64 KB and more may use half of it; no memory for an answer accuses nobody.

--- a/pkg/gateway/answerbuffer.go
+++ b/pkg/gateway/answerbuffer.go
@@ -17,6 +17,10 @@
 	firstAnswerBytes = 2 << 10
 	// answerMemoryFraction is the part of the VM's memory for buffered answers.
 	answerMemoryFraction = 0.15
+	// largeAnswerBytes is the size from which an answer may use only largeAnswerFraction of that memory, so that answers
+	// without end leave room for the usual ones, which are small.
+	largeAnswerBytes    = 64 << 10
+	largeAnswerFraction = 0.5
 )
 
 // errNoAnswerMemory means that the buffered answers leave no memory for another.
@@ -38,6 +42,22 @@
 	return true
 }
 
+// reserveLarge is like reserve for more memory of an answer of largeAnswerBytes or more.
+func (a *memoryBudget) reserveLarge(bytes int) bool {
+	if float64(a.heldBytes.Load()+int64(bytes)) > largeAnswerFraction*float64(a.limitBytes) {
+		return false
+	}
+	return a.reserve(bytes)
+}
+
+// grow reserves more memory for an answer that then has the given size.
+func (a *memoryBudget) grow(more, size int) bool {
+	if size >= largeAnswerBytes {
+		return a.reserveLarge(more)
+	}
+	return a.reserve(more)
+}
+
 // release returns reserved memory to the budget.
 func (a *memoryBudget) release(bytes int) {
 	a.heldBytes.Add(-int64(bytes))
@@ -57,7 +77,7 @@
 	for {
 		if len(body) == cap(body) {
 			more := max(size, firstAnswerBytes)
-			if !g.answerMemory.reserve(more) {
+			if !g.answerMemory.grow(more, size+more) {
 				return nil, size, errNoAnswerMemory
 			}
 			size += more
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -131,8 +131,12 @@
 // classifyFailure returns the result of a call that failed with err before a complete answer was read.
 func (g *Gateway) classifyFailure(ctx context.Context, err error) attemptResult {
 	res := attemptResult{outcome: place.Broken, err: err, notRun: httpcall.NeverWritten(err)}
-	if res.notRun {
+	switch {
+	case res.notRun:
 		res.outcome = place.Unreachable
+	case errors.Is(err, errNoAnswerMemory):
+		// The endpoint and the request are not at fault.
+		res.outcome = place.Neutral
 	}
 	if cause := context.Cause(ctx); cause != nil {
 		res.err = cause
--- a/pkg/gateway/eventstream.go
+++ b/pkg/gateway/eventstream.go
@@ -13,15 +13,8 @@
 	"github.com/corneldeal/corneldeal/pkg/steady"
 )
 
-const (
-	// streamReadBytes is the size of one read from an endpoint's stream.
-	streamReadBytes = 4 << 10
-	// maxEventBytes limits the size of one event.
-	maxEventBytes = 1 << 20
-)
-
-// eventSeparator is the blank line that ends an event.
-var eventSeparator = []byte("\n\n")
+// streamReadBytes is the size of one read from an endpoint's stream.
+const streamReadBytes = 4 << 10
 
 // errTruncatedEvent means that a stream ended within an event.
 var errTruncatedEvent = errors.New("gateway: the stream ended within an event")
@@ -31,30 +24,32 @@
 func (g *Gateway) forwardEvents(
 	ctx context.Context, r *request, t *target, stream *httpcall.Stream, silence *silenceTimer,
 ) attemptResult {
-	buf := make([]byte, 0, streamReadBytes)
+	buffer := newEventBuffer(&g.answerMemory)
+	defer buffer.release()
 	chunk := make([]byte, streamReadBytes)
 	for {
 		n, err := stream.Read(chunk)
-		buf = append(buf, chunk[:n]...)
-		if end := bytes.LastIndex(buf, eventSeparator); end >= 0 {
+		complete, full := buffer.add(chunk[:n])
+		if full != nil {
+			return g.classifyFailure(ctx, full)
+		}
+		if complete > 0 {
 			silence.eventReceived()
 			if err := g.awaitOriginRecord(ctx, t); err != nil {
 				return attemptResult{outcome: place.Neutral, err: err}
 			}
-			if sendErr := g.sendEvents(r, t, stream, buf[:end+len(eventSeparator)]); sendErr != nil {
+			if sendErr := g.sendEvents(r, t, stream, buffer.data[:complete]); sendErr != nil {
 				// The caller cannot be reached, so no answer is possible.
 				r.exchange.Abort()
 				return attemptResult{outcome: place.Neutral, err: sendErr, callerAnswered: true}
 			}
-			buf = append(buf[:0], buf[end+len(eventSeparator):]...)
+			buffer.drop(complete)
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return g.finishStream(r, stream, buf)
+			return g.finishStream(r, stream, buffer.data)
 		case err != nil:
 			return g.classifyFailure(ctx, err)
-		case len(buf) > maxEventBytes:
-			return attemptResult{outcome: place.Broken, err: fasthttp.ErrBodyTooLarge}
 		}
 	}
 }
