Infer no origin of a stream at a VM that was out of step

Cause: without a reliable baseline, a stream that no record names counted as one of the only version that the VM had seen for 30 s, even if the VM had been suspended, or its list of endpoints was old.

Change: the observation of versions begins anew after a gap of 2 s, and counts only with a list that was complete at most 2 s ago.

Ruled out: stale records; each resumption lists them after its arrival.

--- a/pkg/affinity/baseline.go
+++ b/pkg/affinity/baseline.go
@@ -17,6 +17,9 @@
 	LostRecordsPeriod = 30 * time.Second
 	// registrationPeriod is the time after a restore of the store within which endpoints register again that its copy lacks.
 	registrationPeriod = 5 * time.Second
+	// maxObservationGap is the longest time between two complete lists of endpoints after which a process has seen every version
+	// that was in service meanwhile. One that was suspended or cut off for longer begins to observe anew.
+	maxObservationGap = 2 * time.Second
 	// missingReadInterval and changedReadInterval are the intervals between two reads by a process that waits for a first
 	// baseline or for a changed one.
 	missingReadInterval = time.Second
@@ -47,8 +50,11 @@
 
 // versionsInService are the versions of a service that a process saw.
 type versionsInService struct {
+	// since is when the process began to observe them without a gap.
 	since  time.Time
 	seenAt map[string]time.Time
+	// completeAt is the newest time up to which the observed list of endpoints was known to be complete.
+	completeAt time.Time
 }
 
 // SetBaseline records a baseline that was read or written.
@@ -85,13 +91,20 @@
 	return s.Baseline, true
 }
 
-// Observe records the software versions of a service that are in service now.
-func (t *Table) Observe(service string, versions []string, now time.Time) {
+// Observe records the software versions of a service that are in service by a list of endpoints that was complete at
+// completeAt.
+func (t *Table) Observe(service string, versions []string, completeAt, now time.Time) {
 	seen := t.versions[service]
 	if seen == nil {
-		seen = &versionsInService{since: now, seenAt: map[string]time.Time{}}
+		seen = &versionsInService{since: now, seenAt: map[string]time.Time{}, completeAt: completeAt}
 		t.versions[service] = seen
 	}
+	if completeAt.Sub(seen.completeAt) > maxObservationGap {
+		seen.since = now
+	}
+	if completeAt.After(seen.completeAt) {
+		seen.completeAt = completeAt
+	}
 	for _, v := range versions {
 		seen.seenAt[v] = now
 	}
@@ -111,13 +124,14 @@
 	}
 }
 
-// onlyVersion returns the version of a service beside which this process has seen no other for LostRecordsPeriod.
+// onlyVersion returns the version of a service beside which this process has seen no other for LostRecordsPeriod. There is none
+// for a process that is out of step: other processes may have begun streams at a version that it does not know of.
 func (t *Table) onlyVersion(service string, now time.Time) (version string, only bool) {
 	seen := t.versions[service]
 	if seen == nil || len(seen.seenAt) != 1 || now.Sub(seen.since) < LostRecordsPeriod {
 		return "", false
 	}
-	if now.Sub(t.restoredAt) < registrationPeriod {
+	if now.Sub(seen.completeAt) > maxObservationGap || now.Sub(t.restoredAt) < registrationPeriod {
 		return "", false
 	}
 	for v := range seen.seenAt {
--- a/pkg/affinity/property_test.go
+++ b/pkg/affinity/property_test.go
@@ -135,7 +135,7 @@
 		if s.now.Sub(s.restoredAt) > noticePeriod {
 			s.notice(p)
 		}
-		p.table.Observe(simService, s.versions, s.now)
+		p.table.Observe(simService, s.versions, s.now, s.now)
 		step := p.table.Next(simService, i == 0, p.lastRead, s.now)
 		if step == Keep {
 			continue
--- a/pkg/gateway/baselines.go
+++ b/pkg/gateway/baselines.go
@@ -118,11 +118,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, service := range c.ResumableServices() {
-		versions := softwareVersions(g.endpoints.Usable(service))
-		if len(versions) == 0 {
+		if !g.observeSoftware(service, now) {
 			continue
 		}
-		g.origins.Observe(service, versions, now)
 		if step := g.origins.Next(service, g.writesBaseline(service, now), g.originSync.listedAt, now); step != affinity.Keep {
 			steps[service] = step
 		}
@@ -130,6 +128,17 @@
 	return steps
 }
 
+// observeSoftware records which software versions of a service are in service. It reports whether there are any. The caller
+// holds the lock.
+func (g *Gateway) observeSoftware(service string, now time.Time) bool {
+	versions := softwareVersions(g.endpoints.Usable(service))
+	if len(versions) == 0 {
+		return false
+	}
+	g.origins.Observe(service, versions, now.Add(-g.streams[EndpointStream].verifiedAge(now)), now)
+	return true
+}
+
 // writesBaseline reports whether this VM is the one to write the baseline of a service now. The caller holds the lock.
 func (g *Gateway) writesBaseline(service string, now time.Time) bool {
 	undone := g.originSync.baselineUndoneSince
--- a/pkg/gateway/origin.go
+++ b/pkg/gateway/origin.go
@@ -175,10 +175,12 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := steady.Now()
+	g.observeSoftware(services[0], now)
 	if r.call.Resumes == "" {
-		o, known = g.origins.LookupAny(services[0], steady.Now())
+		o, known = g.origins.LookupAny(services[0], now)
 	} else {
-		o, known = g.origins.Lookup(id, services[0], steady.Now())
+		o, known = g.origins.Lookup(id, services[0], now)
 	}
 	if !known || len(services) > 1 && !g.origins.IsNamed(id) {
 		return affinity.Origin{}, originUnknown, nil
