Begin and continue no stream at an endpoint whose process has ended

Cause: the software of an endpoint is that of its last record. A new process under the old id and address counted as the earlier one until its record was read, up to a second later.

Change: when an attempt breaks on its connection, one more connection tells whether anything listens. If it is refused, the VM and, by digest, its peers begin and continue no resumable stream there until a record of another start.

Ruled out: late or wrong records of origins; they name what the VM believed.

--- a/pkg/fleet/table.go
+++ b/pkg/fleet/table.go
@@ -101,11 +101,13 @@
 	graceEndsAt time.Time
 	departures  []Departure
 	byService   map[string][]*Endpoint
+	// ended are the newest starts, by ID, whose processes have ended.
+	ended map[string]EndedStart
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{entries: map[string]*entry{}}
+	return &Table{entries: map[string]*entry{}, ended: map[string]EndedStart{}}
 }
 
 // StoreRecovered records that the store answers again after an outage, and starts the grace.
@@ -231,6 +233,7 @@
 // Expire carries out removals that waited for the end of the grace, and drops old entries and departures. It returns
 // the IDs of the endpoints that left, sorted.
 func (t *Table) Expire(now time.Time) []string {
+	t.expireEnded(now)
 	var gone []string
 	for id, e := range t.entries {
 		switch {
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -47,6 +47,9 @@
 	res := attemptResult{outcome: place.Neutral, err: errPanic}
 	defer func() { g.finishAttempt(r, t, res, started) }()
 	res = g.callEndpoint(ctx, r, t, silence)
+	if r.isResumable() && mayHaveEnded(res) {
+		g.startEndedCheck(t.choice.Endpoint, res.err)
+	}
 	return res
 }
 
--- a/pkg/gateway/broadcast.go
+++ b/pkg/gateway/broadcast.go
@@ -168,6 +168,7 @@
 		func() { d.Loads = nil },
 		func() { d.Accusations = nil },
 		func() { d.SavedRefusals = nil },
+		func() { d.EndedStarts = nil },
 		func() { d.Announcements = nil },
 		func() { d.Departures = nil },
 		func() { d.Limits = nil },
--- a/pkg/gateway/digest.go
+++ b/pkg/gateway/digest.go
@@ -106,6 +106,7 @@
 	}
 	d.Departures = g.departureReports(now)
 	d.Accusations = g.crashReports(now)
+	d.EndedStarts = g.endedReports(now)
 	d.SavedRefusals = g.savedRefusalReports(now)
 	d.CrashSum, d.CrashVerdicts = g.crashes.Checksum(), g.crashes.RefusedChecksum()
 	if placed := g.placer.TakeSentParts(); len(g.peers) >= minPeersToSharePlacements {
--- /dev/null
+++ b/pkg/gateway/endedstarts.go
@@ -0,0 +1,128 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/corneldeal/corneldeal/pkg/fleet"
+	"github.com/corneldeal/corneldeal/pkg/gossip"
+	"github.com/corneldeal/corneldeal/pkg/httpcall"
+	"github.com/corneldeal/corneldeal/pkg/place"
+	"github.com/corneldeal/corneldeal/pkg/steady"
+)
+
+// An endpoint may start again under its ID and at its address with other software, and is taken for its earlier process until
+// its new record is read. What tells a VM sooner is that connections broke and nothing listens at the address: that process
+// has ended for good. Until a newer record arrives, no stream begins or goes on there that must stay at one software version.
+
+const (
+	// endedProbeTimeout limits the connection that finds out whether an endpoint has ended.
+	endedProbeTimeout = 300 * time.Millisecond
+	// endedReportPeriod is the time for which an ended start is sent to peers.
+	endedReportPeriod = 3 * time.Second
+)
+
+// mayHaveEnded reports whether the failure of an attempt may mean that the endpoint's process has ended.
+func mayHaveEnded(res attemptResult) bool {
+	if res.outcome != place.Broken && res.outcome != place.Unreachable {
+		return false
+	}
+	return !errors.Is(res.err, errMismatchedAnswer) && !errors.Is(res.err, fasthttp.ErrBodyTooLarge)
+}
+
+// startEndedCheck finds out, after the failure of an attempt at an endpoint, whether its process has ended. Failures of many
+// attempts in one moment lead to one check.
+func (g *Gateway) startEndedCheck(e *fleet.Endpoint, failure error) {
+	now := steady.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.endpoints.HasEnded(e, now) {
+		return
+	}
+	if httpcall.IsRefused(failure) {
+		g.recordEnded(e, now)
+		return
+	}
+	if g.checkingEnded[e.ID] {
+		return
+	}
+	g.checkingEnded[e.ID] = true
+	go g.checkEnded(e)
+}
+
+// checkEnded connects to an endpoint to find out whether its process has ended.
+func (g *Gateway) checkEnded(e *fleet.Endpoint) {
+	ctx, cancel := context.WithTimeout(g.ctx, endedProbeTimeout)
+	defer cancel()
+	err := g.http.Listens(ctx, e.Address)
+	now := steady.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.checkingEnded, e.ID)
+	if httpcall.IsRefused(err) {
+		g.recordEnded(e, now)
+	}
+}
+
+// recordEnded records that this VM saw that the process of an endpoint has ended, and tells the peers. The caller holds the
+// lock.
+func (g *Gateway) recordEnded(e *fleet.Endpoint, now time.Time) {
+	s := fleet.EndedStart{ID: e.ID, StartTimeMs: e.StartTimeMs, At: now}
+	g.markEnded(s, g.settings.VM, now)
+	g.endedSeen = append(g.endedSeen, s)
+	g.requestDigest()
+}
+
+// markEnded records that the process of an endpoint has ended. The caller holds the lock.
+func (g *Gateway) markEnded(s fleet.EndedStart, seenBy string, now time.Time) {
+	if !g.endpoints.MarkEnded(s, now) {
+		return
+	}
+	g.metrics.count("endpoints_ended_total")
+	g.log.info(partEndpoint).Str("endpoint", s.ID).Int64("born", s.StartTimeMs).Str("seen_by", seenBy).Dur("age_ms", now.Sub(s.At)).
+		Msg("endpoint has ended, no streams until it registers again")
+}
+
+// endedReports returns the ended starts for the next digest. The caller holds the lock.
+func (g *Gateway) endedReports(now time.Time) []*gossip.EndedStart {
+	kept := g.endedSeen[:0]
+	var out []*gossip.EndedStart
+	for _, s := range g.endedSeen {
+		age := now.Sub(s.At)
+		if age >= endedReportPeriod {
+			continue
+		}
+		kept = append(kept, s)
+		out = append(out, &gossip.EndedStart{Endpoint: s.ID, Born: s.StartTimeMs, AgeMs: age.Milliseconds()})
+	}
+	g.endedSeen = kept
+	return out
+}
+
+// applyPeerEnded applies the ended starts that a peer reports. The caller holds the lock.
+func (g *Gateway) applyPeerEnded(d *gossip.Digest, now time.Time) {
+	for _, s := range d.GetEndedStarts() {
+		at := now.Add(-time.Duration(s.GetAgeMs()) * time.Millisecond)
+		g.markEnded(fleet.EndedStart{ID: s.GetEndpoint(), StartTimeMs: s.GetBorn(), At: at}, d.GetVm(), now)
+	}
+}
+
+// withoutEnded returns the endpoints whose processes are not known to have ended. The caller holds the lock.
+func (g *Gateway) withoutEnded(endpoints []*fleet.Endpoint, now time.Time) []*fleet.Endpoint {
+	for i, e := range endpoints {
+		if !g.endpoints.HasEnded(e, now) {
+			continue
+		}
+		out := append([]*fleet.Endpoint(nil), endpoints[:i]...)
+		for _, other := range endpoints[i+1:] {
+			if !g.endpoints.HasEnded(other, now) {
+				out = append(out, other)
+			}
+		}
+		return out
+	}
+	return endpoints
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -110,6 +110,10 @@
 	// accusationTurn is the turn of the parts that the last crash under a long prompt accused.
 	accusationTurn uint64
 	crashSync      crashSync
+	// endedSeen are the starts of endpoints that this VM saw to have ended lately, to be sent in its digests.
+	endedSeen []fleet.EndedStart
+	// checkingEnded holds the ids of the endpoints that this VM is checking.
+	checkingEnded map[string]bool
 	// limits are the rate limits that endpoints named.
 	limits *endpointlimit.Table
 	// lastRequestAt is when this VM last placed a request, or zero.
@@ -193,6 +197,7 @@
 			partProbes:         map[uint64]uint64{},
 			partTraffic:        partTraffic{withPart: map[uint64]int{}},
 			crashSync:          newCrashSync(),
+			checkingEnded:      map[string]bool{},
 			limits:             endpointlimit.New(s.VM),
 			lease:              issuer.NewLease(s.Lease()),
 			peers:              map[string]*peerState{},
--- a/pkg/gateway/origin.go
+++ b/pkg/gateway/origin.go
@@ -54,6 +54,9 @@
 // originCandidates returns the endpoints to which the request may be sent: those of the version that began its stream, or,
 // for a new stream while origins cannot be recorded, those whose streams need no record. The caller holds the lock.
 func (g *Gateway) originCandidates(r *request, endpoints []*fleet.Endpoint) []*fleet.Endpoint {
+	if r.isResumable() {
+		endpoints = g.withoutEnded(endpoints, steady.Now())
+	}
 	if r.origin == nil && (!r.isResumable() || g.canRecordOrigins()) {
 		return endpoints
 	}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -213,6 +213,7 @@
 	g.applyPeerDepartures(p, d.GetDepartures(), now)
 	g.addPeerCrashes(d.GetAccusations(), p.vm, now)
 	g.applyPeerRefusals(d)
+	g.applyPeerEnded(d, now)
 	g.addPeerLimits(d.GetLimits(), p.vm, now)
 	for _, n := range d.GetAnnouncements() {
 		at := now.Add(-time.Duration(n.GetAgeMs()) * time.Millisecond)
--- a/pkg/httpcall/httpcall.go
+++ b/pkg/httpcall/httpcall.go
@@ -16,6 +16,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -177,6 +178,25 @@
 	}, nil
 }
 
+// probedConnIdleTime is the time for which the connection of a probe may be used for a call.
+const probedConnIdleTime = time.Second
+
+// Listens reports whether something accepts connections at address. The error, of type *Error, is that of the attempt. A
+// refused connection proves that nothing listens there; other errors prove nothing.
+func (c *Client) Listens(ctx context.Context, address string) error {
+	conn, err := dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	c.putIdle(address, conn, probedConnIdleTime)
+	return nil
+}
+
+// IsRefused reports whether err means that nothing listened at the address of the call.
+func IsRefused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // Options are the settings of one call.
 type Options struct {
 	// Fresh requires a new connection instead of a pooled one. It must be set for calls that must not run twice,
