--- a/pkg/gateway/precedence.go
+++ b/pkg/gateway/precedence.go
@@ -20,19 +20,25 @@
 
 // rank returns the number of peers in reach of the store that precede this VM. The caller holds the lock.
 func (g *Gateway) rank(now time.Time) int {
-	keys := make([]precedence.Key, 0, len(g.peers))
+	rank, self := 0, g.precedenceKey(now)
 	for _, p := range g.peers {
-		if p.reachesStore(now) {
-			keys = append(keys, p.precedenceKey(now))
+		if p.reachesStore(now) && p.precedenceKey(now).Precedes(self) {
+			rank++
 		}
 	}
-	return precedence.Rank(g.precedenceKey(now), keys)
+	return rank
 }
 
-// isPreferredVM reports whether this VM is the one of those in reach of the store that acts when one of them has to.
-// The caller holds the lock.
+// isPreferredVM reports whether this VM is the one of those in reach of the store that acts when one of them has to: the one
+// of rank 0. The caller holds the lock.
 func (g *Gateway) isPreferredVM(now time.Time) bool {
-	return g.rank(now) == 0
+	self := g.precedenceKey(now)
+	for _, p := range g.peers {
+		if p.reachesStore(now) && p.precedenceKey(now).Precedes(self) {
+			return false
+		}
+	}
+	return true
 }
 
 // takesOver reports whether this VM does a duty that no VM is known to have done since the given time. The preferred VM
--- a/pkg/precedence/precedence.go
+++ b/pkg/precedence/precedence.go
@@ -45,18 +45,8 @@
 	return cmp.Or(cmp.Compare(other.StartedUnixMs, k.StartedUnixMs), cmp.Compare(k.VM, other.VM)) < 0
 }
 
-// Rank returns the number of the peers that precede a VM.
-func Rank(self Key, peers []Key) int {
-	rank := 0
-	for _, p := range peers {
-		if p.Precedes(self) {
-			rank++
-		}
-	}
-	return rank
-}
-
-// TakeoverDelay returns the time after which the VM of a rank does a duty that is still undone.
+// TakeoverDelay returns the time after which the VM of a rank does a duty that is still undone. The rank of a VM is the number
+// of the VMs that precede it.
 func TakeoverDelay(rank int) time.Duration {
 	steps := min(rank, steppedRanks)
 	return time.Duration(steps)*takeoverInterval + time.Duration(rank-steps)*takeoverSpread
--- a/pkg/precedence/precedence_test.go
+++ b/pkg/precedence/precedence_test.go
@@ -21,6 +21,17 @@
 	return keys
 }
 
+// rank returns the number of the peers that precede a VM.
+func rank(self Key, peers []Key) int {
+	n := 0
+	for _, p := range peers {
+		if p.Precedes(self) {
+			n++
+		}
+	}
+	return n
+}
+
 // others returns the keys without the i-th.
 func others(keys []Key, i int) []Key {
 	return slices.Delete(slices.Clone(keys), i, i+1)
@@ -32,7 +43,7 @@
 		keys := drawKeys(t)
 		ranks := map[int]bool{}
 		for i, k := range keys {
-			ranks[Rank(k, others(keys, i))] = true
+			ranks[rank(k, others(keys, i))] = true
 		}
 		if len(ranks) != len(keys) {
 			t.Fatalf("%d VMs have %d different ranks", len(keys), len(ranks))
@@ -52,7 +63,7 @@
 				known = append(known, k)
 			}
 		}
-		if delay := TakeoverDelay(Rank(keys[able], known)); delay > MaxTakeoverDelay(len(keys)) {
+		if delay := TakeoverDelay(rank(keys[able], known)); delay > MaxTakeoverDelay(len(keys)) {
 			t.Fatalf("the VM acts after %v, want at most %v", delay, MaxTakeoverDelay(len(keys)))
 		}
 	})
