Report an ended start to peers only if it is the registered one

Each refused attempt at an endpoint that is not registered any more added a report to the digests of the next 3 s. By reading; the tests of ended starts pass as before.

--- a/pkg/gateway/crashparts.go
+++ b/pkg/gateway/crashparts.go
@@ -63,8 +63,9 @@
 }
 
 // accusedBy returns the fingerprints that a crash of an endpoint under an attempt accuses: those of the request and, unless
-// the endpoint had written soundAnswerEvents, of about maxAccusedParts parts of its prompt. Of a longer prompt the parts that are accused already come first, and the
-// others take turns, so that a part that is in all crashes is soon accused wherever it stands. The caller holds the lock.
+// the endpoint had written soundAnswerEvents, of about maxAccusedParts parts of its prompt. Of a longer prompt the parts that
+// are accused already come first, and the others take turns, so that a part that is in all crashes is soon accused wherever it
+// stands. The caller holds the lock.
 func (g *Gateway) accusedBy(r *request, t *target) []uint64 {
 	first := slices.IndexFunc(r.fingerprints, crashguard.IsPart)
 	if first >= 0 && t.events >= soundAnswerEvents {
--- a/pkg/gateway/endedstarts.go
+++ b/pkg/gateway/endedstarts.go
@@ -71,19 +71,22 @@
 // lock.
 func (g *Gateway) recordEnded(e *fleet.Endpoint, now time.Time) {
 	s := fleet.EndedStart{ID: e.ID, StartTimeMs: e.StartTimeMs, At: now}
-	g.markEnded(s, g.settings.VM, now)
-	g.endedSeen = append(g.endedSeen, s)
-	g.requestDigest()
+	if g.markEnded(s, g.settings.VM, now) {
+		g.endedSeen = append(g.endedSeen, s)
+		g.requestDigest()
+	}
 }
 
-// markEnded records that the process of an endpoint has ended. The caller holds the lock.
-func (g *Gateway) markEnded(s fleet.EndedStart, seenBy string, now time.Time) {
+// markEnded records that the process of an endpoint has ended. It reports whether that was not known and concerns the
+// registered start. The caller holds the lock.
+func (g *Gateway) markEnded(s fleet.EndedStart, seenBy string, now time.Time) bool {
 	if !g.endpoints.MarkEnded(s, now) {
-		return
+		return false
 	}
 	g.metrics.count("endpoints_ended_total")
 	g.log.info(partEndpoint).Str("endpoint", s.ID).Int64("born", s.StartTimeMs).Str("seen_by", seenBy).Dur("age_ms", now.Sub(s.At)).
 		Msg("endpoint has ended, no streams until it registers again")
+	return true
 }
 
 // endedReports returns the ended starts for the next digest. The caller holds the lock.
