Name the requests that a stop cuts, and log standstills of the process

A process that ends with work in hand named none of its requests, and nothing told a VM that stood still from an engine that did, so the causes could not be told apart. Now each request that a stop cuts has a line with its endpoint, age and events, the end of a request tells how long the VM has been stopping, and a standstill of the process has a line and a counter. The times of a stop move to pkg/drain, with the register of requests.

--- /dev/null
+++ b/pkg/drain/plan.go
@@ -0,0 +1,43 @@
+// Package drain holds the decisions of a planned stop: until when a stopping process takes requests, sends them to
+// endpoints and stays, and which requests it still has. It does no I/O.
+package drain
+
+import "time"
+
+const (
+	// maxListenerCloseDelay is the longest time between failing readiness and closing the listener. The balancer probes once a
+	// second and removes a VM after two failures.
+	maxListenerCloseDelay = 3200 * time.Millisecond
+	// maxRefusalDelay is the longest time after SIGTERM from which new requests are refused, because the grace may be too
+	// short for them. By then the balancer opens no new connections.
+	maxRefusalDelay = 2700 * time.Millisecond
+	// maxStopMargin is the longest time left between the end of the wait for open connections and the platform's SIGKILL.
+	maxStopMargin = 600 * time.Millisecond
+	// stopMarginFraction limits the margin of a short grace.
+	stopMarginFraction = 0.2
+)
+
+// Plan holds the times of a planned stop, since SIGTERM.
+type Plan struct {
+	// RefuseRequests is when new requests are refused.
+	RefuseRequests time.Duration
+	// CloseListener is when the listener closes.
+	CloseListener time.Duration
+	// LastSend is when a request is sent to an endpoint for the last time, which may be another attempt.
+	LastSend time.Duration
+	// End is when the connections that are still open are closed.
+	End time.Duration
+}
+
+// NewPlan returns the times of a planned stop. In a short grace, requests are refused at its middle: a request that is
+// refused is accepted by another VM, and one that is cut may not be sent again.
+func NewPlan(grace time.Duration) Plan {
+	end := grace - min(maxStopMargin, time.Duration(stopMarginFraction*float64(grace)))
+	refuse := min(maxRefusalDelay, end/2)
+	return Plan{
+		RefuseRequests: refuse,
+		CloseListener:  min(maxListenerCloseDelay, refuse+end/4),
+		LastSend:       (refuse + end) / 2,
+		End:            end,
+	}
+}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -42,6 +42,7 @@
 	silence := g.startSilenceTimer(r, t, cancel)
 	defer silence.stop()
 
+	r.progress.SetEndpoint(t.choice.Endpoint.ID)
 	started := steady.Now()
 	// This result stands if the handling panics, so that the request's load is removed from the endpoint.
 	res := attemptResult{outcome: place.Neutral, err: errPanic}
--- a/pkg/gateway/eventstream.go
+++ b/pkg/gateway/eventstream.go
@@ -78,6 +78,7 @@
 // recordEvent records the id of an event and the weight version it states.
 func (g *Gateway) recordEvent(r *request, t *target, event []byte) {
 	r.eventsSent++
+	r.progress.AddEvent()
 	t.events++
 	if t.events == soundAnswerEvents {
 		g.mu.Lock()
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -307,5 +307,6 @@
 func (g *Gateway) logRequestEnd(r *request, outcome string, status int, detail string) {
 	g.log.info(partRequest).Str("request", r.call.ID).Str("outcome", outcome).Int("status", status).
 		Str("route", r.route.Name).Int("tries", r.attempts).Int("events", r.eventsSent).
-		Dur("age_ms", steady.Since(r.arrived)).Str("detail", detail).Msg("request ended")
+		Dur("age_ms", steady.Since(r.arrived)).Dur("stopping_ms", max(0, g.stoppingFor(steady.Now()))).Str("detail", detail).
+		Msg("request ended")
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/corneldeal/corneldeal/pkg/admit"
 	"github.com/corneldeal/corneldeal/pkg/affinity"
 	"github.com/corneldeal/corneldeal/pkg/crashguard"
+	"github.com/corneldeal/corneldeal/pkg/drain"
 	"github.com/corneldeal/corneldeal/pkg/endpointlimit"
 	"github.com/corneldeal/corneldeal/pkg/fleet"
 	"github.com/corneldeal/corneldeal/pkg/gossip"
@@ -26,6 +27,7 @@
 	"github.com/corneldeal/corneldeal/pkg/place"
 	"github.com/corneldeal/corneldeal/pkg/settings"
 	"github.com/corneldeal/corneldeal/pkg/share"
+	"github.com/corneldeal/corneldeal/pkg/standstill"
 	"github.com/corneldeal/corneldeal/pkg/traffic"
 )
 
@@ -68,6 +70,9 @@
 	// leavingSince is the time of SIGTERM in nanoseconds of the steady clock.
 	leavingSince atomic.Int64
 	nextID       atomic.Uint64
+	// inProgress holds the requests that have no final answer yet.
+	inProgress drain.Register
+	standstill standstill.Detector
 	// digestRequests asks for a digest before the regular interval ends.
 	digestRequests chan struct{}
 	// rewriteRequests asks registerVM to write again what a restore of the store may have lost.
@@ -333,6 +338,7 @@
 	go g.writeRolloutStatuses()
 	go g.watchCaches()
 	go g.sweepConnections()
+	go g.observeStandstills()
 	return nil
 }
 
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -9,6 +9,7 @@
 	"github.com/corneldeal/corneldeal/pkg/admit"
 	"github.com/corneldeal/corneldeal/pkg/affinity"
 	"github.com/corneldeal/corneldeal/pkg/crashguard"
+	"github.com/corneldeal/corneldeal/pkg/drain"
 	"github.com/corneldeal/corneldeal/pkg/ingress"
 	"github.com/corneldeal/corneldeal/pkg/refusal"
 	"github.com/corneldeal/corneldeal/pkg/traffic"
@@ -31,6 +32,8 @@
 	exchange *ingress.Exchange
 	call     Call
 	id       uint64
+	// progress is the entry of the request among those in progress.
+	progress *drain.Entry
 	// grant is what the configuration in force allowed when it was last checked, before each attempt.
 	grant
 	// configVersion is the version of the configuration at the last check.
@@ -84,6 +87,8 @@
 	r := &request{exchange: exchange, id: g.nextID.Add(1), arrived: exchange.Arrived}
 	call, err := g.platform.Wire.ReadCall(&exchange.Request.Header)
 	r.call = call
+	r.progress = g.inProgress.Begin(call.ID, r.arrived)
+	defer g.inProgress.End(r.progress)
 	r.lastEventID = call.LastEventID
 	if err != nil {
 		g.refuse(r, refusal.New(fasthttp.StatusBadRequest, refusal.CodeBadRequest, "%s", err.Error()))
--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -8,48 +8,13 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/corneldeal/corneldeal/pkg/drain"
 	"github.com/corneldeal/corneldeal/pkg/refusal"
+	"github.com/corneldeal/corneldeal/pkg/standstill"
 )
 
-const (
-	// maxListenerCloseDelay is the longest time between failing readiness and closing the listener. The balancer probes once a
-	// second and removes a VM after two failures.
-	maxListenerCloseDelay = 3200 * time.Millisecond
-	// maxRequestRefusalDelay is the longest time after SIGTERM from which new requests are refused, because the grace may be
-	// too short for them. By then the balancer opens no new connections.
-	maxRequestRefusalDelay = 2700 * time.Millisecond
-	// maxStopMargin is the longest time left between the end of the wait for open connections and the platform's SIGKILL.
-	maxStopMargin = 600 * time.Millisecond
-	// stopMarginFraction limits the margin of a short grace.
-	stopMarginFraction = 0.2
-	// connectionPollInterval is the interval at which Shutdown checks for open connections.
-	connectionPollInterval = 50 * time.Millisecond
-)
-
-// stopPlan holds the times of a planned stop, since SIGTERM.
-type stopPlan struct {
-	// refuseRequests is when new requests are refused.
-	refuseRequests time.Duration
-	// closeListener is when the listener closes.
-	closeListener time.Duration
-	// lastSend is when a request is sent to an endpoint for the last time, which may be another attempt.
-	lastSend time.Duration
-	// end is when the connections that are still open are closed.
-	end time.Duration
-}
-
-// planStop returns the times of a planned stop. In a short grace, requests are refused at its middle: a request that is
-// refused is accepted by another VM, and one that is cut may not be sent again.
-func planStop(grace time.Duration) stopPlan {
-	end := grace - min(maxStopMargin, time.Duration(stopMarginFraction*float64(grace)))
-	refuse := min(maxRequestRefusalDelay, end/2)
-	return stopPlan{
-		refuseRequests: refuse,
-		closeListener:  min(maxListenerCloseDelay, refuse+end/4),
-		lastSend:       (refuse + end) / 2,
-		end:            end,
-	}
-}
+// connectionPollInterval is the interval at which Shutdown checks for open connections.
+const connectionPollInterval = 50 * time.Millisecond
 
 // stoppingFor returns the time from SIGTERM to a time, or a negative duration if this VM is not stopping.
 func (g *Gateway) stoppingFor(at time.Time) time.Duration {
@@ -61,12 +26,12 @@
 
 // refusesNewRequests reports whether this VM is stopping and refuses a request that arrived at the given time.
 func (g *Gateway) refusesNewRequests(arrived time.Time) bool {
-	return g.stoppingFor(arrived) > planStop(g.settings.Grace()).refuseRequests
+	return g.stoppingFor(arrived) > drain.NewPlan(g.settings.Grace()).RefuseRequests
 }
 
 // isTooLateToSend reports whether this VM is stopping and sends nothing more to endpoints, since the answer would be cut.
 func (g *Gateway) isTooLateToSend(now time.Time) bool {
-	return g.stoppingFor(now) > planStop(g.settings.Grace()).lastSend
+	return g.stoppingFor(now) > drain.NewPlan(g.settings.Grace()).LastSend
 }
 
 // stoppingRefusal returns the refusal of a request that another VM accepts at once.
@@ -83,18 +48,48 @@
 	g.leaving.Store(true)
 	g.ingress.DisableKeepAlive()
 	g.requestDigest()
-	g.log.info(partProcess).Int("connections", g.ingress.OpenConnections()).Msg("stopping")
-	plan := planStop(g.settings.Grace())
-	time.Sleep(plan.closeListener)
+	g.log.info(partProcess).Int("connections", g.ingress.OpenConnections()).Int("requests", g.inProgress.Len()).
+		Dur("stood_still_ms", g.standstill.Last().Duration()).Dur("stood_still_ago_ms", started.Sub(g.standstill.Last().To)).
+		Msg("stopping")
+	plan := drain.NewPlan(g.settings.Grace())
+	time.Sleep(plan.CloseListener)
 	g.ingress.Close()
-	for g.ingress.OpenConnections() > 0 && g.now().Sub(started) < plan.end {
+	for g.ingress.OpenConnections() > 0 && g.now().Sub(started) < plan.End {
 		time.Sleep(connectionPollInterval)
 	}
+	g.logCutRequests(started)
 	g.sendFinalDigest()
 	g.log.info(partProcess).Int("connections", g.ingress.OpenConnections()).Msg("stopped")
 	g.Close()
 }
 
+// logCutRequests logs each request that is still in progress when a stopping process ends, and so loses its answer.
+func (g *Gateway) logCutRequests(stopping time.Time) {
+	now := g.now()
+	for _, e := range g.inProgress.List() {
+		g.metrics.count("requests_cut_by_stop_total")
+		g.log.warn(partRequest).Str("request", e.ID).Str("outcome", "cut").Str("endpoint", e.Endpoint()).Int64("events", e.Events()).
+			Dur("age_ms", now.Sub(e.Arrived)).Dur("stopping_ms", now.Sub(stopping)).Msg("request cut by the stop")
+	}
+}
+
+// observeStandstills notices when this process stood still, until it ends.
+func (g *Gateway) observeStandstills() {
+	for g.sleep(standstill.Interval) {
+		g.hasStoodStill(g.now())
+	}
+}
+
+// hasStoodStill records that the process runs now, and logs a standstill that has just ended.
+func (g *Gateway) hasStoodStill(now time.Time) bool {
+	gap, stood := g.standstill.Observe(now)
+	if stood {
+		g.metrics.count("standstills_total")
+		g.log.warn(partProcess).Dur("for_ms", gap.Duration()).Msg("process stood still")
+	}
+	return stood
+}
+
 // Close stops all work at once and releases what Provision and Start acquired. Further calls do nothing.
 func (g *Gateway) Close() {
 	if g.ctx.Err() != nil {
