Give a silent endpoint up only once another one takes the request over

The timer looked only whether the service had another endpoint; that the VM is stopping and sends nothing more, that no other endpoint runs the stream's software, that none has room or time, or that many streams of one engine share one retry, was found out after the attempt had been ended. Now the decision, in pkg/failover, rests on a placement of the next attempt as it would be, and takes its retry from the budget in the same moment; otherwise the attempt is kept and looked at again 0.4 s later, with the reason in a log line and a counter.

--- a/pkg/gateway/crashparts.go
+++ b/pkg/gateway/crashparts.go
@@ -212,6 +212,12 @@
 	return after, refuse
 }
 
+// isCrashSuspect reports whether a request, or a part of its prompt, is refused since it crashes endpoints. The caller holds
+// the lock.
+func (g *Gateway) isCrashSuspect(r *request, now time.Time) bool {
+	return slices.ContainsFunc(r.fingerprints, func(fingerprint uint64) bool { return g.crashes.ShouldRefuse(fingerprint, now) })
+}
+
 // isPresumedClean reports whether a part is not to be accused because an answer lately showed that it crashes nothing. The
 // caller holds the lock.
 func (g *Gateway) isPresumedClean(fingerprint uint64, now time.Time) bool {
--- a/pkg/gateway/eventstream.go
+++ b/pkg/gateway/eventstream.go
@@ -42,6 +42,7 @@
 				r.exchange.Abort()
 				return attemptResult{outcome: place.Neutral, err: sendErr, callerAnswered: true}
 			}
+			silence.eventsSent(r)
 			buffer.drop(complete)
 		}
 		switch {
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -44,6 +44,8 @@
 	slots int
 	// reused is set if the request was sent on a connection that had carried another one.
 	reused bool
+	// retryReserved is set once a retry was taken from the budget for the attempt after this one.
+	retryReserved bool
 	// rollout is the part of the attempt in a roll-out.
 	rollout rolloutAttempt
 	// underLimit is set if the endpoint was limited when the request was sent.
@@ -87,14 +89,25 @@
 	if refused := g.timeRefusal(r, now); refused != nil {
 		return nil, refused
 	}
-	left := r.deadline.Sub(now)
-	c := g.config.Load()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.lastRequestAt = now
 	if refused := g.crashRefusal(r, now); refused != nil {
 		return nil, refused
 	}
+	t, refused := g.findTarget(r, now)
+	if refused != nil {
+		return nil, refused
+	}
+	g.recordSend(r, t)
+	return t, nil
+}
+
+// findTarget returns the endpoint that takes the next attempt, or the refusal. It records nothing about the endpoint. The
+// caller holds the lock.
+func (g *Gateway) findTarget(r *request, now time.Time) (*target, *refusal.Error) {
+	left := r.deadline.Sub(now)
+	c := g.config.Load()
 	var waitUntil time.Time
 	r.atLimit = 0
 	for _, name := range r.route.TargetOrder(r.call.ID) {
@@ -110,7 +123,6 @@
 		if refused := g.lateRefusal(r, t, left, now); refused != nil {
 			return nil, refused
 		}
-		g.recordSend(r, t)
 		return t, nil
 	}
 	return nil, noEndpointRefusal(r, waitUntil, now)
@@ -255,6 +267,9 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if t.retryReserved {
+		return true
+	}
 	if !g.retryBudget(t.service.Name).Take(now) {
 		g.metrics.count("retries_over_budget_total")
 		return false
--- a/pkg/gateway/silence.go
+++ b/pkg/gateway/silence.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/corneldeal/corneldeal/pkg/affinity"
+	"github.com/corneldeal/corneldeal/pkg/failover"
 	"github.com/corneldeal/corneldeal/pkg/httpcall"
+	"github.com/corneldeal/corneldeal/pkg/steady"
 )
 
 const (
@@ -24,19 +28,30 @@
 // errEndpointSilent cancels an attempt at a silent endpoint.
 var errEndpointSilent = fmt.Errorf("gateway: endpoint is silent: %w", httpcall.ErrNoAnswer)
 
-// silenceTimer cancels an attempt at an endpoint that stays silent if the request may continue at another one. Bytes
-// that complete no event do not reset it, so an endpoint that sends a byte now and then counts as silent. The zero
-// value never cancels.
+// streamProgress is what a caller has of a stream.
+type streamProgress struct {
+	started     bool
+	lastEventID string
+	origin      *affinity.Origin
+}
+
+// silenceTimer cancels an attempt at an endpoint that stays silent once another one takes the request over. Bytes that
+// complete no event do not reset it, so an endpoint that sends a byte now and then counts as silent. The zero value never
+// cancels.
 type silenceTimer struct {
+	// mu is taken before Gateway.mu. It is held while the timer decides, so that stop returns only after that.
 	mu          sync.Mutex
 	timer       *time.Timer
 	currentWait time.Duration
 	eventWait   time.Duration
+	progress    streamProgress
+	// kept is the last reason why the silent attempt was kept.
+	kept failover.Reason
 }
 
 // startSilenceTimer starts the timer of an attempt. It returns an inactive timer if the request may not be sent again.
 func (g *Gateway) startSilenceTimer(r *request, t *target, cancel context.CancelCauseFunc) *silenceTimer {
-	l := &silenceTimer{}
+	l := &silenceTimer{progress: streamProgress{started: r.streamStarted, lastEventID: r.lastEventID, origin: r.origin}}
 	if !r.route.Idempotent() || r.possibleRuns+1 >= r.route.Attempts {
 		return l
 	}
@@ -44,22 +59,61 @@
 	l.eventWait = max(minEventWait, eventWaitFactor*r.route.MaxEventGap)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.timer = time.AfterFunc(l.currentWait, func() {
-		if g.canSwitchEndpoint(t) {
-			cancel(errEndpointSilent)
-			return
-		}
-		l.repeatWait()
-	})
+	l.timer = time.AfterFunc(l.currentWait, func() { g.handleSilence(r, t, l, cancel) })
 	return l
 }
 
-// canSwitchEndpoint reports whether another endpoint can take over from a silent one.
-func (g *Gateway) canSwitchEndpoint(t *target) bool {
+// handleSilence gives a silent attempt up, or looks again later.
+func (g *Gateway) handleSilence(r *request, t *target, l *silenceTimer, cancel context.CancelCauseFunc) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.timer == nil {
+		return
+	}
+	reason := g.reserveSuccessor(r, t, l.progress, steady.Now())
+	if reason == "" {
+		l.timer = nil
+		cancel(errEndpointSilent)
+		return
+	}
+	if reason != l.kept {
+		l.kept = reason
+		g.metrics.count("silent_attempts_kept_" + string(reason) + "_total")
+		g.log.info(partRequest).Str("request", r.call.ID).Str("endpoint", t.choice.Endpoint.ID).Str("reason", string(reason)).
+			Msg("silent attempt kept")
+	}
+	l.timer.Reset(failover.RecheckInterval)
+}
+
+// reserveSuccessor returns why the attempt at a silent endpoint is kept. If it is not, a retry is taken from the budget for
+// the next attempt.
+func (g *Gateway) reserveSuccessor(r *request, t *target, p streamProgress, now time.Time) failover.Reason {
+	next := r.successor(t, p)
+	refused := g.authorize(next)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	others := len(g.endpoints.Usable(t.service.Name)) - len(t.request.Exclude) - 1
-	return others > 0 && g.retryBudget(t.service.Name).CanRetry(g.now())
+	if refused == nil {
+		_, refused = g.findTarget(next, now)
+	}
+	budget := g.retryBudget(t.service.Name)
+	reason := failover.Decide(failover.Situation{
+		Stopping: g.isTooLateToSend(now), Left: r.deadline.Sub(now), MinLeft: minTimeToSend,
+		Started: p.started, HasPosition: p.lastEventID != "", Suspect: g.isCrashSuspect(next, now),
+		HasSuccessor: refused == nil, HasRetry: budget.CanRetry(now),
+	})
+	if reason == "" {
+		t.retryReserved = budget.Take(now)
+	}
+	return reason
+}
+
+// successor returns the request as it is after an attempt that was given up. The attempt may still be changing the rest of r.
+func (r *request) successor(t *target, p streamProgress) *request {
+	return &request{
+		exchange: r.exchange, call: r.call, id: r.id, progress: r.progress, grant: r.grant, arrived: r.arrived, deadline: r.deadline,
+		possibleRuns: r.possibleRuns + 1, attempts: r.attempts, excluded: append(slices.Clone(r.excluded), t.choice.Endpoint.ID),
+		lastEventID: p.lastEventID, origin: p.origin, streamStarted: p.started, fingerprints: r.fingerprints, probe: r.probe,
+	}
 }
 
 // eventReceived restarts the timer with the wait for the next event of a stream.
@@ -70,19 +124,18 @@
 		return
 	}
 	l.currentWait = l.eventWait
+	l.kept = ""
 	l.timer.Reset(l.currentWait)
 }
 
-// repeatWait restarts the present wait after it ended while no other endpoint could take over.
-func (l *silenceTimer) repeatWait() {
+// eventsSent records what the caller has of a stream.
+func (l *silenceTimer) eventsSent(r *request) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.timer != nil {
-		l.timer.Reset(l.currentWait)
-	}
+	l.progress = streamProgress{started: r.streamStarted, lastEventID: r.lastEventID, origin: r.origin}
 }
 
-// stop ends the timer for good.
+// stop ends the timer for good. Afterwards it reads nothing of its request.
 func (l *silenceTimer) stop() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
