Begin the silence of endpoints anew after this VM stood still

The timers of all attempts expire in a standstill, and fire before what the engines sent meanwhile is read, so the VM gave up all its streams together. Now a silence begins at the end of the last standstill (pkg/standstill).

--- a/pkg/failover/failover.go
+++ b/pkg/failover/failover.go
@@ -5,7 +5,11 @@
 // So an attempt is given up only once everything that its successor needs is there. The package does no I/O.
 package failover
 
-import "time"
+import (
+	"time"
+
+	"github.com/corneldeal/corneldeal/pkg/standstill"
+)
 
 // RecheckInterval is the time after which a silent attempt that was kept is looked at again.
 const RecheckInterval = 400 * time.Millisecond
@@ -45,6 +49,15 @@
 	HasRetry bool
 }
 
+// Silence returns how long an endpoint has been silent that brought something last at the time since. It begins anew when this
+// process has stood still: what the endpoint sent meanwhile may not be read yet.
+func Silence(since time.Time, last standstill.Gap, now time.Time) time.Duration {
+	if last.To.After(since) {
+		since = last.To
+	}
+	return now.Sub(since)
+}
+
 // Decide returns why the attempt is kept, or an empty reason if it is given up.
 func Decide(s Situation) Reason {
 	switch {
--- a/pkg/failover/failover_test.go
+++ b/pkg/failover/failover_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/corneldeal/corneldeal/pkg/standstill"
 )
 
 // Guards against an attempt that is given up though its successor lacks something.
@@ -22,3 +24,25 @@
 		}
 	})
 }
+
+// Guards against a standstill of this process that counts as silence of its endpoints.
+func TestStandstillIsNoSilence(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	var d standstill.Detector
+	for ms := 0; ms <= 1000; ms += 200 {
+		d.Observe(at(ms))
+	}
+	if got := Silence(at(300), d.Last(), at(1000)); got != 700*time.Millisecond {
+		t.Errorf("without a standstill the silence is %v", got)
+	}
+	if gap, stood := d.Observe(at(3200)); !stood || gap.Duration() != 2200*time.Millisecond {
+		t.Errorf("standstill %v, %v", gap, stood)
+	}
+	if got := Silence(at(300), d.Last(), at(3300)); got != 100*time.Millisecond {
+		t.Errorf("the silence since the standstill is %v", got)
+	}
+	if got := Silence(at(3250), d.Last(), at(3300)); got != 50*time.Millisecond {
+		t.Errorf("the silence since the last event is %v", got)
+	}
+}
--- a/pkg/gateway/silence.go
+++ b/pkg/gateway/silence.go
@@ -44,7 +44,9 @@
 	timer       *time.Timer
 	currentWait time.Duration
 	eventWait   time.Duration
-	progress    streamProgress
+	// since is when the present silence began.
+	since    time.Time
+	progress streamProgress
 	// kept is the last reason why the silent attempt was kept.
 	kept failover.Reason
 }
@@ -59,6 +61,7 @@
 	l.eventWait = max(minEventWait, eventWaitFactor*r.route.MaxEventGap)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.since = steady.Now()
 	l.timer = time.AfterFunc(l.currentWait, func() { g.handleSilence(r, t, l, cancel) })
 	return l
 }
@@ -70,7 +73,13 @@
 	if l.timer == nil {
 		return
 	}
-	reason := g.reserveSuccessor(r, t, l.progress, steady.Now())
+	now := steady.Now()
+	g.hasStoodStill(now)
+	if rest := l.currentWait - failover.Silence(l.since, g.standstill.Last(), now); rest > 0 {
+		l.timer.Reset(rest)
+		return
+	}
+	reason := g.reserveSuccessor(r, t, l.progress, now)
 	if reason == "" {
 		l.timer = nil
 		cancel(errEndpointSilent)
@@ -124,6 +133,7 @@
 		return
 	}
 	l.currentWait = l.eventWait
+	l.since = steady.Now()
 	l.kept = ""
 	l.timer.Reset(l.currentWait)
 }
