Begin the grace of a stop at the standstill in which SIGTERM came

A VM that stood still when SIGTERM was sent takes it late, and counted the times of the stop from then on, while the platform's SIGKILL counts from the sending. It accepted requests until 4.2 s after the signal that its grace was too short for. Now the earliest time at which the signal may have been sent counts, that is the begin of a standstill that has just ended; the listener still stays until the balancer has noticed.

--- a/pkg/drain/plan.go
+++ b/pkg/drain/plan.go
@@ -2,7 +2,11 @@
 // endpoints and stays, and which requests it still has. It does no I/O.
 package drain
 
-import "time"
+import (
+	"time"
+
+	"github.com/corneldeal/corneldeal/pkg/standstill"
+)
 
 const (
 	// maxListenerCloseDelay is the longest time between failing readiness and closing the listener. The balancer probes once a
@@ -15,6 +19,8 @@
 	maxStopMargin = 600 * time.Millisecond
 	// stopMarginFraction limits the margin of a short grace.
 	stopMarginFraction = 0.2
+	// signalDelay is the time after a standstill within which a signal is handled that was sent during it.
+	signalDelay = 300 * time.Millisecond
 )
 
 // Plan holds the times of a planned stop, since SIGTERM.
@@ -41,3 +47,12 @@
 		End:            end,
 	}
 }
+
+// SignalledAt returns the earliest time at which SIGTERM may have been sent that was handled at the given time. The platform's
+// grace begins when it sends the signal, which a process takes only after it stood still.
+func SignalledAt(handled time.Time, last standstill.Gap) time.Time {
+	if last.To.IsZero() || handled.Sub(last.To) > signalDelay {
+		return handled
+	}
+	return last.From
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -67,7 +67,7 @@
 	connections   *connectionLimits
 	config        atomic.Pointer[traffic.Config]
 	leaving       atomic.Bool
-	// leavingSince is the time of SIGTERM in nanoseconds of the steady clock.
+	// leavingSince is the earliest time at which SIGTERM may have been sent, in nanoseconds of the steady clock.
 	leavingSince atomic.Int64
 	nextID       atomic.Uint64
 	// inProgress holds the requests that have no final answer yet.
--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -43,21 +43,23 @@
 // Shutdown fails readiness, lets running requests finish and closes the gateway once they have, at the latest shortly
 // before the grace period ends.
 func (g *Gateway) Shutdown() {
-	started := g.now()
-	g.leavingSince.Store(started.UnixNano())
+	handled := g.now()
+	g.hasStoodStill(handled)
+	since := drain.SignalledAt(handled, g.standstill.Last())
+	g.leavingSince.Store(since.UnixNano())
 	g.leaving.Store(true)
 	g.ingress.DisableKeepAlive()
 	g.requestDigest()
 	g.log.info(partProcess).Int("connections", g.ingress.OpenConnections()).Int("requests", g.inProgress.Len()).
-		Dur("stood_still_ms", g.standstill.Last().Duration()).Dur("stood_still_ago_ms", started.Sub(g.standstill.Last().To)).
-		Msg("stopping")
+		Dur("late_ms", handled.Sub(since)).Msg("stopping")
 	plan := drain.NewPlan(g.settings.Grace())
+	// The balancer has been told only now.
 	time.Sleep(plan.CloseListener)
 	g.ingress.Close()
-	for g.ingress.OpenConnections() > 0 && g.now().Sub(started) < plan.End {
+	for g.ingress.OpenConnections() > 0 && g.now().Sub(since) < plan.End {
 		time.Sleep(connectionPollInterval)
 	}
-	g.logCutRequests(started)
+	g.logCutRequests(since)
 	g.sendFinalDigest()
 	g.log.info(partProcess).Int("connections", g.ingress.OpenConnections()).Msg("stopped")
 	g.Close()
@@ -75,7 +77,7 @@
 
 // observeStandstills notices when this process stood still, until it ends.
 func (g *Gateway) observeStandstills() {
-	for g.sleep(standstill.Interval) {
+	for next := true; next; next = g.sleep(standstill.Interval) {
 		g.hasStoodStill(g.now())
 	}
 }
