--- a/pkg/drain/plan.go
+++ b/pkg/drain/plan.go
@@ -15,10 +15,10 @@
 	// maxRefusalDelay is the longest time after SIGTERM from which new requests are refused, because the grace may be too
 	// short for them. By then the balancer opens no new connections.
 	maxRefusalDelay = 2700 * time.Millisecond
-	// maxStopMargin is the longest time left between the end of the wait for open connections and the platform's SIGKILL.
-	maxStopMargin = 600 * time.Millisecond
-	// stopMarginFraction limits the margin of a short grace.
-	stopMarginFraction = 0.2
+	// maxReportMargin is the longest time left between the report and the platform's SIGKILL.
+	maxReportMargin = 600 * time.Millisecond
+	// reportMarginFraction limits the margin of a short grace.
+	reportMarginFraction = 0.2
 	// signalDelay is the time after a standstill within which a signal is handled that was sent during it.
 	signalDelay = 300 * time.Millisecond
 )
@@ -31,20 +31,20 @@
 	CloseListener time.Duration
 	// LastSend is when a request is sent to an endpoint for the last time, which may be another attempt.
 	LastSend time.Duration
-	// End is when the connections that are still open are closed.
-	End time.Duration
+	// Report is when the peers are told for the last time, and the log what is still open. What goes on then may still end.
+	Report time.Duration
 }
 
 // NewPlan returns the times of a planned stop. In a short grace, requests are refused at its middle: a request that is
 // refused is accepted by another VM, and one that is cut may not be sent again.
 func NewPlan(grace time.Duration) Plan {
-	end := grace - min(maxStopMargin, time.Duration(stopMarginFraction*float64(grace)))
-	refuse := min(maxRefusalDelay, end/2)
+	report := grace - min(maxReportMargin, time.Duration(reportMarginFraction*float64(grace)))
+	refuse := min(maxRefusalDelay, report/2)
 	return Plan{
 		RefuseRequests: refuse,
-		CloseListener:  min(maxListenerCloseDelay, refuse+end/4),
-		LastSend:       (refuse + end) / 2,
-		End:            end,
+		CloseListener:  min(maxListenerCloseDelay, refuse+report/4),
+		LastSend:       (refuse + report) / 2,
+		Report:         report,
 	}
 }
 
--- a/pkg/drain/plan_test.go
+++ b/pkg/drain/plan_test.go
@@ -11,12 +11,12 @@
 func TestStopFitsIntoItsGrace(t *testing.T) {
 	for _, grace := range []time.Duration{100 * time.Millisecond, time.Second, 3 * time.Second, 8 * time.Second, time.Minute} {
 		p := NewPlan(grace)
-		if p.RefuseRequests <= 0 || p.CloseListener < p.RefuseRequests || p.LastSend < p.RefuseRequests || p.End < p.LastSend ||
-			p.End < p.CloseListener || p.End >= grace {
+		if p.RefuseRequests <= 0 || p.CloseListener < p.RefuseRequests || p.LastSend < p.RefuseRequests || p.Report < p.LastSend ||
+			p.Report < p.CloseListener || p.Report >= grace {
 			t.Errorf("grace %v: %+v", grace, p)
 		}
-		if p.End-p.LastSend < (grace-p.RefuseRequests)/4 {
-			t.Errorf("grace %v: a request may be sent %v before the end", grace, p.End-p.LastSend)
+		if p.Report-p.LastSend < (grace-p.RefuseRequests)/4 {
+			t.Errorf("grace %v: a request may be sent %v before the end", grace, p.Report-p.LastSend)
 		}
 	}
 	if p := NewPlan(8 * time.Second); p.RefuseRequests != maxRefusalDelay || p.CloseListener != maxListenerCloseDelay {
--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -40,8 +40,8 @@
 		WithRetryAfter(leavingRetryAfter)
 }
 
-// Shutdown fails readiness, lets running requests finish and closes the gateway once they have, at the latest shortly
-// before the grace period ends.
+// Shutdown fails readiness, lets running requests finish and closes the gateway once they have. It cuts none itself before the
+// grace has passed, when the platform kills the process.
 func (g *Gateway) Shutdown() {
 	handled := g.now()
 	g.hasStoodStill(handled)
@@ -56,22 +56,28 @@
 	// The balancer has been told only now.
 	time.Sleep(plan.CloseListener)
 	g.ingress.Close()
-	for g.ingress.OpenConnections() > 0 && g.now().Sub(since) < plan.End {
-		time.Sleep(connectionPollInterval)
-	}
-	g.logCutRequests(since)
+	g.awaitConnections(since.Add(plan.Report))
+	g.logOpenRequests(since)
 	g.sendFinalDigest()
+	g.awaitConnections(handled.Add(g.settings.Grace()))
 	g.log.info(partProcess).Int("connections", g.ingress.OpenConnections()).Msg("stopped")
 	g.Close()
 }
 
-// logCutRequests logs each request that is still in progress when a stopping process ends, and so loses its answer.
-func (g *Gateway) logCutRequests(stopping time.Time) {
+// awaitConnections waits until no connection of a caller is open, at the latest until the given time.
+func (g *Gateway) awaitConnections(until time.Time) {
+	for g.ingress.OpenConnections() > 0 && g.now().Before(until) {
+		time.Sleep(connectionPollInterval)
+	}
+}
+
+// logOpenRequests logs each request that is in progress shortly before the grace ends. Those that do not end until then are cut.
+func (g *Gateway) logOpenRequests(stopping time.Time) {
 	now := g.now()
 	for _, e := range g.inProgress.List() {
-		g.metrics.count("requests_cut_by_stop_total")
-		g.log.warn(partRequest).Str("request", e.ID).Str("outcome", "cut").Str("endpoint", e.Endpoint()).Int64("events", e.Events()).
-			Dur("age_ms", now.Sub(e.Arrived)).Dur("stopping_ms", now.Sub(stopping)).Msg("request cut by the stop")
+		g.metrics.count("requests_open_at_stop_total")
+		g.log.warn(partRequest).Str("request", e.ID).Str("endpoint", e.Endpoint()).Int64("events", e.Events()).
+			Dur("age_ms", now.Sub(e.Arrived)).Dur("stopping_ms", now.Sub(stopping)).Msg("request still open, the grace ends soon")
 	}
 }
 
