--- a/pkg/gateway/eventstream.go
+++ b/pkg/gateway/eventstream.go
@@ -42,6 +42,7 @@
 				r.exchange.Abort()
 				return attemptResult{outcome: place.Neutral, err: sendErr, callerAnswered: true}
 			}
+			silence.eventsSent(r)
 			buffer.drop(complete)
 		}
 		switch {
@@ -78,6 +79,7 @@
 // recordEvent records the id of an event and the weight version it states.
 func (g *Gateway) recordEvent(r *request, t *target, event []byte) {
 	r.eventsSent++
+	r.progress.AddEvent()
 	t.events++
 	if t.events == soundAnswerEvents {
 		g.mu.Lock()
