--- /dev/null
+++ b/pkg/reach/table.go
@@ -0,0 +1,274 @@
+package reach
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/corneldeal/corneldeal/pkg/fleet"
+)
+
+const (
+	// minCutEndpoints is the number of endpoints that are cut off, none of a service reached since, from which the whole
+	// service counts as cut off. A smaller service counts once all of its endpoints are.
+	minCutEndpoints = 3
+	// minProbePause and maxProbePause bound the time between two probes of an endpoint that is cut off. It doubles each time
+	// that the endpoint is cut off again within flapTime.
+	minProbePause = 500 * time.Millisecond
+	maxProbePause = 4 * time.Second
+	flapTime      = 10 * time.Second
+	// maxProbes is the number of endpoints of one service that are probed in one round.
+	maxProbes = 2
+	// maxOpeningProbes is that number once one of them was reached again.
+	maxOpeningProbes = 16
+	// openingTime is the time after that for which the others are probed at once.
+	openingTime = 2 * time.Second
+	// checkInterval is the shortest time between two checks of the same endpoint.
+	checkInterval = time.Second
+)
+
+// path is what this VM knows of its path to one start of an endpoint.
+type path struct {
+	service string
+	// reached is when something last arrived from the endpoint.
+	reached time.Time
+	// cut is set while the endpoint counts as cut off, and probe is how connections failed then.
+	cut   bool
+	probe Probe
+	// cutAt is when it was last found to be cut off, probeAt when it is to be probed, and pause the time between probes.
+	cutAt, probeAt time.Time
+	pause          time.Duration
+	// checkedAt is when a check last began.
+	checkedAt time.Time
+}
+
+// serviceState is what this VM knows of a service as a whole.
+type serviceState struct {
+	// cut is the number of endpoints that are cut off, and cutSince the time of the first of them.
+	cut      int
+	cutSince time.Time
+	// reached is when something last arrived from one of its endpoints, and opened when one was reached again after a cut.
+	reached, opened time.Time
+}
+
+// Table holds the paths of this VM to the endpoints. It is safe for concurrent use; its lock is taken after all others.
+type Table struct {
+	mu       sync.Mutex
+	paths    map[fleet.Incarnation]*path
+	services map[string]*serviceState
+}
+
+// NewTable returns a table in which every endpoint counts as reachable.
+func NewTable() *Table {
+	return &Table{paths: map[fleet.Incarnation]*path{}, services: map[string]*serviceState{}}
+}
+
+// pathOf returns the path to an endpoint and creates it if needed. The caller holds the lock.
+func (t *Table) pathOf(e *fleet.Endpoint) *path {
+	p := t.paths[e.Incarnation()]
+	if p == nil {
+		p = &path{service: e.Service}
+		t.paths[e.Incarnation()] = p
+	}
+	return p
+}
+
+// service returns the state of a service and creates it if needed. The caller holds the lock.
+func (t *Table) service(name string) *serviceState {
+	s := t.services[name]
+	if s == nil {
+		s = &serviceState{}
+		t.services[name] = s
+	}
+	return s
+}
+
+// RecordReached records that something arrived from an endpoint on a path of this VM. It reports whether the endpoint counted
+// as cut off.
+func (t *Table) RecordReached(e *fleet.Endpoint, now time.Time) (opened bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, s := t.pathOf(e), t.service(e.Service)
+	p.reached, s.reached = now, now
+	if !p.cut {
+		return false
+	}
+	p.cut = false
+	s.cut--
+	s.opened = now
+	return true
+}
+
+// RecordCut records that an endpoint is cut off from this VM while others reach it. It reports whether that is new.
+func (t *Table) RecordCut(e *fleet.Endpoint, probe Probe, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, s := t.pathOf(e), t.service(e.Service)
+	if p.cut {
+		p.probe = probe
+		return false
+	}
+	if !p.cutAt.IsZero() && now.Sub(p.cutAt) < flapTime {
+		p.pause = min(2*p.pause, maxProbePause)
+	} else {
+		p.pause = minProbePause
+	}
+	p.cut, p.probe, p.cutAt, p.probeAt = true, probe, now, now.Add(p.pause)
+	if s.cut == 0 {
+		s.cutSince = now
+	}
+	s.cut++
+	return true
+}
+
+// Route is the way to an endpoint.
+type Route int
+
+const (
+	// Direct means that this VM connects to the endpoint.
+	Direct Route = iota
+	// IdleOnly means that only a connection that is open already may be used. New ones are refused.
+	IdleOnly
+	// ThroughPeer means that only other VMs reach the endpoint.
+	ThroughPeer
+)
+
+// RouteTo returns the way to an endpoint of a service with the given number of usable endpoints.
+func (t *Table) RouteTo(e *fleet.Endpoint, usable int) Route {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	probe := Unknown
+	switch p := t.paths[e.Incarnation()]; {
+	case p != nil && p.cut:
+		probe = p.probe
+	case t.serviceCut(e.Service, usable):
+		probe = t.commonProbe(e.Service)
+	}
+	switch probe {
+	case Refused:
+		return IdleOnly
+	case TimedOut:
+		return ThroughPeer
+	}
+	return Direct
+}
+
+// commonProbe returns how connections to the endpoints of a service fail that is cut off as a whole: TimedOut if one did. The
+// caller holds the lock.
+func (t *Table) commonProbe(service string) Probe {
+	for _, p := range t.paths {
+		if p.service == service && p.cut && p.probe == TimedOut {
+			return TimedOut
+		}
+	}
+	return Refused
+}
+
+// CutOff reports whether a service with the given number of usable endpoints is cut off from this VM as a whole.
+func (t *Table) CutOff(service string, usable int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.serviceCut(service, usable)
+}
+
+// serviceCut is CutOff for a caller that holds the lock.
+func (t *Table) serviceCut(service string, usable int) bool {
+	s := t.services[service]
+	if s == nil || s.cut == 0 || s.cut < min(minCutEndpoints, usable) {
+		return false
+	}
+	return !s.reached.After(s.cutSince)
+}
+
+// Reachable returns the endpoints of a service that are not cut off, or all if each of them is. The slice that it is given is
+// not changed.
+func (t *Table) Reachable(endpoints []*fleet.Endpoint) []*fleet.Endpoint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	cut := func(e *fleet.Endpoint) bool {
+		p := t.paths[e.Incarnation()]
+		return p != nil && p.cut
+	}
+	if !slices.ContainsFunc(endpoints, cut) {
+		return endpoints
+	}
+	left := slices.DeleteFunc(slices.Clone(endpoints), cut)
+	if len(left) == 0 {
+		return endpoints
+	}
+	return left
+}
+
+// ReachedWithin reports whether something arrived from an endpoint of a service within the given time.
+func (t *Table) ReachedWithin(service string, d time.Duration, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.services[service]
+	return s != nil && !s.reached.IsZero() && now.Sub(s.reached) <= d
+}
+
+// BeginCheck reports whether the path to an endpoint from which nothing has arrived since the given time is to be checked
+// now, and records the check.
+func (t *Table) BeginCheck(e *fleet.Endpoint, since, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pathOf(e)
+	if p.cut || p.reached.After(since) || !p.checkedAt.IsZero() && now.Sub(p.checkedAt) < checkInterval {
+		return false
+	}
+	p.checkedAt = now
+	return true
+}
+
+// DueProbes returns the endpoints among those given that are cut off and to be probed now, and records the probes.
+func (t *Table) DueProbes(endpoints []*fleet.Endpoint, now time.Time) []*fleet.Endpoint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []*fleet.Endpoint
+	count := map[string]int{}
+	for _, e := range endpoints {
+		p := t.paths[e.Incarnation()]
+		if p == nil || !p.cut {
+			continue
+		}
+		limit, due := maxProbes, !now.Before(p.probeAt)
+		if s := t.service(e.Service); !s.opened.IsZero() && now.Sub(s.opened) < openingTime {
+			limit, due = maxOpeningProbes, due || p.probeAt.Add(-p.pause).Before(s.opened)
+		}
+		if !due || count[e.Service] >= limit {
+			continue
+		}
+		count[e.Service]++
+		p.probeAt = now.Add(p.pause)
+		out = append(out, e)
+	}
+	return out
+}
+
+// Retain forgets the paths to starts of endpoints for which keep returns false.
+func (t *Table) Retain(keep func(fleet.Incarnation) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, p := range t.paths {
+		if keep(id) {
+			continue
+		}
+		if p.cut {
+			t.services[p.service].cut--
+		}
+		delete(t.paths, id)
+	}
+}
+
+// Cut returns the number of endpoints of each service that are cut off, without services that have none.
+func (t *Table) Cut() map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := map[string]int{}
+	for name, s := range t.services {
+		if s.cut > 0 {
+			out[name] = s.cut
+		}
+	}
+	return out
+}
