--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -11,7 +11,6 @@
 
 	"github.com/corneldeal/corneldeal/pkg/httpcall"
 	"github.com/corneldeal/corneldeal/pkg/ingress"
-	"github.com/corneldeal/corneldeal/pkg/logpos"
 	"github.com/corneldeal/corneldeal/pkg/place"
 	"github.com/corneldeal/corneldeal/pkg/steady"
 	"github.com/corneldeal/corneldeal/pkg/traffic"
@@ -30,7 +29,9 @@
 	notRun bool
 	// callerAnswered is set once the caller has received its final answer.
 	callerAnswered bool
-	err            error
+	// pathLost is set if the attempt failed because this VM lost its path to the endpoint.
+	pathLost bool
+	err      error
 }
 
 // attempt sends the request to one endpoint and forwards its answer.
@@ -47,10 +48,7 @@
 	// This result stands if the handling panics, so that the request's load is removed from the endpoint.
 	res := attemptResult{outcome: place.Neutral, err: errPanic}
 	defer func() { g.finishAttempt(r, t, res, started) }()
-	res = g.callEndpoint(ctx, r, t, silence)
-	if r.isResumable() && mayHaveEnded(res) {
-		g.startEndedCheck(t.choice.Endpoint, res.err)
-	}
+	res = g.judgePath(r, t, g.callEndpoint(ctx, r, t, silence))
 	return res
 }
 
@@ -65,7 +63,7 @@
 		Dur("expected_ms", t.choice.Expected).Dur("took_ms", now.Sub(started)).Str("outcome", outcomeNames[res.outcome]).
 		Bool("not_run", res.notRun).Str("limit", t.limit.Kind.String()).Float64("limit_per_s", t.limit.PerSecond).
 		Bool("under_limit", t.underLimit).Int("at_limit", t.choice.AtLimit).
-		Bool("reused", t.reused).Int("no_connection", t.choice.NoConnection).Bool("beyond_share", t.choice.BeyondShare).
+		Str("peer", t.peer).Bool("path_lost", res.pathLost).Bool("reused", t.reused).Int("no_connection", t.choice.NoConnection).Bool("beyond_share", t.choice.BeyondShare).
 		Strs("fingerprints", formatFingerprints(r.fingerprints)).
 		Strs("parts", formatParts(r.call.Chain))
 	logAdmission(line, r.admission)
@@ -92,7 +90,7 @@
 		g.placer.RecordOutputTokens(r.id, t.events)
 	}
 	g.placer.RecordOutcome(r.id, res.outcome, now)
-	if t.firstTokenAt.IsZero() && !res.notRun {
+	if t.firstTokenAt.IsZero() && !res.notRun && !res.pathLost {
 		g.observeFirstToken(r, t, now, true)
 	}
 	g.recordCrashEvidence(r, t, res, began, now)
@@ -115,6 +113,26 @@
 
 // callEndpoint sends the request to the chosen endpoint and reads the answer.
 func (g *Gateway) callEndpoint(ctx context.Context, r *request, t *target, silence *silenceTimer) attemptResult {
+	stream, err := g.open(ctx, r, t, func() httpcall.RawRequest { return g.encodeAttempt(r, t) })
+	defer t.stopWatch()
+	defer t.endSend()
+	if !t.throughPeer.Load() {
+		g.recordConnection(t, stream, err)
+	}
+	if err != nil {
+		res := g.classifyFailure(ctx, err)
+		if t.throughPeer.Load() {
+			return res
+		}
+		return g.judgeEnding(r, t, res, err)
+	}
+	defer stream.Close()
+	g.recordProgress(t)
+	return g.readAnswer(ctx, r, t, stream, silence)
+}
+
+// encodeAttempt returns the request as its endpoint is to read it now.
+func (g *Gateway) encodeAttempt(r *request, t *target) httpcall.RawRequest {
 	a := Attempt{
 		Endpoint:    t.choice.Endpoint,
 		Remaining:   r.deadline.Sub(steady.Now()),
@@ -132,19 +150,13 @@
 		a.SaveTo = t.choice.SaveTo
 	}
 	body := r.exchange.Request.Body()
-	stream, err := g.http.OpenRaw(ctx, t.choice.Endpoint.Address, httpcall.RawRequest{
+	return httpcall.RawRequest{
 		Head:           g.platform.Wire.RequestHead(&r.exchange.Request.Header, a, len(body)),
 		Body:           body,
 		Fresh:          needsFreshConnection(r),
 		Idempotent:     r.route.Idempotent(),
 		NoResponseBody: r.exchange.Request.Header.IsHead(),
-	})
-	g.recordConnection(t, stream, err)
-	if err != nil {
-		return g.judgeEnding(r, t, g.classifyFailure(ctx, err), err)
 	}
-	defer stream.Close()
-	return g.readAnswer(ctx, r, t, stream, silence)
 }
 
 // needsFreshConnection reports whether an attempt must not use a pooled connection: a copy of the answer to an earlier attempt
@@ -258,14 +270,7 @@
 		g.placer.RecordVersion(e, t.request.Model, answer.Version)
 	}
 	g.applyLimit(t, answer, now)
-	if answer.Leaving && g.endpoints.MarkDraining(e.ID, e.StartTimeMs, now) {
-		g.announceDeparture(e.ID, "said so in an answer", logpos.Position{Era: g.storeEra})
-	}
-	if answer.RetryAfter > 0 {
-		g.placer.RecordBackoff(e, answer.RetryAfter, now)
-		g.log.info(partEndpoint).Str("endpoint", e.ID).Dur("retry_after_ms", answer.RetryAfter).
-			Msg("endpoint asked to wait")
-	}
+	g.applyDeparture(e, answer, now)
 }
 
 // handleEndpointRefusal returns the result of an attempt that the endpoint states it did not run.
--- a/pkg/gateway/endedstarts.go
+++ b/pkg/gateway/endedstarts.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"time"
 
@@ -9,20 +8,15 @@
 
 	"github.com/corneldeal/corneldeal/pkg/fleet"
 	"github.com/corneldeal/corneldeal/pkg/gossip"
-	"github.com/corneldeal/corneldeal/pkg/httpcall"
 	"github.com/corneldeal/corneldeal/pkg/place"
 )
 
 // An endpoint may start again under its ID and at its address with other software, and is taken for its earlier process until
-// its new record is read. What tells a VM sooner is that connections broke and nothing listens at the address: that process
-// has ended for good. Until a newer record arrives, no stream begins or goes on there that must stay at one software version.
+// its new record is read. What tells a VM sooner is that connections broke and nothing listens at the address, neither for this
+// VM nor for others: that process has ended for good. Until a newer record arrives, no stream begins or goes on there that must stay at one software version.
 
-const (
-	// endedProbeTimeout limits the connection that finds out whether an endpoint has ended.
-	endedProbeTimeout = 300 * time.Millisecond
-	// endedReportPeriod is the time for which an ended start is sent to peers.
-	endedReportPeriod = 3 * time.Second
-)
+// endedReportPeriod is the time for which an ended start is sent to peers.
+const endedReportPeriod = 3 * time.Second
 
 // mayHaveEnded reports whether the failure of an attempt may mean that the endpoint's process has ended.
 func mayHaveEnded(res attemptResult) bool {
@@ -34,40 +28,6 @@
 	return !errors.Is(res.err, errMismatchedAnswer) && !errors.Is(res.err, fasthttp.ErrBodyTooLarge)
 }
 
-// startEndedCheck finds out, after the failure of an attempt at an endpoint, whether its process has ended. Failures of many
-// attempts in one moment lead to one check.
-func (g *Gateway) startEndedCheck(e *fleet.Endpoint, failure error) {
-	now := g.now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.endpoints.HasEnded(e, now) {
-		return
-	}
-	if httpcall.IsRefused(failure) {
-		g.recordEnded(e, now)
-		return
-	}
-	if g.checkingEnded[e.ID] {
-		return
-	}
-	g.checkingEnded[e.ID] = true
-	go g.checkEnded(e)
-}
-
-// checkEnded connects to an endpoint to find out whether its process has ended.
-func (g *Gateway) checkEnded(e *fleet.Endpoint) {
-	ctx, cancel := context.WithTimeout(g.ctx, endedProbeTimeout)
-	defer cancel()
-	err := g.http.Listens(ctx, e.Address)
-	now := g.now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	delete(g.checkingEnded, e.ID)
-	if httpcall.IsRefused(err) {
-		g.recordEnded(e, now)
-	}
-}
-
 // recordEnded records that this VM saw that the process of an endpoint has ended, and tells the peers. The caller holds the
 // lock.
 func (g *Gateway) recordEnded(e *fleet.Endpoint, now time.Time) {
--- a/pkg/gateway/eventstream.go
+++ b/pkg/gateway/eventstream.go
@@ -34,6 +34,7 @@
 		}
 		if complete > 0 {
 			silence.eventReceived()
+			g.recordProgress(t)
 			if err := g.awaitOriginRecord(ctx, t); err != nil {
 				return attemptResult{outcome: place.Neutral, err: err}
 			}
@@ -54,6 +55,13 @@
 	}
 }
 
+// recordProgress records that something arrived from the endpoint of an attempt.
+func (g *Gateway) recordProgress(t *target) {
+	if !t.throughPeer.Load() {
+		g.paths.RecordReached(t.choice.Endpoint, g.now())
+	}
+}
+
 // sendEvents sends complete events to the caller, preceded by the header of the first endpoint's answer.
 func (g *Gateway) sendEvents(r *request, t *target, stream *httpcall.Stream, events []byte) error {
 	if !r.streamStarted {
--- a/pkg/gateway/explain.go
+++ b/pkg/gateway/explain.go
@@ -145,7 +145,7 @@
 		startedUnixMs: g.startedUnixMs, ctx: g.ctx, metrics: newMetrics(), log: newLimitedLogger(g.settings.VM, g.boot, "error", io.Discard),
 		guardedState: g.guardedState,
 		// The shares of connections are computed when they are asked for, in the same way by every decision.
-		connections: g.connections,
+		connections: g.connections, paths: g.paths,
 	}
 	c.config.Store(g.config.Load())
 	c.leaving.Store(g.leaving.Load())
@@ -254,7 +254,7 @@
 			continue
 		}
 		registered := g.endpoints.Usable(name)
-		endpoints := g.eligibleEndpoints(r, registered)
+		endpoints := g.paths.Reachable(g.eligibleEndpoints(r, registered))
 		if ro := g.rollouts.byService[name]; ro != nil {
 			endpoints = g.candidatesByVersion(r, ro, endpoints, now).endpoints
 		}
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -44,6 +45,15 @@
 	slots int
 	// reused is set if the request was sent on a connection that had carried another one.
 	reused bool
+	// usable is the number of usable endpoints of the service.
+	usable int
+	// throughPeer is set once the request went through a peer, whose name is peer.
+	throughPeer atomic.Bool
+	peer        string
+	// pathWatch ends the watch on the request's connection, or is nil.
+	pathWatch func() bool
+	// endForward ends the record of the request at the peer, or is nil.
+	endForward func()
 	// retryReserved is set once a retry was taken from the budget for the attempt after this one.
 	retryReserved bool
 	// rollout is the part of the attempt in a roll-out.
@@ -52,6 +62,20 @@
 	underLimit bool
 }
 
+// stopWatch ends the watch on the connection of a request that was sent directly.
+func (t *target) stopWatch() {
+	if t.pathWatch != nil {
+		t.pathWatch()
+	}
+}
+
+// endSend ends the record of a request at a peer, if there is one.
+func (t *target) endSend() {
+	if t.endForward != nil {
+		t.endForward()
+	}
+}
+
 // forward sends the request to endpoints until the caller has its final answer.
 func (g *Gateway) forward(r *request) {
 	for {
@@ -162,7 +186,8 @@
 
 // placeOn places the request on the endpoints of a service of the configuration. The caller holds the lock.
 func (g *Gateway) placeOn(r *request, c *traffic.Config, s *traffic.Service, now time.Time) *target {
-	endpoints := g.eligibleEndpoints(r, g.endpoints.Usable(s.Name))
+	usable := g.endpoints.Usable(s.Name)
+	endpoints := g.paths.Reachable(g.eligibleEndpoints(r, usable))
 	p := g.placementRequest(r, c, s, now)
 	properties := g.serviceProperties(c, s, p, endpoints)
 	choice := g.placeByVersion(r, s.Name, endpoints, now, func(endpoints []*fleet.Endpoint) place.Choice {
@@ -171,7 +196,7 @@
 	r.atLimit += choice.AtLimit
 	g.metrics.counters.Add("endpoints_left_out_at_limit_total", int64(choice.AtLimit))
 	g.metrics.counters.Add("endpoints_left_out_connections_total", int64(choice.NoConnection))
-	return &target{service: s, choice: choice, request: p, slots: properties.Slots, sentAt: now}
+	return &target{service: s, choice: choice, request: p, slots: properties.Slots, sentAt: now, usable: len(usable)}
 }
 
 // recordSend records that the request is sent to its target. The caller holds the lock.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -24,7 +24,10 @@
 	"github.com/corneldeal/corneldeal/pkg/httpcall"
 	"github.com/corneldeal/corneldeal/pkg/ingress"
 	"github.com/corneldeal/corneldeal/pkg/issuer"
+	"github.com/corneldeal/corneldeal/pkg/pathcheck"
+	"github.com/corneldeal/corneldeal/pkg/peerforward"
 	"github.com/corneldeal/corneldeal/pkg/place"
+	"github.com/corneldeal/corneldeal/pkg/reach"
 	"github.com/corneldeal/corneldeal/pkg/settings"
 	"github.com/corneldeal/corneldeal/pkg/share"
 	"github.com/corneldeal/corneldeal/pkg/standstill"
@@ -72,6 +75,13 @@
 	nextID       atomic.Uint64
 	// inProgress holds the requests that have no final answer yet.
 	inProgress drain.Register
+	// paths are the ways to endpoints, pathChecks finds out why they fail, and forwarders chooses the peers that help.
+	paths      *reach.Table
+	pathChecks *pathcheck.Checker
+	forwarders *reach.Peers
+	// peerHTTP sends requests through peers, and forwarded is the number of those of peers that this VM sends now.
+	peerHTTP   *httpcall.Client
+	forwarded  atomic.Int64
 	standstill standstill.Detector
 	// digestRequests asks for a digest before the regular interval ends.
 	digestRequests chan struct{}
@@ -120,8 +130,8 @@
 	crashSync      crashSync
 	// endedSeen are the starts of endpoints that this VM saw to have ended lately, to be sent in its digests.
 	endedSeen []fleet.EndedStart
-	// checkingEnded holds the ids of the endpoints that this VM is checking.
-	checkingEnded map[string]bool
+	// cutServices are the services that this VM lost as a whole.
+	cutServices map[string]bool
 	// limits are the rate limits that endpoints named.
 	limits *endpointlimit.Table
 	// lastRequestAt is when this VM last placed a request, or zero.
@@ -212,7 +222,11 @@
 		ctx:               ctx,
 		cancel:            cancel,
 		guardedState:      newGuardedState(s, boot, src),
+		paths:             reach.NewTable(),
+		forwarders:        reach.NewPeers(),
+		peerHTTP:          httpcall.NewClientFrom(net.IP(ownIP.AsSlice())),
 	}
+	g.pathChecks = pathcheck.New(pathNetwork{g}, g.paths, g.now, g.concludePath)
 	client.SetBounds(g.connections)
 	if g.platform.Store != nil {
 		g.platform.Store.OnEra(g.observeEra)
@@ -236,7 +250,7 @@
 		accusationTurn:     boot,
 		partTraffic:        partTraffic{withPart: map[uint64]int{}},
 		crashSync:          newCrashSync(),
-		checkingEnded:      map[string]bool{},
+		cutServices:        map[string]bool{},
 		limits:             endpointlimit.New(s.VM),
 		lease:              issuer.NewLease(s.Lease()),
 		peers:              map[string]*peerState{},
@@ -276,7 +290,9 @@
 	if err != nil {
 		return fmt.Errorf("listen for peer datagrams: %w", err)
 	}
-	g.relayServer = gossip.NewServer(relayService{g})
+	g.relayServer = gossip.NewServer(relayService{g}, map[string]http.Handler{
+		peerforward.Path: peerforward.Handler(forwardService{g}),
+	})
 	g.adminServer = &fasthttp.Server{Handler: g.serveAdmin, ReadBufferSize: 4 << 10}
 	return nil
 }
@@ -339,6 +355,7 @@
 	go g.watchCaches()
 	go g.sweepConnections()
 	go g.observeStandstills()
+	go g.maintainPaths()
 	return nil
 }
 
--- a/pkg/gateway/logger.go
+++ b/pkg/gateway/logger.go
@@ -23,6 +23,7 @@
 	partOrder    = "order"
 	partStore    = "store"
 	partCache    = "cache"
+	partPath     = "path"
 	partCrash    = "crash"
 	partLog      = "log"
 )
--- a/pkg/gateway/silence.go
+++ b/pkg/gateway/silence.go
@@ -10,6 +10,7 @@
 	"github.com/corneldeal/corneldeal/pkg/affinity"
 	"github.com/corneldeal/corneldeal/pkg/failover"
 	"github.com/corneldeal/corneldeal/pkg/httpcall"
+	"github.com/corneldeal/corneldeal/pkg/reach"
 	"github.com/corneldeal/corneldeal/pkg/steady"
 )
 
@@ -79,6 +80,9 @@
 		l.timer.Reset(rest)
 		return
 	}
+	if !t.throughPeer.Load() {
+		g.checkPath(t.choice.Endpoint, reach.Unknown, l.since)
+	}
 	reason := g.reserveSuccessor(r, t, l.progress, now)
 	if reason == "" {
 		l.timer = nil
--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -64,9 +64,10 @@
 	g.Close()
 }
 
-// awaitConnections waits until no connection of a caller is open, at the latest until the given time.
+// awaitConnections waits until no connection of a caller is open and no request of a peer is being sent, at the latest until the
+// given time.
 func (g *Gateway) awaitConnections(until time.Time) {
-	for g.ingress.OpenConnections() > 0 && g.now().Before(until) {
+	for (g.ingress.OpenConnections() > 0 || g.forwarded.Load() > 0) && g.now().Before(until) {
 		time.Sleep(connectionPollInterval)
 	}
 }
@@ -115,6 +116,7 @@
 		_ = l.Close()
 	}
 	g.http.Close()
+	g.peerHTTP.Close()
 	if err := g.log.close(); err != nil {
 		// The log itself failed, so only standard error remains.
 		_, _ = fmt.Fprintln(os.Stderr, "corneldeal: log writer:", err)
--- /dev/null
+++ b/pkg/gateway/throughpeer.go
@@ -0,0 +1,112 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/corneldeal/corneldeal/pkg/httpcall"
+	"github.com/corneldeal/corneldeal/pkg/peerforward"
+	"github.com/corneldeal/corneldeal/pkg/reach"
+	"github.com/corneldeal/corneldeal/pkg/steady"
+)
+
+// connectTimeout bounds the time to connect to an endpoint or a peer while another VM may be asked instead.
+const connectTimeout = 250 * time.Millisecond
+
+// errLostAtPeer means that a peer sent a request and its endpoint did not answer.
+var errLostAtPeer = errors.New("gateway: the endpoint did not answer the peer")
+
+// open sends the request to the chosen endpoint, through a peer if this VM does not reach it. encode returns the request as it
+// is to be sent now.
+func (g *Gateway) open(ctx context.Context, r *request, t *target, encode func() httpcall.RawRequest) (*httpcall.Stream, error) {
+	req := encode()
+	req.Connected = func(c net.Conn) { t.pathWatch = g.watchPath(t, c) }
+	peers := g.forwardingPeers()
+	if len(peers) == 0 || req.NoResponseBody {
+		return g.http.OpenRaw(ctx, t.choice.Endpoint.Address, req)
+	}
+	route := g.routeTo(t)
+	direct := error(&httpcall.Error{Address: t.choice.Endpoint.Address, Err: errPathLost})
+	if route != reach.ThroughPeer {
+		req.ConnectTimeout, req.IdleOnly = connectTimeout, route == reach.IdleOnly
+		stream, err := g.http.OpenRaw(ctx, t.choice.Endpoint.Address, req)
+		if err == nil || !httpcall.NeverWritten(err) || ctx.Err() != nil {
+			return stream, err
+		}
+		direct = err
+		if route == reach.Direct {
+			g.checkPath(t.choice.Endpoint, probeOf(err), t.sentAt)
+		}
+	}
+	stream, err := g.openThroughPeers(ctx, r, t, peers, encode)
+	if httpcall.NeverWritten(err) {
+		// What this VM saw itself tells more about the endpoint.
+		return nil, direct
+	}
+	return stream, err
+}
+
+// openThroughPeers sends the request through the first peer that does so.
+func (g *Gateway) openThroughPeers(
+	ctx context.Context, r *request, t *target, peers []reach.Peer, encode func() httpcall.RawRequest,
+) (*httpcall.Stream, error) {
+	e := t.choice.Endpoint
+	g.mu.Lock()
+	order := g.forwarders.Order(peers, e.Service, g.random, g.now())
+	g.mu.Unlock()
+	for _, peer := range order {
+		stream, refused, err := g.openThroughPeer(ctx, r, t, peer, encode())
+		if refused == "" {
+			return stream, err
+		}
+		g.metrics.count("forwards_refused_" + string(refused) + "_total")
+		g.forwarders.RecordRefusal(peer.VM, e.Service, refused, g.now())
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, &httpcall.Error{Address: e.Address, Err: errPathLost}
+}
+
+// openThroughPeer sends the request through a peer. It returns a reason if no byte of it reached the endpoint.
+func (g *Gateway) openThroughPeer(
+	ctx context.Context, r *request, t *target, peer reach.Peer, req httpcall.RawRequest,
+) (*httpcall.Stream, reach.Reason, error) {
+	e := t.choice.Endpoint
+	address := g.peerAddress(peer.Address)
+	call := peerforward.Request{
+		VM: g.settings.VM, Endpoint: e.ID, StartTimeMs: e.StartTimeMs, Idempotent: req.Idempotent, Fresh: req.Fresh,
+		Timeout: r.deadline.Sub(steady.Now()), Head: req.Head, Body: req.Body,
+	}.Encode(address)
+	call.ConnectTimeout = connectTimeout
+	end := g.forwarders.Begin(peer.VM)
+	stream, err := g.peerHTTP.OpenRaw(ctx, address, call)
+	if err != nil {
+		end()
+		if httpcall.NeverWritten(err) {
+			return nil, reach.PeerUnreachable, nil
+		}
+		t.throughPeer.Store(true)
+		t.peer = peer.VM
+		return nil, "", err
+	}
+	reply := peerforward.ReadReply(&stream.Response.Header)
+	switch reply.Outcome {
+	case peerforward.Answered:
+		t.throughPeer.Store(true)
+		t.peer, t.endForward = peer.VM, end
+		g.metrics.count("attempts_through_peers_total")
+		return stream, "", nil
+	case peerforward.Lost:
+		end()
+		stream.Close()
+		t.throughPeer.Store(true)
+		t.peer = peer.VM
+		return nil, "", &httpcall.Error{Address: e.Address, Written: true, Err: errLostAtPeer}
+	}
+	end()
+	stream.Close()
+	return nil, reply.Reason, nil
+}
--- a/pkg/gossip/transport.go
+++ b/pkg/gossip/transport.go
@@ -100,9 +100,14 @@
 	}
 }
 
-// NewServer returns an HTTP server for the relay.
-func NewServer(impl Relay) *http.Server {
-	return &http.Server{Handler: NewRelayServer(impl), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+// NewServer returns an HTTP server for the relay, and for the other handlers of calls between VMs by their paths.
+func NewServer(impl Relay, others map[string]http.Handler) *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle("/", NewRelayServer(impl))
+	for path, handler := range others {
+		mux.Handle(path, handler)
+	}
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 }
 
 // RelayClients caches one relay client per peer address. It is safe for concurrent use.
@@ -128,12 +133,22 @@
 
 // State requests records from the relay of the peer at address (IP:port).
 func (r *RelayClients) State(ctx context.Context, address string, req *StateRequest) (*StateResponse, error) {
+	return r.client(address).State(ctx, req)
+}
+
+// Probe asks the peer at address (IP:port) to connect to an endpoint.
+func (r *RelayClients) Probe(ctx context.Context, address string, req *ProbeRequest) (*ProbeResponse, error) {
+	return r.client(address).Probe(ctx, req)
+}
+
+// client returns the client of the peer at address.
+func (r *RelayClients) client(address string) Relay {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	client, ok := r.byAddress[address]
 	if !ok {
 		client = NewRelayProtobufClient("http://"+address, r.http)
 		r.byAddress[address] = client
 	}
-	r.mu.Unlock()
-	return client.State(ctx, req)
+	return client
 }
--- a/pkg/httpcall/httpcall.go
+++ b/pkg/httpcall/httpcall.go
@@ -111,6 +111,8 @@
 	open openCounts
 	// bounds are the bounds of the open connections, or nil.
 	bounds Bounds
+	// local is the address that connections are opened from, or nil.
+	local net.Addr
 }
 
 // NewClient returns a client with an empty pool.
@@ -118,6 +120,13 @@
 	return &Client{idle: map[string][]*persistConn{}, open: openCounts{counts: map[string]int{}}}
 }
 
+// NewClientFrom returns a client that opens its connections from the given IP, so that servers can tell who calls.
+func NewClientFrom(ip net.IP) *Client {
+	c := NewClient()
+	c.local = &net.TCPAddr{IP: ip}
+	return c
+}
+
 // Close closes all idle connections.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -187,12 +196,18 @@
 	c.idle[address] = append(c.idle[address], conn)
 }
 
-// dial opens a connection to address. Idle connections to it are closed first if it would be beyond the address's bound.
+// dial opens a connection to address within DialTimeout.
 func (c *Client) dial(ctx context.Context, address string) (*persistConn, error) {
+	return c.dialWithin(ctx, address, DialTimeout)
+}
+
+// dialWithin opens a connection to address within the given time. Idle connections to it are closed first if it would be beyond
+// the address's bound.
+func (c *Client) dialWithin(ctx context.Context, address string, limit time.Duration) (*persistConn, error) {
 	// The connection counts while it is being opened, so that concurrent calls see it.
 	c.open.add(address, 1)
 	c.makeRoom(address)
-	conn, err := dial(ctx, address)
+	conn, err := c.dialNow(ctx, address, limit)
 	if err != nil {
 		c.open.add(address, -1)
 		return nil, err
@@ -201,11 +216,12 @@
 	return conn, nil
 }
 
-// dial opens a connection to address.
-func dial(ctx context.Context, address string) (*persistConn, error) {
+// dialNow opens a connection to address that does not count yet.
+func (c *Client) dialNow(ctx context.Context, address string, limit time.Duration) (*persistConn, error) {
 	d := net.Dialer{
-		Timeout: DialTimeout,
-		Control: setUserTimeout,
+		Timeout:   limit,
+		LocalAddr: c.local,
+		Control:   setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     keepAliveProbeIdle,
@@ -250,6 +266,19 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// IsClosedByServer reports whether err means that the server closed, reset or refused the connection, at once and by a packet of
+// its own.
+func IsClosedByServer(err error) bool {
+	return IsRefused(err) || isClosedByServer(err)
+}
+
+// CloseIdle closes all idle connections to address, and returns how many there were.
+func (c *Client) CloseIdle(address string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closeIdle(address, len(c.idle[address]))
+}
+
 // Options are the settings of one call.
 type Options struct {
 	// Fresh requires a new connection instead of a pooled one. It must be set for calls that must not run twice,
@@ -309,14 +338,29 @@
 	return min(longest, time.Duration(float64(seconds)*keepAliveFraction*float64(time.Second)))
 }
 
+// ErrNoIdleConnection means that a call that must not open a connection found none that is open.
+var ErrNoIdleConnection = errors.New("httpcall: no idle connection")
+
 // connect returns a pooled connection, or a new one if fresh is set or there is no pooled one.
 func (c *Client) connect(ctx context.Context, address string, fresh, idempotent bool) (*persistConn, error) {
-	if !fresh {
-		if conn := c.takeIdle(address, idempotent); conn != nil {
+	return c.connectFor(ctx, address, RawRequest{Fresh: fresh, Idempotent: idempotent})
+}
+
+// connectFor is connect with the options of a request.
+func (c *Client) connectFor(ctx context.Context, address string, req RawRequest) (*persistConn, error) {
+	if !req.Fresh {
+		if conn := c.takeIdle(address, req.Idempotent); conn != nil {
 			return conn, nil
 		}
 	}
-	return c.dial(ctx, address)
+	if req.IdleOnly {
+		return nil, &Error{Address: address, Err: ErrNoIdleConnection}
+	}
+	limit := DialTimeout
+	if req.ConnectTimeout > 0 {
+		limit = req.ConnectTimeout
+	}
+	return c.dialWithin(ctx, address, limit)
 }
 
 // send writes req on a connection and returns the connection. Nothing else uses it until it is released.
--- a/pkg/httpcall/raw.go
+++ b/pkg/httpcall/raw.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"syscall"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
@@ -25,15 +26,24 @@
 	Idempotent bool
 	// NoResponseBody is set if the response has no body whatever its headers announce, as for HEAD.
 	NoResponseBody bool
+	// ConnectTimeout bounds the time to connect. Zero means DialTimeout.
+	ConnectTimeout time.Duration
+	// IdleOnly forbids a new connection. Without an idle one the call fails with ErrNoIdleConnection.
+	IdleOnly bool
+	// Connected, if not nil, is called with the connection before the request is written.
+	Connected func(net.Conn)
 }
 
 // OpenRaw sends req to address and returns once the response headers were read. Cancelling ctx closes the connection at
 // once, also during later reads. Errors are of type *Error.
 func (c *Client) OpenRaw(ctx context.Context, address string, req RawRequest) (*Stream, error) {
-	conn, err := c.connect(ctx, address, req.Fresh, req.Idempotent)
+	conn, err := c.connectFor(ctx, address, req)
 	if err != nil {
 		return nil, err
 	}
+	if req.Connected != nil {
+		req.Connected(conn.Conn)
+	}
 	conn.framing.allow(0)
 	conn.framing.received = false
 	resp := &fasthttp.Response{StreamBody: true, SkipBody: req.NoResponseBody}
--- a/pkg/ingress/slowcaller.go
+++ b/pkg/ingress/slowcaller.go
@@ -4,10 +4,9 @@
 	"errors"
 	"net"
 	"os"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/corneldeal/corneldeal/pkg/sendqueue"
 )
 
 const (
@@ -47,7 +46,7 @@
 			return written, err
 		}
 		before := unread + n
-		unread = unreadBytes(raw)
+		unread = sendqueue.Unacknowledged(raw)
 		idleIntervals++
 		if first || unread < before {
 			// The caller's kernel has acknowledged bytes, or what it acknowledged is not known yet.
@@ -60,29 +59,6 @@
 	}
 }
 
-// unreadBytes returns the number of bytes in a connection's send buffer that the other side has not acknowledged, or zero
-// if it is no TCP connection.
-func unreadBytes(c net.Conn) int {
-	socket, ok := c.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	unread := 0
-	err = raw.Control(func(fd uintptr) {
-		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
-			unread = n
-		}
-	})
-	if err != nil {
-		return 0
-	}
-	return unread
-}
-
 // limitSendBuffer bounds what the kernel holds for a caller. An error leaves the usual size, which only takes more memory.
 func limitSendBuffer(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
--- /dev/null
+++ b/pkg/peerforward/server.go
@@ -0,0 +1,151 @@
+package peerforward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/corneldeal/corneldeal/pkg/httpcall"
+	"github.com/corneldeal/corneldeal/pkg/reach"
+)
+
+const (
+	// MaxRequestBytes limits the head and the body of a request together.
+	MaxRequestBytes = 1 << 20
+	// readTimeout bounds the time to read a call.
+	readTimeout = 2 * time.Second
+	// pieceBytes is the size of the pieces in which an answer is passed on.
+	pieceBytes = 4 << 10
+)
+
+// Sender sends the requests of peers to endpoints. Its methods are called concurrently.
+type Sender interface {
+	// Reserve takes memory for a call of that many bytes from a peer at the given IP. It returns the reason for which the call is
+	// not served instead, or the function that gives the memory back.
+	Reserve(vm string, from netip.Addr, bytes int) (release func(), refused reach.Reason)
+	// Send sends a request. It returns the answer, a reason if nothing was sent, or an error if it was sent and the answer is lost.
+	// The caller closes the answer. Cancelling ctx ends the send.
+	Send(ctx context.Context, r Request) (answer *httpcall.Stream, refused reach.Reason, err error)
+	// ReportMalformed records a call that could not be read.
+	ReportMalformed(from netip.Addr, err error)
+}
+
+// errMalformed means that a call does not follow the protocol.
+var errMalformed = errors.New("peerforward: malformed call")
+
+// Handler returns the handler of the calls of peers.
+func Handler(s Sender) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, call *http.Request) { serve(s, w, call) })
+}
+
+// serve answers one call.
+func serve(s Sender, w http.ResponseWriter, call *http.Request) {
+	// The address of a TCP connection is always valid.
+	from, _ := netip.ParseAddrPort(call.RemoteAddr)
+	size := call.ContentLength
+	if call.Method != http.MethodPost || size <= 0 || size > MaxRequestBytes {
+		s.ReportMalformed(from.Addr(), errMalformed)
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	release, refused := s.Reserve(call.Header.Get(headerVM), from.Addr(), int(size))
+	if refused != "" {
+		refuse(w, refused)
+		return
+	}
+	defer release()
+	r, err := readCall(w, call, int(size))
+	if err != nil {
+		s.ReportMalformed(from.Addr(), err)
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(call.Context(), r.Timeout)
+	defer cancel()
+	answer, refused, err := s.Send(ctx, r)
+	switch {
+	case refused != "":
+		refuse(w, refused)
+	case err != nil:
+		w.Header().Set(headerOutcome, string(Lost))
+		w.WriteHeader(http.StatusBadGateway)
+	default:
+		defer answer.Close()
+		passOn(w, answer)
+	}
+}
+
+// refuse answers a call whose request was not sent.
+func refuse(w http.ResponseWriter, reason reach.Reason) {
+	w.Header().Set(headerOutcome, string(NotSent))
+	w.Header().Set(headerReason, string(reason))
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// readCall reads the request from a call of the given size.
+func readCall(w http.ResponseWriter, call *http.Request, size int) (Request, error) {
+	h := call.Header
+	start, startErr := strconv.ParseInt(h.Get(headerStart), 10, 64)
+	timeoutMs, timeoutErr := strconv.ParseInt(h.Get(headerTimeout), 10, 64)
+	headLength, lengthErr := strconv.Atoi(h.Get(headerHeadLength))
+	idempotent, idempotentErr := strconv.ParseBool(h.Get(headerIdempotent))
+	fresh, freshErr := strconv.ParseBool(h.Get(headerFresh))
+	if errors.Join(startErr, timeoutErr, lengthErr, idempotentErr, freshErr) != nil || headLength <= 0 || headLength > size || timeoutMs <= 0 ||
+		h.Get(headerEndpoint) == "" {
+		return Request{}, errMalformed
+	}
+	// A connection without deadlines only reads until the call's end in any case.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readTimeout))
+	data := make([]byte, size)
+	if _, err := io.ReadFull(call.Body, data); err != nil {
+		return Request{}, err
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	return Request{
+		VM: h.Get(headerVM), Endpoint: h.Get(headerEndpoint), StartTimeMs: start, Idempotent: idempotent, Fresh: fresh,
+		Timeout: time.Duration(timeoutMs) * time.Millisecond, Head: data[:headLength], Body: data[headLength:],
+	}, nil
+}
+
+// connectionHeaders are headers that concern a single connection.
+var connectionHeaders = map[string]bool{
+	"connection": true, "keep-alive": true, "transfer-encoding": true, "content-length": true, "trailer": true, "upgrade": true,
+}
+
+// passOn writes an endpoint's answer. If it ends early, so does the connection.
+func passOn(w http.ResponseWriter, answer *httpcall.Stream) {
+	header := w.Header()
+	// The server would add these to an answer that has none.
+	header[fasthttp.HeaderDate], header[fasthttp.HeaderContentType] = nil, nil
+	for name, value := range answer.Response.Header.All() {
+		if key := string(name); !connectionHeaders[strings.ToLower(key)] {
+			header[key] = append(header[key], string(value))
+		}
+	}
+	header.Set(headerOutcome, string(Answered))
+	w.WriteHeader(answer.Response.StatusCode())
+	flush := http.NewResponseController(w).Flush
+	piece := make([]byte, pieceBytes)
+	for err := flush(); ; err = flush() {
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		n, readErr := answer.Read(piece)
+		if _, err := w.Write(piece[:n]); n > 0 && err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		switch {
+		case errors.Is(readErr, io.EOF):
+			return
+		case readErr != nil:
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -142,6 +142,11 @@
 	}
 }
 
+// WaitsUntil returns the time until which an endpoint asked this VM to send no requests, or the zero time.
+func (p *Placer) WaitsUntil(e *fleet.Endpoint) time.Time {
+	return p.stateOf(e).waitUntil
+}
+
 // MarkVersionUncertain records that an endpoint runs other weights than expected.
 func (p *Placer) MarkVersionUncertain(e *fleet.Endpoint, now time.Time) {
 	p.stateOf(e).versionUncertainUntil = now.Add(versionUncertainFor)
