Count a service as cut off also after an earlier partial cut

A service counted as cut off only if nothing had arrived since the first of its endpoints was cut off. While a part of them stayed cut off, that time never moved on, so the loss of the others later did not count until each one was found. The property tests showed it: with 1 endpoint cut off earlier and 3 later of 4, CutOff was false. Now the endpoints that were cut off since something arrived are counted, against those that were left. The counts belong to the service of the path, also where a registration names another.

--- a/pkg/reach/table.go
+++ b/pkg/reach/table.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// minCutEndpoints is the number of endpoints that are cut off, none of a service reached since, from which the whole
-	// service counts as cut off. A smaller service counts once all of its endpoints are.
+	// minCutEndpoints is the number of endpoints that were cut off since one of the service was reached, from which the whole
+	// service counts as cut off. One of which fewer are left counts once all of them are.
 	minCutEndpoints = 3
 	// minProbePause and maxProbePause bound the time between two probes of an endpoint that is cut off. It doubles each time
 	// that the endpoint is cut off again within flapTime.
@@ -38,15 +38,19 @@
 	// cutAt is when it was last found to be cut off, probeAt when it is to be probed, and pause the time between probes.
 	cutAt, probeAt time.Time
 	pause          time.Duration
+	// epoch is that of the service when the path was cut off.
+	epoch int
 	// checkedAt is when a check last began.
 	checkedAt time.Time
 }
 
 // serviceState is what this VM knows of a service as a whole.
 type serviceState struct {
-	// cut is the number of endpoints that are cut off, and cutSince the time of the first of them.
-	cut      int
-	cutSince time.Time
+	// cut is the number of endpoints that are cut off, and fresh the number of those found so since something last arrived from
+	// any endpoint of the service.
+	cut, fresh int
+	// epoch is the number of times that something arrived from one of its endpoints.
+	epoch int
 	// reached is when something last arrived from one of its endpoints, and opened when one was reached again after a cut.
 	reached, opened time.Time
 }
@@ -88,8 +92,11 @@
 func (t *Table) RecordReached(e *fleet.Endpoint, now time.Time) (opened bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p, s := t.pathOf(e), t.service(e.Service)
+	p := t.pathOf(e)
+	s := t.service(p.service)
 	p.reached, s.reached = now, now
+	s.epoch++
+	s.fresh = 0
 	if !p.cut {
 		return false
 	}
@@ -103,7 +110,8 @@
 func (t *Table) RecordCut(e *fleet.Endpoint, probe Probe, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p, s := t.pathOf(e), t.service(e.Service)
+	p := t.pathOf(e)
+	s := t.service(p.service)
 	if p.cut {
 		p.probe = probe
 		return false
@@ -114,10 +122,9 @@
 		p.pause = minProbePause
 	}
 	p.cut, p.probe, p.cutAt, p.probeAt = true, probe, now, now.Add(p.pause)
-	if s.cut == 0 {
-		s.cutSince = now
-	}
+	p.epoch = s.epoch
 	s.cut++
+	s.fresh++
 	return true
 }
 
@@ -174,10 +181,11 @@
 // serviceCut is CutOff for a caller that holds the lock.
 func (t *Table) serviceCut(service string, usable int) bool {
 	s := t.services[service]
-	if s == nil || s.cut == 0 || s.cut < min(minCutEndpoints, usable) {
+	if s == nil || s.fresh == 0 {
 		return false
 	}
-	return !s.reached.After(s.cutSince)
+	left := usable - (s.cut - s.fresh)
+	return s.fresh >= min(minCutEndpoints, left)
 }
 
 // Reachable returns the endpoints of a service that are not cut off, or all if each of them is. The slice that it is given is
@@ -253,13 +261,23 @@
 		if keep(id) {
 			continue
 		}
-		if p.cut {
-			t.services[p.service].cut--
-		}
+		t.forget(p)
 		delete(t.paths, id)
 	}
 }
 
+// forget takes a path out of the counts of its service. The caller holds the lock.
+func (t *Table) forget(p *path) {
+	if !p.cut {
+		return
+	}
+	s := t.services[p.service]
+	s.cut--
+	if p.epoch == s.epoch {
+		s.fresh--
+	}
+}
+
 // Cut returns the number of endpoints of each service that are cut off, without services that have none.
 func (t *Table) Cut() map[string]int {
 	t.mu.Lock()
