Bound the probes of a VM over all services, and let none starve

DueProbes bounded the probes of each service, so a VM that was cut off from many services sent more, and took the endpoints in the order of the list, so the first ones were due again before the last had their turn. The property test showed 21 probes in a second against 20 with a single service after one endpoint was reached, and 3 in one round with two services. Now a round has 2 probes, for the services in turn and the endpoint that has been due longest.

--- a/pkg/reach/property_test.go
+++ b/pkg/reach/property_test.go
@@ -13,6 +13,9 @@
 	"github.com/corneldeal/corneldeal/pkg/fleet"
 )
 
+// roundInterval is the time between two calls of DueProbes.
+const roundInterval = 100 * time.Millisecond
+
 // tableModel runs a Table beside a plain record of what it was told.
 type tableModel struct {
 	table     *Table
@@ -90,6 +93,9 @@
 
 func (m *tableModel) probe(t *rapid.T) {
 	due := m.table.DueProbes(m.endpoints, m.now)
+	if len(due) > maxProbes {
+		t.Fatalf("%d probes in one round", len(due))
+	}
 	for _, e := range due {
 		if !m.isCut(e) {
 			t.Fatalf("%v is probed and not cut off", e.ID)
@@ -176,6 +182,51 @@
 	return out
 }
 
+// Guards against endpoints that are never probed again beside many others, and against too many probes a second.
+func TestProbesAreBoundedAndReachAllEndpoints(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, start := NewTable(), time.Unix(1000, 0)
+		endpoints := makeEndpoints(rapid.IntRange(1, 120).Draw(t, "endpoints"), rapid.IntRange(1, 5).Draw(t, "services"))
+		last := map[string]time.Time{}
+		for _, e := range endpoints {
+			table.RecordCut(e, rapid.SampledFrom([]Probe{Refused, TimedOut}).Draw(t, "probe"), start)
+			last[e.ID] = start
+		}
+		perSecond := int(time.Second / roundInterval * maxProbes)
+		longest := maxProbePause + time.Duration(len(endpoints)/perSecond+1)*time.Second
+		opens := rapid.Bool().Draw(t, "one is reached")
+		var rounds []int
+		for now := start; now.Before(start.Add(3 * longest)); now = now.Add(roundInterval) {
+			if opens && now.Sub(start) == longest {
+				table.RecordReached(endpoints[0], now)
+				delete(last, endpoints[0].ID)
+			}
+			due := table.DueProbes(endpoints, now)
+			for _, e := range due {
+				last[e.ID] = now
+			}
+			rounds = append(rounds, len(due))
+			requireProbes(t, rounds, perSecond)
+			for id, at := range last {
+				if now.Sub(at) > longest {
+					t.Fatalf("%v of %d was last probed %v ago", id, len(endpoints), now.Sub(at))
+				}
+			}
+		}
+	})
+}
+
+// requireProbes fails the test if the last second holds too many probes.
+func requireProbes(t *rapid.T, rounds []int, perSecond int) {
+	sum := 0
+	for _, n := range rounds[max(0, len(rounds)-int(time.Second/roundInterval)):] {
+		sum += n
+	}
+	if sum > perSecond {
+		t.Fatalf("%d probes in one second, allowed %d", sum, perSecond)
+	}
+}
+
 // Guards against pauses between probes that grow without bound, or that a path keeps long after it was stable.
 func TestProbePausesDoubleWhileAPathFlaps(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/pkg/reach/table.go
+++ b/pkg/reach/table.go
@@ -17,11 +17,9 @@
 	minProbePause = 500 * time.Millisecond
 	maxProbePause = 4 * time.Second
 	flapTime      = 10 * time.Second
-	// maxProbes is the number of endpoints of one service that are probed in one round.
+	// maxProbes is the number of endpoints that are probed in one round.
 	maxProbes = 2
-	// maxOpeningProbes is that number once one of them was reached again.
-	maxOpeningProbes = 16
-	// openingTime is the time after that for which the others are probed at once.
+	// openingTime is the time after one endpoint of a service was reached again for which the others are probed at once.
 	openingTime = 2 * time.Second
 	// checkInterval is the shortest time between two checks of the same endpoint.
 	checkInterval = time.Second
@@ -53,6 +51,8 @@
 	epoch int
 	// reached is when something last arrived from one of its endpoints, and opened when one was reached again after a cut.
 	reached, opened time.Time
+	// probedAt is when one of its endpoints was last probed.
+	probedAt time.Time
 }
 
 // Table holds the paths of this VM to the endpoints. It is safe for concurrent use; its lock is taken after all others.
@@ -228,31 +228,48 @@
 	return true
 }
 
-// DueProbes returns the endpoints among those given that are cut off and to be probed now, and records the probes.
+// DueProbes returns the endpoints among those given that are cut off and to be probed now, at most maxProbes, and records the
+// probes. The service that was probed longest ago goes first, and within it the endpoint that has been due longest.
 func (t *Table) DueProbes(endpoints []*fleet.Endpoint, now time.Time) []*fleet.Endpoint {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []*fleet.Endpoint
-	count := map[string]int{}
+	var due, out []*fleet.Endpoint
 	for _, e := range endpoints {
-		p := t.paths[e.Incarnation()]
-		if p == nil || !p.cut {
-			continue
-		}
-		limit, due := maxProbes, !now.Before(p.probeAt)
-		if s := t.service(e.Service); !s.opened.IsZero() && now.Sub(s.opened) < openingTime {
-			limit, due = maxOpeningProbes, due || p.probeAt.Add(-p.pause).Before(s.opened)
+		if p := t.paths[e.Incarnation()]; p != nil && p.cut && t.isDue(p, now) {
+			due = append(due, e)
 		}
-		if !due || count[e.Service] >= limit {
-			continue
-		}
-		count[e.Service]++
+	}
+	for len(due) > 0 && len(out) < maxProbes {
+		next := slices.MinFunc(due, t.compareProbes)
+		p := t.paths[next.Incarnation()]
 		p.probeAt = now.Add(p.pause)
-		out = append(out, e)
+		t.services[p.service].probedAt = now
+		out = append(out, next)
+		due = slices.DeleteFunc(due, func(e *fleet.Endpoint) bool { return e == next })
 	}
 	return out
 }
 
+// isDue reports whether an endpoint that is cut off is to be probed: after its pause, or once another of its service was
+// reached. The caller holds the lock.
+func (t *Table) isDue(p *path, now time.Time) bool {
+	if !now.Before(p.probeAt) {
+		return true
+	}
+	opened := t.services[p.service].opened
+	lastProbe := p.probeAt.Add(-p.pause)
+	return !opened.IsZero() && now.Sub(opened) < openingTime && lastProbe.Before(opened)
+}
+
+// compareProbes orders endpoints by which is to be probed first. The caller holds the lock.
+func (t *Table) compareProbes(a, b *fleet.Endpoint) int {
+	p, q := t.paths[a.Incarnation()], t.paths[b.Incarnation()]
+	if c := t.services[p.service].probedAt.Compare(t.services[q.service].probedAt); c != 0 {
+		return c
+	}
+	return p.probeAt.Compare(q.probeAt)
+}
+
 // Retain forgets the paths to starts of endpoints for which keep returns false.
 func (t *Table) Retain(keep func(fleet.Incarnation) bool) {
 	t.mu.Lock()
