--- a/pkg/reach/property_test.go
+++ b/pkg/reach/property_test.go
@@ -21,14 +21,18 @@
 	table     *Table
 	now       time.Time
 	endpoints []*fleet.Endpoint
-	// cut are the starts of endpoints that count as cut off, with the service of each.
-	cut map[fleet.Incarnation]string
+	// cut are the starts of endpoints that count as cut off, with the service of each, and probes how connections fail there.
+	cut    map[fleet.Incarnation]string
+	probes map[fleet.Incarnation]Probe
 	// fresh are those of them that were cut off since something of the service was reached.
 	fresh map[fleet.Incarnation]string
 }
 
 func newTableModel(t *rapid.T) *tableModel {
-	m := &tableModel{table: NewTable(), now: time.Unix(1000, 0), cut: map[fleet.Incarnation]string{}, fresh: map[fleet.Incarnation]string{}}
+	m := &tableModel{
+		table: NewTable(), now: time.Unix(1000, 0), cut: map[fleet.Incarnation]string{},
+		probes: map[fleet.Incarnation]Probe{}, fresh: map[fleet.Incarnation]string{},
+	}
 	for i := range rapid.IntRange(1, 12).Draw(t, "endpoints") {
 		m.endpoints = append(m.endpoints, &fleet.Endpoint{ID: fmt.Sprint(i), StartTimeMs: 1, Service: fmt.Sprint("s", i%2)})
 	}
@@ -61,6 +65,7 @@
 	if got := m.table.RecordCut(e, probe, m.now); got != isNew {
 		t.Fatalf("RecordCut of %v returned %v", e.ID, got)
 	}
+	m.probes[e.Incarnation()] = probe
 	if isNew {
 		m.cut[e.Incarnation()] = e.Service
 		m.fresh[e.Incarnation()] = e.Service
@@ -135,10 +140,28 @@
 		t.Fatalf("Reachable returned %d endpoints, want %d", len(got), len(left))
 	}
 	for _, e := range all {
-		if route := m.table.RouteTo(e, len(all)); (route == Direct) != (!m.isCut(e) && !cutOff) {
-			t.Fatalf("the route to %v is %v; cut off: %v, its service: %v", e.ID, route, m.isCut(e), cutOff)
+		if got, want := m.table.RouteTo(e, len(all)), m.route(e, cutOff); got != want {
+			t.Fatalf("the route to %v is %v, want %v; cut off: %v, its service: %v", e.ID, got, want, m.isCut(e), cutOff)
+		}
+	}
+}
+
+// route returns the way to an endpoint, where its service is cut off as a whole or not.
+func (m *tableModel) route(e *fleet.Endpoint, cutOff bool) Route {
+	timesOut := m.probes[e.Incarnation()] == TimedOut
+	switch {
+	case !m.isCut(e) && !cutOff:
+		return Direct
+	case !m.isCut(e):
+		timesOut = false
+		for id, service := range m.cut {
+			timesOut = timesOut || service == e.Service && m.probes[id] == TimedOut
 		}
 	}
+	if timesOut {
+		return ThroughPeer
+	}
+	return IdleOnly
 }
 
 // Guards against counts that drift from the paths, and against routes that contradict them, over any sequence of events.
@@ -319,3 +342,14 @@
 		}
 	})
 }
+
+// BenchmarkRouteOfCutService measures the route to an endpoint that is not cut off itself, of a service that is.
+func BenchmarkRouteOfCutService(b *testing.B) {
+	table, endpoints := NewTable(), makeEndpoints(2400, 4)
+	for _, e := range endpoints[1:] {
+		table.RecordCut(e, Refused, time.Unix(1000, 0))
+	}
+	for b.Loop() {
+		table.RouteTo(endpoints[0], 600)
+	}
+}
--- a/pkg/reach/table.go
+++ b/pkg/reach/table.go
@@ -47,6 +47,8 @@
 	// cut is the number of endpoints that are cut off, and fresh the number of those found so since something last arrived from
 	// any endpoint of the service.
 	cut, fresh int
+	// timedOut is the number of those that are cut off whose connections time out.
+	timedOut int
 	// epoch is the number of times that something arrived from one of its endpoints.
 	epoch int
 	// reached is when something last arrived from one of its endpoints, and opened when one was reached again after a cut.
@@ -100,6 +102,7 @@
 	if !p.cut {
 		return false
 	}
+	s.timedOut -= timeouts(p.probe)
 	p.cut = false
 	s.cut--
 	s.opened = now
@@ -113,6 +116,7 @@
 	p := t.pathOf(e)
 	s := t.service(p.service)
 	if p.cut {
+		s.timedOut += timeouts(probe) - timeouts(p.probe)
 		p.probe = probe
 		return false
 	}
@@ -125,6 +129,7 @@
 	p.epoch = s.epoch
 	s.cut++
 	s.fresh++
+	s.timedOut += timeouts(probe)
 	return true
 }
 
@@ -160,13 +165,19 @@
 	return Direct
 }
 
+// timeouts returns 1 for a connection that timed out, else 0.
+func timeouts(p Probe) int {
+	if p == TimedOut {
+		return 1
+	}
+	return 0
+}
+
 // commonProbe returns how connections to the endpoints of a service fail that is cut off as a whole: TimedOut if one did. The
 // caller holds the lock.
 func (t *Table) commonProbe(service string) Probe {
-	for _, p := range t.paths {
-		if p.service == service && p.cut && p.probe == TimedOut {
-			return TimedOut
-		}
+	if t.services[service].timedOut > 0 {
+		return TimedOut
 	}
 	return Refused
 }
@@ -290,6 +301,7 @@
 	}
 	s := t.services[p.service]
 	s.cut--
+	s.timedOut -= timeouts(p.probe)
 	if p.epoch == s.epoch {
 		s.fresh--
 	}
