--- a/pkg/reach/verdict.go
+++ b/pkg/reach/verdict.go
@@ -60,8 +60,9 @@
 	return verdictNames[v]
 }
 
-// Judge returns what the own probe of an endpoint and those of peers show. A peer counts as refused only if it reaches other
-// endpoints of the service. Without peers a refusal proves that the endpoint ended.
+// Judge returns what the own probe of an endpoint and those of peers show. A peer counts as refused only if it was
+// refused twice and another endpoint of the service accepted a connection between the two, which shows that the peer was not cut
+// off then. Without peers a refusal proves that the endpoint ended.
 func Judge(own Probe, peers []Probe) Verdict {
 	if own == Connected {
 		return Open
