--- a/pkg/reach/table.go
+++ b/pkg/reach/table.go
@@ -17,10 +17,17 @@
 	minProbePause = 500 * time.Millisecond
 	maxProbePause = 4 * time.Second
 	flapTime      = 10 * time.Second
-	// maxProbes is the number of endpoints that are probed in one round.
+	// probeRate is the number of endpoints that are probed in a second, and maxProbes that in one round.
+	probeRate = 8
 	maxProbes = 2
 	// openingTime is the time after one endpoint of a service was reached again for which the others are probed at once.
 	openingTime = 2 * time.Second
+	// checkRate is the number of checks in a second, and maxChecks that of checks at once.
+	checkRate = 4
+	maxChecks = 8
+	// answerRate is the number of connections in a second for questions of peers, and maxAnswers that at once.
+	answerRate = 5
+	maxAnswers = 4
 	// checkInterval is the shortest time between two checks of the same endpoint.
 	checkInterval = time.Second
 )
@@ -62,11 +69,16 @@
 	mu       sync.Mutex
 	paths    map[fleet.Incarnation]*path
 	services map[string]*serviceState
+	// probes, checks and answers bound what this VM spends to know its paths and those of its peers.
+	probes, checks, answers budget
 }
 
 // NewTable returns a table in which every endpoint counts as reachable.
 func NewTable() *Table {
-	return &Table{paths: map[fleet.Incarnation]*path{}, services: map[string]*serviceState{}}
+	return &Table{
+		paths: map[fleet.Incarnation]*path{}, services: map[string]*serviceState{}, probes: newBudget(probeRate, maxProbes),
+		checks: newBudget(checkRate, maxChecks), answers: newBudget(answerRate, maxAnswers),
+	}
 }
 
 // pathOf returns the path to an endpoint and creates it if needed. The caller holds the lock.
@@ -218,7 +230,8 @@
 	return left
 }
 
-// ReachedWithin reports whether something arrived from an endpoint of a service within the given time.
+// ReachedWithin reports whether something arrived from an endpoint of a service within the given time. It does not show that
+// new connections are accepted now: what arrived may be from before a cut, or from a connection that outlives it.
 func (t *Table) ReachedWithin(service string, d time.Duration, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -232,13 +245,21 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.pathOf(e)
-	if p.cut || p.reached.After(since) || !p.checkedAt.IsZero() && now.Sub(p.checkedAt) < checkInterval {
+	if p.cut || p.reached.After(since) || !p.checkedAt.IsZero() && now.Sub(p.checkedAt) < checkInterval || !t.checks.take(now) {
 		return false
 	}
 	p.checkedAt = now
 	return true
 }
 
+// BeginAnswer reports whether this VM may connect to an endpoint now to answer a question of a peer, and counts the connection.
+// Else the answer is Unknown.
+func (t *Table) BeginAnswer(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.answers.take(now)
+}
+
 // DueProbes returns the endpoints among those given that are cut off and to be probed now, at most maxProbes, and records the
 // probes. The service that was probed longest ago goes first, and within it the endpoint that has been due longest.
 func (t *Table) DueProbes(endpoints []*fleet.Endpoint, now time.Time) []*fleet.Endpoint {
@@ -250,7 +271,7 @@
 			due = append(due, e)
 		}
 	}
-	for len(due) > 0 && len(out) < maxProbes {
+	for len(due) > 0 && len(out) < maxProbes && t.probes.take(now) {
 		next := slices.MinFunc(due, t.compareProbes)
 		p := t.paths[next.Incarnation()]
 		p.probeAt = now.Add(p.pause)
