--- a/pkg/reach/table.go
+++ b/pkg/reach/table.go
@@ -28,8 +28,9 @@
 	// answerRate is the number of connections in a second for questions of peers, and maxAnswers that at once.
 	answerRate = 5
 	maxAnswers = 4
-	// checkInterval is the shortest time between two checks of the same endpoint.
-	checkInterval = time.Second
+	// checkInterval is the shortest time between two checks of the same endpoint, and recheckInterval that of one that is cut off.
+	checkInterval   = time.Second
+	recheckInterval = 2 * time.Second
 )
 
 // path is what this VM knows of its path to one start of an endpoint.
@@ -102,23 +103,37 @@
 }
 
 // RecordReached records that something arrived from an endpoint on a path of this VM. It reports whether the endpoint counted
-// as cut off.
+// as cut off. The endpoints that were lost together with it, nothing of the service reached since, are taken to be back too.
 func (t *Table) RecordReached(e *fleet.Endpoint, now time.Time) (opened bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.pathOf(e)
 	s := t.service(p.service)
 	p.reached, s.reached = now, now
+	if p.cut {
+		opened = true
+		s.opened = now
+		t.open(p)
+	}
 	s.epoch++
 	s.fresh = 0
-	if !p.cut {
-		return false
+	return opened
+}
+
+// open ends the cut of a path, and of the paths that were lost together with it. The caller holds the lock.
+func (t *Table) open(p *path) {
+	s := t.services[p.service]
+	if p.epoch != s.epoch {
+		t.uncount(p)
+		p.cut = false
+		return
+	}
+	for _, other := range t.paths {
+		if other.cut && other.service == p.service && other.epoch == s.epoch {
+			t.uncount(other)
+			other.cut = false
+		}
 	}
-	s.timedOut -= timeouts(p.probe)
-	p.cut = false
-	s.cut--
-	s.opened = now
-	return true
 }
 
 // RecordCut records that an endpoint is cut off from this VM while others reach it. It reports whether that is new.
@@ -240,12 +255,18 @@
 }
 
 // BeginCheck reports whether the path to an endpoint from which nothing has arrived since the given time is to be checked
-// now, and records the check.
+// now, and records the check. An endpoint that is cut off is checked again while others of its service are reached, since it
+// may have ended.
 func (t *Table) BeginCheck(e *fleet.Endpoint, since, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.pathOf(e)
-	if p.cut || p.reached.After(since) || !p.checkedAt.IsZero() && now.Sub(p.checkedAt) < checkInterval || !t.checks.take(now) {
+	interval := checkInterval
+	if p.cut {
+		interval = recheckInterval
+	}
+	lostTogether := p.cut && p.epoch == t.services[p.service].epoch
+	if lostTogether || p.reached.After(since) || !p.checkedAt.IsZero() && now.Sub(p.checkedAt) < interval || !t.checks.take(now) {
 		return false
 	}
 	p.checkedAt = now
@@ -310,13 +331,23 @@
 		if keep(id) {
 			continue
 		}
-		t.forget(p)
+		t.uncount(p)
 		delete(t.paths, id)
 	}
 }
 
-// forget takes a path out of the counts of its service. The caller holds the lock.
-func (t *Table) forget(p *path) {
+// RecordEnded forgets the path to a start of an endpoint that has ended.
+func (t *Table) RecordEnded(e *fleet.Endpoint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.paths[e.Incarnation()]; p != nil {
+		t.uncount(p)
+		delete(t.paths, e.Incarnation())
+	}
+}
+
+// uncount takes a path out of the counts of its service. The caller holds the lock.
+func (t *Table) uncount(p *path) {
 	if !p.cut {
 		return
 	}
