Tell connections that outlive a cut from new ones

While a cut refused new connections and open ones lived on, what arrived on these ended the cut again and again, and the pauses between probes doubled to 4 s. RecordReceived records such arrivals. The longest pause is 2 s, so that also a path that flapped is direct 3 s after its heal.

--- a/pkg/reach/property_test.go
+++ b/pkg/reach/property_test.go
@@ -51,8 +51,13 @@
 
 func (m *tableModel) reach(t *rapid.T) {
 	e := rapid.SampledFrom(m.endpoints).Draw(t, "endpoint")
-	if opened := m.table.RecordReached(e, m.now); opened != m.isCut(e) {
-		t.Fatalf("RecordReached of %v returned %v", e.ID, opened)
+	m.reachBy(t, e, m.table.RecordReached)
+}
+
+// reachBy records with one of the table's functions that an endpoint was reached.
+func (m *tableModel) reachBy(t *rapid.T, e *fleet.Endpoint, record func(*fleet.Endpoint, time.Time) bool) {
+	if opened := record(e, m.now); opened != m.isCut(e) {
+		t.Fatalf("the record that %v was reached returned %v", e.ID, opened)
 	}
 	if _, fresh := m.fresh[e.Incarnation()]; fresh {
 		maps.DeleteFunc(m.cut, func(id fleet.Incarnation, _ string) bool { return m.fresh[id] == e.Service })
@@ -61,6 +66,20 @@
 	maps.DeleteFunc(m.fresh, func(_ fleet.Incarnation, service string) bool { return service == e.Service })
 }
 
+// receive lets something arrive on a connection that is open. It counts unless all cuts of the service are refusals.
+func (m *tableModel) receive(t *rapid.T) {
+	e := rapid.SampledFrom(m.endpoints).Draw(t, "endpoint")
+	for id, service := range m.cut {
+		if service == e.Service && m.probes[id] == TimedOut {
+			m.reachBy(t, e, m.table.RecordReceived)
+			return
+		}
+	}
+	if m.table.RecordReceived(e, m.now) {
+		t.Fatalf("%v is reached by something on an old connection", e.ID)
+	}
+}
+
 func (m *tableModel) lose(t *rapid.T) {
 	e := rapid.SampledFrom(m.endpoints).Draw(t, "endpoint")
 	probe := rapid.SampledFrom([]Probe{Refused, TimedOut}).Draw(t, "probe")
@@ -172,7 +191,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := newTableModel(t)
 		t.Repeat(map[string]func(*rapid.T){
-			"reach": m.reach, "lose": m.lose, "restart": m.restart, "retain": m.retain, "wait": m.wait, "probe": m.probe, "": m.check,
+			"reach": m.reach, "receive": m.receive, "lose": m.lose, "restart": m.restart, "retain": m.retain, "wait": m.wait, "probe": m.probe, "": m.check,
 		})
 	})
 }
--- a/pkg/reach/table.go
+++ b/pkg/reach/table.go
@@ -15,7 +15,7 @@
 	// minProbePause and maxProbePause bound the time between two probes of an endpoint that is cut off. It doubles each time
 	// that the endpoint is cut off again within flapTime.
 	minProbePause = 500 * time.Millisecond
-	maxProbePause = 4 * time.Second
+	maxProbePause = 2 * time.Second
 	flapTime      = 10 * time.Second
 	// probeRate is the number of endpoints that are probed in a second, and maxProbes that in one round.
 	probeRate = 8
@@ -102,12 +102,30 @@
 	return s
 }
 
-// RecordReached records that something arrived from an endpoint on a path of this VM. It reports whether the endpoint counted
-// as cut off. The endpoints that were lost together with it, nothing of the service reached since, are taken to be back too.
+// RecordReached records that an endpoint accepted a connection of this VM. It reports whether the endpoint counted as cut off.
+// The endpoints that were lost together with it, nothing of the service reached since, are taken to be back too.
 func (t *Table) RecordReached(e *fleet.Endpoint, now time.Time) (opened bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reach(t.pathOf(e), now)
+}
+
+// RecordReceived records that something arrived from an endpoint on a connection that may have been open for long. It reports
+// whether the endpoint counted as cut off and is reached again. While new connections to the service are refused, what arrives
+// on older ones shows nothing about them.
+func (t *Table) RecordReceived(e *fleet.Endpoint, now time.Time) (opened bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.pathOf(e)
+	if s := t.service(p.service); s.cut > 0 && s.timedOut == 0 {
+		p.reached = now
+		return false
+	}
+	return t.reach(p, now)
+}
+
+// reach is RecordReached for a caller that holds the lock.
+func (t *Table) reach(p *path, now time.Time) (opened bool) {
 	s := t.service(p.service)
 	p.reached, s.reached = now, now
 	if p.cut {
