--- a/pkg/reach/property_test.go
+++ b/pkg/reach/property_test.go
@@ -368,6 +368,39 @@
 	})
 }
 
+// Guards against a peer that can help and is lost among many that cannot, and against names of peers that go round for ever.
+func TestOrderKeepsAPlaceForAHelper(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		peers, now := NewPeers(), time.Unix(1000, 0)
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		var live []Peer
+		for i := range rapid.IntRange(1, 400).Draw(t, "peers") {
+			live = append(live, Peer{VM: fmt.Sprint(i)})
+		}
+		helper := rapid.SampledFrom(live).Draw(t, "helper")
+		seen := rapid.Bool().Draw(t, "seen")
+		if seen {
+			peers.RecordHelp(helper.VM, "s", now)
+		} else {
+			peers.RecordRefusal(helper.VM, "s", PeerCutOff, now)
+			peers.RecordReferral(helper.VM, "s", now)
+		}
+		if order := peers.Order(live, "s", rng, now.Add(helpValidity-1)); !slices.Contains(order, helper) {
+			t.Fatalf("%v is not among %v", helper.VM, order)
+		}
+		if got := peers.Referral("s", now); (got == helper.VM) != seen {
+			t.Fatalf("the referral is %q, and the help was seen: %v", got, seen)
+		}
+		if got := peers.Referral("s", now.Add(helpValidity)); got != "" {
+			t.Fatalf("the referral is still %q", got)
+		}
+		peers.RecordRefusal(helper.VM, "s", PeerCutOff, now)
+		if order := peers.Order(live, "s", rng, now); slices.Contains(order, helper) {
+			t.Fatalf("%v is asked after its refusal", helper.VM)
+		}
+	})
+}
+
 // Guards against more checks, or connections for peers, in a second than the budgets allow, and against budgets that starve.
 func TestChecksAndAnswersAreBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/pkg/reach/table.go
+++ b/pkg/reach/table.go
@@ -28,9 +28,8 @@
 	// answerRate is the number of connections in a second for questions of peers, and maxAnswers that at once.
 	answerRate = 5
 	maxAnswers = 4
-	// checkInterval is the shortest time between two checks of the same endpoint, and recheckInterval that of one that is cut off.
-	checkInterval   = time.Second
-	recheckInterval = 2 * time.Second
+	// checkInterval is the shortest time between two checks of the same endpoint.
+	checkInterval = time.Second
 )
 
 // path is what this VM knows of its path to one start of an endpoint.
@@ -279,12 +278,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.pathOf(e)
-	interval := checkInterval
-	if p.cut {
-		interval = recheckInterval
-	}
 	lostTogether := p.cut && p.epoch == t.services[p.service].epoch
-	if lostTogether || p.reached.After(since) || !p.checkedAt.IsZero() && now.Sub(p.checkedAt) < interval || !t.checks.take(now) {
+	if lostTogether || p.reached.After(since) || !p.checkedAt.IsZero() && now.Sub(p.checkedAt) < checkInterval || !t.checks.take(now) {
 		return false
 	}
 	p.checkedAt = now
