--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -127,7 +127,9 @@
 		return g.judgeEnding(r, t, res, err)
 	}
 	defer stream.Close()
-	g.recordProgress(t)
+	if !t.throughPeer.Load() {
+		g.recordArrival(t.choice.Endpoint, stream.Reused)
+	}
 	return g.readAnswer(ctx, r, t, stream, silence)
 }
 
--- a/pkg/gateway/eventstream.go
+++ b/pkg/gateway/eventstream.go
@@ -58,7 +58,7 @@
 // recordProgress records that something arrived from the endpoint of an attempt.
 func (g *Gateway) recordProgress(t *target) {
 	if !t.throughPeer.Load() {
-		g.paths.RecordReached(t.choice.Endpoint, g.now())
+		g.recordArrival(t.choice.Endpoint, true)
 	}
 }
 
--- a/pkg/gateway/forwarded.go
+++ b/pkg/gateway/forwarded.go
@@ -62,11 +62,11 @@
 }
 
 // Send implements peerforward.Sender.
-func (s forwardService) Send(ctx context.Context, r peerforward.Request) (*httpcall.Stream, reach.Reason, error) {
+func (s forwardService) Send(ctx context.Context, r peerforward.Request) (*httpcall.Stream, peerforward.Refusal, error) {
 	g := s.g
 	began := steady.Now()
 	e, refused := g.forwardTarget(r)
-	if refused != "" {
+	if refused.Reason != "" {
 		return nil, refused, nil
 	}
 	stream, err := g.http.OpenRaw(ctx, e.Address, httpcall.RawRequest{
@@ -77,33 +77,33 @@
 	case err == nil:
 		g.metrics.count("forwarded_answered_total")
 		line.Int("status", stream.Response.StatusCode()).Msg("request of a peer answered")
-		g.paths.RecordReached(e, g.now())
+		g.recordArrival(e, stream.Reused)
 		g.applyForwardedAnswer(e, g.platform.Wire.ReadAnswer(&stream.Response.Header))
-		return stream, "", nil
+		return stream, peerforward.Refusal{}, nil
 	case httpcall.NeverWritten(err):
 		g.metrics.count("forwarded_not_sent_total")
 		line.Err(err).Msg("request of a peer not sent")
 		g.checkPath(e, probeOf(err), began)
-		return nil, reach.PeerCutOff, nil
+		return nil, peerforward.Refusal{Reason: reach.PeerCutOff}, nil
 	}
 	g.metrics.count("forwarded_lost_total")
 	line.Err(err).Msg("request of a peer lost")
-	return nil, "", err
+	return nil, peerforward.Refusal{}, err
 }
 
-// forwardTarget returns the endpoint to which a peer's request goes, or the reason for which it does not.
-func (g *Gateway) forwardTarget(r peerforward.Request) (*fleet.Endpoint, reach.Reason) {
+// forwardTarget returns the endpoint to which a peer's request goes, or the refusal.
+func (g *Gateway) forwardTarget(r peerforward.Request) (*fleet.Endpoint, peerforward.Refusal) {
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e := g.endpoints.Get(r.Endpoint)
 	if e == nil || e.StartTimeMs != r.StartTimeMs || g.endpoints.HasEnded(e, now) || g.placer.WaitsUntil(e).After(now) {
-		return nil, reach.PeerLacksEndpoint
+		return nil, peerforward.Refusal{Reason: reach.PeerLacksEndpoint}
 	}
 	if g.paths.RouteTo(e, len(g.endpoints.Usable(e.Service))) != reach.Direct {
-		return nil, reach.PeerCutOff
+		return nil, peerforward.Refusal{Reason: reach.PeerCutOff, Referral: g.forwarders.Referral(e.Service, now)}
 	}
-	return e, ""
+	return e, peerforward.Refusal{}
 }
 
 // applyForwardedAnswer records what an endpoint's answer to a peer's request asks of this VM too.
@@ -144,8 +144,11 @@
 		return nil, nil
 	}
 	usable := g.endpoints.Usable(e.Service)
-	if i := g.random.IntN(len(usable)); usable[i].ID != e.ID {
-		control = usable[i]
+	first := g.random.IntN(len(usable))
+	for i := range usable {
+		if other := usable[(first+i)%len(usable)]; other.ID != e.ID {
+			return e, other
+		}
 	}
-	return e, control
+	return e, nil
 }
--- a/pkg/gateway/paths.go
+++ b/pkg/gateway/paths.go
@@ -164,6 +164,16 @@
 	}).Stop
 }
 
+// recordArrival records that something arrived from an endpoint on an own connection. reused is set if it was not opened just
+// now.
+func (g *Gateway) recordArrival(e *fleet.Endpoint, reused bool) {
+	if reused {
+		g.paths.RecordReceived(e, g.now())
+		return
+	}
+	g.paths.RecordReached(e, g.now())
+}
+
 // judgePath changes the result of an attempt that failed because this VM lost its path to the endpoint: it shows nothing about
 // the endpoint then. It records an endpoint that has ended.
 func (g *Gateway) judgePath(r *request, t *target, res attemptResult) attemptResult {
--- a/pkg/gateway/throughpeer.go
+++ b/pkg/gateway/throughpeer.go
@@ -58,11 +58,14 @@
 	g.mu.Unlock()
 	for _, peer := range order {
 		stream, refused, err := g.openThroughPeer(ctx, r, t, peer, encode())
-		if refused == "" {
+		if refused.Reason == "" {
 			return stream, err
 		}
-		g.metrics.count("forwards_refused_" + string(refused) + "_total")
-		g.forwarders.RecordRefusal(peer.VM, e.Service, refused, g.now())
+		g.metrics.count("forwards_refused_" + string(refused.Reason) + "_total")
+		g.forwarders.RecordRefusal(peer.VM, e.Service, refused.Reason, g.now())
+		if refused.Referral != "" {
+			g.forwarders.RecordReferral(refused.Referral, e.Service, g.now())
+		}
 		if ctx.Err() != nil {
 			break
 		}
@@ -70,10 +73,10 @@
 	return nil, &httpcall.Error{Address: e.Address, Err: errPathLost}
 }
 
-// openThroughPeer sends the request through a peer. It returns a reason if no byte of it reached the endpoint.
+// openThroughPeer sends the request through a peer. It returns a refusal if no byte of it reached the endpoint.
 func (g *Gateway) openThroughPeer(
 	ctx context.Context, r *request, t *target, peer reach.Peer, req httpcall.RawRequest,
-) (*httpcall.Stream, reach.Reason, error) {
+) (*httpcall.Stream, peerforward.Refusal, error) {
 	e := t.choice.Endpoint
 	address := g.peerAddress(peer.Address)
 	call := peerforward.Request{
@@ -86,11 +89,11 @@
 	if err != nil {
 		end()
 		if httpcall.NeverWritten(err) {
-			return nil, reach.PeerUnreachable, nil
+			return nil, peerforward.Refusal{Reason: reach.PeerUnreachable}, nil
 		}
 		t.throughPeer.Store(true)
 		t.peer = peer.VM
-		return nil, "", err
+		return nil, peerforward.Refusal{}, err
 	}
 	reply := peerforward.ReadReply(&stream.Response.Header)
 	switch reply.Outcome {
@@ -98,15 +101,16 @@
 		t.throughPeer.Store(true)
 		t.peer, t.endForward = peer.VM, end
 		g.metrics.count("attempts_through_peers_total")
-		return stream, "", nil
+		g.forwarders.RecordHelp(peer.VM, e.Service, g.now())
+		return stream, peerforward.Refusal{}, nil
 	case peerforward.Lost:
 		end()
 		stream.Close()
 		t.throughPeer.Store(true)
 		t.peer = peer.VM
-		return nil, "", &httpcall.Error{Address: e.Address, Written: true, Err: errLostAtPeer}
+		return nil, peerforward.Refusal{}, &httpcall.Error{Address: e.Address, Written: true, Err: errLostAtPeer}
 	}
 	end()
 	stream.Close()
-	return nil, reply.Reason, nil
+	return nil, reply.Refusal, nil
 }
--- a/pkg/pathcheck/pathcheck.go
+++ b/pkg/pathcheck/pathcheck.go
@@ -15,8 +15,6 @@
 	connectTimeout = 250 * time.Millisecond
 	// askTimeout bounds the questions to peers, which connect with the same limit as this VM.
 	askTimeout = 400 * time.Millisecond
-	// proofValidity is the time for which a service counts as reached after something arrived from one of its endpoints.
-	proofValidity = 2 * time.Second
 	// answerValidity is the time for which the answer to a peer's question is given again without another connection.
 	answerValidity = 200 * time.Millisecond
 )
@@ -119,6 +117,8 @@
 		c.table.RecordReached(e, c.now())
 	case reach.CutOff:
 		c.table.RecordCut(e, r.Own, c.now())
+	case reach.Ended:
+		c.table.RecordEnded(e)
 	}
 	c.conclude(r)
 	return r
@@ -136,18 +136,21 @@
 	return c.connect(e) == reach.Connected && c.table.RecordReached(e, c.now())
 }
 
-// Answer connects to an endpoint for a peer. A refusal counts only if this VM reaches the service: something arrived from it
-// lately, or others, another endpoint of the service, accepts a connection. others may be nil.
-func (c *Checker) Answer(e, others *fleet.Endpoint) reach.Probe {
+// Answer connects to an endpoint for a peer. A refusal counts only if control, another endpoint of the service, accepts a
+// connection before the endpoint refuses another one, see reach.Judge. control may be nil.
+func (c *Checker) Answer(e, control *fleet.Endpoint) reach.Probe {
 	c.mu.Lock()
 	known, fresh := c.answers[e.Incarnation()]
 	c.mu.Unlock()
 	if fresh && c.now().Sub(known.at) < answerValidity {
 		return known.probe
 	}
+	if !c.table.BeginAnswer(c.now()) {
+		return reach.Unknown
+	}
 	probe := c.connect(e)
-	if probe == reach.Refused && !c.reaches(e.Service, others) {
-		probe = reach.Unknown
+	if probe == reach.Refused {
+		probe = c.confirmRefusal(e, control)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -160,10 +163,10 @@
 	return probe
 }
 
-// reaches reports whether this VM reaches a service.
-func (c *Checker) reaches(service string, control *fleet.Endpoint) bool {
-	if c.table.ReachedWithin(service, proofValidity, c.now()) && c.table.Cut()[service] == 0 {
-		return true
+// confirmRefusal returns what a refused connection to an endpoint is worth as evidence.
+func (c *Checker) confirmRefusal(e, control *fleet.Endpoint) reach.Probe {
+	if control == nil || c.connect(control) != reach.Connected {
+		return reach.Unknown
 	}
-	return control != nil && c.connect(control) == reach.Connected
+	return c.connect(e)
 }
--- a/pkg/peerforward/message.go
+++ b/pkg/peerforward/message.go
@@ -31,6 +31,7 @@
 	headerFresh      = "Forward-Fresh"
 	headerOutcome    = "Forward-Outcome"
 	headerReason     = "Forward-Reason"
+	headerReferral   = "Forward-Referral"
 )
 
 // Request is a request that a peer is to send.
@@ -65,8 +66,8 @@
 // Reply is what the headers of a peer's answer tell.
 type Reply struct {
 	Outcome Outcome
-	// Reason is set if the request was not sent.
-	Reason reach.Reason
+	// Refusal is set if the request was not sent.
+	Refusal
 }
 
 // Encode returns the call to a peer at address (IP:port).
@@ -89,9 +90,11 @@
 // ReadReply returns what a peer's answer tells, and removes it from the header. An answer that does not tell an outcome comes
 // from a VM that cannot forward, so nothing was sent.
 func ReadReply(h *fasthttp.ResponseHeader) Reply {
-	r := Reply{Outcome: Outcome(h.Peek(headerOutcome)), Reason: reach.Reason(h.Peek(headerReason))}
-	h.Del(headerOutcome)
-	h.Del(headerReason)
+	r := Reply{Outcome: Outcome(h.Peek(headerOutcome))}
+	r.Reason, r.Referral = reach.Reason(h.Peek(headerReason)), string(h.Peek(headerReferral))
+	for _, name := range []string{headerOutcome, headerReason, headerReferral} {
+		h.Del(name)
+	}
 	switch r.Outcome {
 	case Answered, Lost:
 	default:
--- a/pkg/peerforward/peerforward_test.go
+++ b/pkg/peerforward/peerforward_test.go
@@ -37,15 +37,15 @@
 	return func() {}, ""
 }
 
-func (s *fakeSender) Send(ctx context.Context, r Request) (*httpcall.Stream, reach.Reason, error) {
+func (s *fakeSender) Send(ctx context.Context, r Request) (*httpcall.Stream, Refusal, error) {
 	s.got <- r
 	select {
 	case reason := <-s.refusals:
-		return nil, reason, nil
+		return nil, Refusal{Reason: reason, Referral: "vm-9"}, nil
 	default:
 	}
 	stream, err := s.client.OpenRaw(ctx, s.address, httpcall.RawRequest{Head: r.Head, Body: r.Body, Fresh: true})
-	return stream, "", err
+	return stream, Refusal{}, err
 }
 
 func (s *fakeSender) ReportMalformed(_ netip.Addr, err error) { s.malformed <- err }
@@ -112,14 +112,14 @@
 // Guards against an answer that loses its status, a header or a part of its body on the way through a peer, or gains any.
 func TestAnswerPassesThroughUnchanged(t *testing.T) {
 	s, address := startPeer(t, startEndpoint(t, func(c net.Conn) {
-		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRetry-After: 2\r\nContent-Length: 5\r\n\r\nwords")
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nX-Left: 1\r\nRetry-After: 2\r\nContent-Length: 5\r\n\r\nwords")
 	}))
 	reply, stream, body, err := forward(t, address, testRequest)
 	if err != nil || reply.Outcome != Answered || stream.Response.StatusCode() != 503 || body != "words" {
 		t.Fatalf("%+v, status %d, body %q, %v", reply, stream.Response.StatusCode(), body, err)
 	}
 	h := &stream.Response.Header
-	if string(h.Peek("Not-Executed")) != "1" || string(h.Peek("Retry-After")) != "2" || len(h.Peek(fasthttp.HeaderDate)) > 0 ||
+	if string(h.Peek("X-Left")) != "1" || string(h.Peek("Retry-After")) != "2" || len(h.Peek(fasthttp.HeaderDate)) > 0 ||
 		len(h.Peek(headerOutcome)) > 0 {
 		t.Errorf("headers:\n%s", h.String())
 	}
@@ -147,18 +147,18 @@
 func TestRefusalsProveThatNothingWasSent(t *testing.T) {
 	s, address := startPeer(t, "127.0.0.1:1")
 	s.refusals <- reach.PeerCutOff
-	if reply, _, _, _ := forward(t, address, testRequest); reply != (Reply{NotSent, reach.PeerCutOff}) {
+	if reply, _, _, _ := forward(t, address, testRequest); reply != (Reply{NotSent, Refusal{reach.PeerCutOff, "vm-9"}}) {
 		t.Errorf("refused: %+v", reply)
 	}
 	<-s.got
 	stranger := testRequest
 	stranger.VM = "stranger"
-	if reply, _, _, _ := forward(t, address, stranger); reply != (Reply{NotSent, reach.PeerDistrusts}) {
+	if reply, _, _, _ := forward(t, address, stranger); reply != (Reply{NotSent, Refusal{Reason: reach.PeerDistrusts}}) {
 		t.Errorf("stranger: %+v", reply)
 	}
 	old := httptest.NewServer(http.NotFoundHandler())
 	defer old.Close()
-	if reply, _, _, _ := forward(t, strings.TrimPrefix(old.URL, "http://"), testRequest); reply != (Reply{NotSent, reach.PeerUnreachable}) {
+	if reply, _, _, _ := forward(t, strings.TrimPrefix(old.URL, "http://"), testRequest); reply != (Reply{NotSent, Refusal{Reason: reach.PeerUnreachable}}) {
 		t.Errorf("a VM that cannot forward: %+v", reply)
 	}
 	malformed := testRequest
--- a/pkg/peerforward/server.go
+++ b/pkg/peerforward/server.go
@@ -30,13 +30,20 @@
 	// Reserve takes memory for a call of that many bytes from a peer at the given IP. It returns the reason for which the call is
 	// not served instead, or the function that gives the memory back.
 	Reserve(vm string, from netip.Addr, bytes int) (release func(), refused reach.Reason)
-	// Send sends a request. It returns the answer, a reason if nothing was sent, or an error if it was sent and the answer is lost.
+	// Send sends a request. It returns the answer, a refusal if nothing was sent, or an error if it was sent and the answer is lost.
 	// The caller closes the answer. Cancelling ctx ends the send.
-	Send(ctx context.Context, r Request) (answer *httpcall.Stream, refused reach.Reason, err error)
+	Send(ctx context.Context, r Request) (answer *httpcall.Stream, refused Refusal, err error)
 	// ReportMalformed records a call that could not be read.
 	ReportMalformed(from netip.Addr, err error)
 }
 
+// Refusal is why a request was not sent. The zero value means that it was.
+type Refusal struct {
+	Reason reach.Reason
+	// Referral is the name of a VM that may help instead, or empty.
+	Referral string
+}
+
 // errMalformed means that a call does not follow the protocol.
 var errMalformed = errors.New("peerforward: malformed call")
 
@@ -57,7 +64,7 @@
 	}
 	release, refused := s.Reserve(call.Header.Get(headerVM), from.Addr(), int(size))
 	if refused != "" {
-		refuse(w, refused)
+		refuse(w, Refusal{Reason: refused})
 		return
 	}
 	defer release()
@@ -69,10 +76,10 @@
 	}
 	ctx, cancel := context.WithTimeout(call.Context(), r.Timeout)
 	defer cancel()
-	answer, refused, err := s.Send(ctx, r)
+	answer, refusal, err := s.Send(ctx, r)
 	switch {
-	case refused != "":
-		refuse(w, refused)
+	case refusal != Refusal{}:
+		refuse(w, refusal)
 	case err != nil:
 		w.Header().Set(headerOutcome, string(Lost))
 		w.WriteHeader(http.StatusBadGateway)
@@ -83,9 +90,12 @@
 }
 
 // refuse answers a call whose request was not sent.
-func refuse(w http.ResponseWriter, reason reach.Reason) {
+func refuse(w http.ResponseWriter, r Refusal) {
 	w.Header().Set(headerOutcome, string(NotSent))
-	w.Header().Set(headerReason, string(reason))
+	w.Header().Set(headerReason, string(r.Reason))
+	if r.Referral != "" {
+		w.Header().Set(headerReferral, r.Referral)
+	}
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
