Stop the wait for an event while events are passed on

The wait for the next event ran on while this VM itself waited, for the caller to read or for the record of the stream's origin, and did not read the engine's stream. That cost a retry of the budget that other streams lack, and the decision went by what the caller had before the events in hand. Now the wait stops when events arrive and begins anew once they were passed on.

--- a/pkg/gateway/silence.go
+++ b/pkg/gateway/silence.go
@@ -45,8 +45,10 @@
 	currentWait time.Duration
 	eventWait   time.Duration
 	// since is when the present silence began.
-	since    time.Time
-	progress streamProgress
+	since time.Time
+	// passingOn is set while events are passed on, so that the endpoint's stream is not read.
+	passingOn bool
+	progress  streamProgress
 	// kept is the last reason why the silent attempt was kept.
 	kept failover.Reason
 }
@@ -70,7 +72,7 @@
 func (g *Gateway) handleSilence(r *request, t *target, l *silenceTimer, cancel context.CancelCauseFunc) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.timer == nil {
+	if l.timer == nil || l.passingOn {
 		return
 	}
 	now := steady.Now()
@@ -125,24 +127,31 @@
 	}
 }
 
-// eventReceived restarts the timer with the wait for the next event of a stream.
+// eventReceived stops the timer while events are passed on. That may take long, since a caller may read slowly, and what the
+// endpoint sends meanwhile is not read.
 func (l *silenceTimer) eventReceived() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.timer == nil {
 		return
 	}
-	l.currentWait = l.eventWait
-	l.since = steady.Now()
-	l.kept = ""
-	l.timer.Reset(l.currentWait)
+	l.passingOn = true
+	l.timer.Stop()
 }
 
-// eventsSent records what the caller has of a stream.
+// eventsSent records what the caller has of a stream, and restarts the timer with the wait for the next event.
 func (l *silenceTimer) eventsSent(r *request) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.progress = streamProgress{started: r.streamStarted, lastEventID: r.lastEventID, origin: r.origin}
+	if l.timer == nil {
+		return
+	}
+	l.passingOn = false
+	l.currentWait = l.eventWait
+	l.since = steady.Now()
+	l.kept = ""
+	l.timer.Reset(l.currentWait)
 }
 
 // stop ends the timer for good. Afterwards it reads nothing of its request.
