Give up a stream that awaits its record only if another endpoint needs none

The store may stand still for that long, or this VM, and the next attempt then waits for the same write, if the budget has a retry for it at all. Now the attempt is given up only once records fail and an endpoint that needs none takes the stream over; otherwise the event waits on, until the time of the request ends.

--- a/pkg/gateway/eventstream.go
+++ b/pkg/gateway/eventstream.go
@@ -34,7 +34,7 @@
 		}
 		if complete > 0 {
 			silence.eventReceived()
-			if err := g.awaitOriginRecord(ctx, t); err != nil {
+			if err := g.awaitOriginRecord(ctx, r, t); err != nil {
 				return attemptResult{outcome: place.Neutral, err: err}
 			}
 			if sendErr := g.sendEvents(r, t, stream, buffer.data[:complete]); sendErr != nil {
--- a/pkg/gateway/origin.go
+++ b/pkg/gateway/origin.go
@@ -8,8 +8,10 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/corneldeal/corneldeal/pkg/affinity"
+	"github.com/corneldeal/corneldeal/pkg/failover"
 	"github.com/corneldeal/corneldeal/pkg/fleet"
 	"github.com/corneldeal/corneldeal/pkg/refusal"
+	"github.com/corneldeal/corneldeal/pkg/steady"
 	"github.com/corneldeal/corneldeal/pkg/traffic"
 )
 
@@ -18,7 +20,8 @@
 	originExpiryMargin = 2 * time.Second
 	// unlimitedOriginExpiry is that time for callers that set no deadline.
 	unlimitedOriginExpiry = 10 * time.Minute
-	// maxOriginWait is the longest time for which the first event of a stream waits for the record of its origin.
+	// maxOriginWait is the time for which the first event of a stream waits for the record of its origin before another
+	// endpoint may take the stream over.
 	maxOriginWait = time.Second
 	// originUnknownRetryAfter is the Retry-After of a stream whose origin is not known since the store does not answer.
 	originUnknownRetryAfter = time.Second
@@ -91,13 +94,14 @@
 	}
 }
 
-// awaitOriginRecord waits until the store holds the record of a new stream's origin.
-func (g *Gateway) awaitOriginRecord(ctx context.Context, t *target) error {
+// awaitOriginRecord waits until the store holds the record of a new stream's origin. It fails at the end of the context, or from
+// maxOriginWait on once another endpoint takes the stream over without a record.
+func (g *Gateway) awaitOriginRecord(ctx context.Context, r *request, t *target) error {
 	if t.originRevision == 0 {
 		return nil
 	}
-	ctx, cancel := context.WithTimeoutCause(ctx, maxOriginWait, errOriginNotRecorded)
-	defer cancel()
+	check := time.NewTimer(maxOriginWait)
+	defer check.Stop()
 	for {
 		g.mu.Lock()
 		durable, written := g.origins.IsDurable(t.originRevision), g.originSync.written
@@ -111,10 +115,25 @@
 			g.metrics.count("stream_origins_not_recorded_total")
 			return context.Cause(ctx)
 		case <-written:
+		case <-check.C:
+			if g.mayBeginUnrecorded(r, t) {
+				g.metrics.count("stream_origins_not_recorded_total")
+				return errOriginNotRecorded
+			}
+			check.Reset(failover.RecheckInterval)
 		}
 	}
 }
 
+// mayBeginUnrecorded reports whether another endpoint takes over a stream that waits for its record, without one. While
+// records are written, it would wait for the same write.
+func (g *Gateway) mayBeginUnrecorded(r *request, t *target) bool {
+	g.mu.Lock()
+	records := g.canRecordOrigins()
+	g.mu.Unlock()
+	return !records && r.mayRunAgain() && g.reserveSuccessor(r, t, progressOf(r), steady.Now()) == ""
+}
+
 // endOrigin records that a stream was passed on to its end.
 func (g *Gateway) endOrigin(r *request) {
 	if !r.isResumable() {
--- a/pkg/gateway/silence.go
+++ b/pkg/gateway/silence.go
@@ -35,6 +35,11 @@
 	origin      *affinity.Origin
 }
 
+// progressOf returns what the caller of a request has of its stream.
+func progressOf(r *request) streamProgress {
+	return streamProgress{started: r.streamStarted, lastEventID: r.lastEventID, origin: r.origin}
+}
+
 // silenceTimer cancels an attempt at an endpoint that stays silent once another one takes the request over. Bytes that
 // complete no event do not reset it, so an endpoint that sends a byte now and then counts as silent. The zero value never
 // cancels.
@@ -55,8 +60,8 @@
 
 // startSilenceTimer starts the timer of an attempt. It returns an inactive timer if the request may not be sent again.
 func (g *Gateway) startSilenceTimer(r *request, t *target, cancel context.CancelCauseFunc) *silenceTimer {
-	l := &silenceTimer{progress: streamProgress{started: r.streamStarted, lastEventID: r.lastEventID, origin: r.origin}}
-	if !r.route.Idempotent() || r.possibleRuns+1 >= r.route.Attempts {
+	l := &silenceTimer{progress: progressOf(r)}
+	if !r.mayRunAgain() {
 		return l
 	}
 	l.currentWait = max(minFirstByteWait, firstByteWaitFactor*t.choice.Expected)
@@ -118,6 +123,11 @@
 	return reason
 }
 
+// mayRunAgain reports whether the request may run once more after the attempt in progress.
+func (r *request) mayRunAgain() bool {
+	return r.route.Idempotent() && r.possibleRuns+1 < r.route.Attempts
+}
+
 // successor returns the request as it is after an attempt that was given up. The attempt may still be changing the rest of r.
 func (r *request) successor(t *target, p streamProgress) *request {
 	return &request{
@@ -143,7 +153,7 @@
 func (l *silenceTimer) eventsSent(r *request) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.progress = streamProgress{started: r.streamStarted, lastEventID: r.lastEventID, origin: r.origin}
+	l.progress = progressOf(r)
 	if l.timer == nil {
 		return
 	}
