Read a request that arrived while this VM stood still

The idle time of a connection also passes while a VM stands still, and a stopping VM closes idle connections by the same deadline: a read that begins after it fails although the request waits in the socket. Now a connection is closed as idle only if nothing has arrived on it; a stopping VM answers such a request, mostly by a refusal that says that it has not run.

--- a/pkg/ingress/connection.go
+++ b/pkg/ingress/connection.go
@@ -58,7 +58,7 @@
 	}
 }
 
-// closeWhenIdle closes the connection once it waits for a request of which no byte was read. It sets an expired read
+// closeWhenIdle closes the connection once it waits for a request of which no byte has arrived. It sets an expired read
 // deadline, which makes the waiting read fail.
 func (c *connection) closeWhenIdle() {
 	c.mu.Lock()
@@ -82,11 +82,14 @@
 	_ = c.conn.SetReadDeadline(deadline)
 }
 
-// awaitRequest waits for the first byte of a request. It reports false if the connection ended or timed out first.
+// awaitRequest waits for the first byte of a request. It reports false if the connection ended or timed out first. A request
+// that has arrived is read, however late: the deadline also passes while this process stands still.
 func (c *connection) awaitRequest() bool {
 	limits := c.server.handler.Limits()
 	c.setIdle(true, limits.IdleTimeout)
-	if _, err := c.reader.Peek(1); err != nil {
+	_, err := c.reader.Peek(1)
+	arrived := err == nil || errors.Is(err, os.ErrDeadlineExceeded) && receivedBytes(c.conn) > 0
+	if !arrived {
 		return false
 	}
 	c.setIdle(false, limits.HeaderTimeout)
--- a/pkg/ingress/server_test.go
+++ b/pkg/ingress/server_test.go
@@ -88,13 +88,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	serve(t, s, l)
+	return s, l.Addr().String()
+}
+
+// serve accepts connections from l until the test ends.
+func serve(t *testing.T, s *Server, l net.Listener) {
 	go func() {
 		if err := s.Serve(l); err != nil {
 			t.Error(err)
 		}
 	}()
 	t.Cleanup(s.Close)
-	return s, l.Addr().String()
 }
 
 // largeLimits are limits that the tests do not reach.
--- a/pkg/ingress/slowcaller.go
+++ b/pkg/ingress/slowcaller.go
@@ -63,6 +63,16 @@
 // unreadBytes returns the number of bytes in a connection's send buffer that the other side has not acknowledged, or zero
 // if it is no TCP connection.
 func unreadBytes(c net.Conn) int {
+	return queuedBytes(c, unix.SIOCOUTQ)
+}
+
+// receivedBytes returns the number of bytes in a connection's receive buffer, or zero if it is no TCP connection.
+func receivedBytes(c net.Conn) int {
+	return queuedBytes(c, unix.SIOCINQ)
+}
+
+// queuedBytes returns the number of bytes in the queue of a connection that an ioctl request names, or zero if that fails.
+func queuedBytes(c net.Conn, request uint) int {
 	socket, ok := c.(syscall.Conn)
 	if !ok {
 		return 0
@@ -71,16 +81,16 @@
 	if err != nil {
 		return 0
 	}
-	unread := 0
+	queued := 0
 	err = raw.Control(func(fd uintptr) {
-		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
-			unread = n
+		if n, err := unix.IoctlGetInt(int(fd), request); err == nil {
+			queued = n
 		}
 	})
 	if err != nil {
 		return 0
 	}
-	return unread
+	return queued
 }
 
 // limitSendBuffer bounds what the kernel holds for a caller. An error leaves the usual size, which only takes more memory.
