Bound the writing of each event, not of the whole stream

The write timeout was meant for one write to a caller that reads slowly, but the HTTP server sets one deadline for the whole answer. Now each event has a deadline of its own.

--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -24,7 +24,7 @@
 	idleTimeout = 90 * time.Second
 	// readTimeout bounds the time to read a whole request.
 	readTimeout = 30 * time.Second
-	// writeTimeout bounds one write to a caller that reads slowly.
+	// writeTimeout bounds the writing of one event of a stream, or of another answer, to a caller that reads slowly.
 	writeTimeout = 60 * time.Second
 )
 
@@ -228,19 +228,20 @@
 	}
 	ctx.Response.Header.Set(headerRequestID, answer.ID)
 	if r.Stream {
-		writeStream(ctx, r, answer)
+		s.writeStream(ctx, r, answer)
 		return
 	}
 	writeCompletion(ctx, r, answer)
 }
 
 // writeStream writes the answer as server-sent events.
-func writeStream(ctx *fasthttp.RequestCtx, r ChatRequest, answer *Answer) {
+func (s *Server) writeStream(ctx *fasthttp.RequestCtx, r ChatRequest, answer *Answer) {
+	conn := ctx.Conn()
 	ctx.SetContentType("text/event-stream")
 	ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-cache")
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 		defer answer.Cancel()
-		out := eventWriter{w: w}
+		out := eventWriter{w: w, conn: conn, timeout: s.http.WriteTimeout}
 		for event := range answer.Events {
 			if writeEvent(out, r, answer, event) != nil {
 				return
--- a/pkg/caller/write.go
+++ b/pkg/caller/write.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"math"
+	"net"
 	"strconv"
 	"time"
 
@@ -70,10 +71,17 @@
 // eventWriter writes server-sent events and flushes each one.
 type eventWriter struct {
 	w *bufio.Writer
+	// conn is the caller's connection, and timeout the longest time to write one event to it.
+	conn    net.Conn
+	timeout time.Duration
 }
 
 // write writes and flushes one event with the given data.
 func (e eventWriter) write(data []byte) error {
+	// The server sets a deadline for the whole answer, which may take longer to generate.
+	if err := e.conn.SetWriteDeadline(time.Now().Add(e.timeout)); err != nil {
+		return err
+	}
 	if _, err := e.w.WriteString("data: "); err != nil {
 		return err
 	}
