Give a stalled engine's stream up only once another engine takes it over

Now an attempt on a stalled engine is given up once another engine serves the request and a retry was taken from the budget, without one after 4 s of silence, which counts as a crash, and in any case after 15 s.

--- a/lab/failure/stream_test.go
+++ b/lab/failure/stream_test.go
@@ -271,3 +271,40 @@
 		t.Errorf("lookup that ran without an answer: %v", r)
 	}
 }
+
+// An engine that stands still for a moment goes on, so its streams must not be given up together while no other engine is there.
+func TestStreamsOutwaitTheOnlyEngine(t *testing.T) {
+	d := start(t, shape{vms: 1, engines: 1})
+	var freeze sync.Once
+	prompt := "stand still"
+	many(8, func(int) {
+		r := d.chatEach(d.VMs[0], keyLarge, prompt, 60, func(n int) {
+			if n == 10 {
+				freeze.Do(func() {
+					d.engines[0].SetFaults(engine.Faults{Freeze: true})
+					time.AfterFunc(2500*time.Millisecond, func() { d.engines[0].SetFaults(engine.Faults{}) })
+				})
+			}
+		})
+		d.wantWhole(r, prompt, 60)
+	})
+}
+
+// Streams must not be cut since an engine that stood still for a moment held more of them than may be sent again.
+func TestStreamsBeyondTheRetryBudgetOutwaitTheirEngine(t *testing.T) {
+	d := start(t, shape{vms: 1, engines: 2})
+	var freeze sync.Once
+	prompt := "stand still"
+	many(24, func(int) {
+		r := d.chatEach(d.VMs[0], keyLarge, prompt, 60, func(n int) {
+			if n == 10 {
+				freeze.Do(func() {
+					e := d.busiest()
+					e.SetFaults(engine.Faults{Freeze: true})
+					time.AfterFunc(2500*time.Millisecond, func() { e.SetFaults(engine.Faults{}) })
+				})
+			}
+		})
+		d.wantWhole(r, prompt, 60)
+	})
+}
--- a/pkg/router/attempt.go
+++ b/pkg/router/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -27,6 +28,8 @@
 	processPauseThreshold = time.Second
 	// maxTokenGap is the time without a token after which a started stream counts as interrupted. The target is 53 ms.
 	maxTokenGap = 5 * time.Second
+	// maxStall is the time for which an attempt on a stalled engine is kept at most while no other engine takes it over.
+	maxStall = 15 * time.Second
 )
 
 // engineClaim is the right of an accused request to run on an engine without another accused request.
@@ -198,17 +201,22 @@
 	}
 }
 
-// errStalled is the cause of the cancellation of an attempt whose engine stopped answering.
+// errStalled is the cause of the cancellation of an attempt whose engine stopped answering. The retry that follows needs no
+// further one from the budget.
 var errStalled = errors.New("the engine has stopped answering")
 
 // watch cancels an attempt whose engine no longer answers state requests, or sends no token for too long after the last
-// one. The caller must store the time of each token in the result.
+// one, once another engine takes the request over. The caller must store the time of each token in the result.
 func (c *chatRun) watch(ctx context.Context, cancel context.CancelCauseFunc, endpoint string) *atomicTime {
 	lastToken := &atomicTime{}
+	next := successor{
+		run: c, endpoint: endpoint, version: c.version, excluded: append(slices.Clone(c.excluded), endpoint),
+		hasAttempt: c.attempts < maxChatAttempts,
+	}
 	go func() {
 		ticker := time.NewTicker(stallCheckInterval)
 		defer ticker.Stop()
-		lastCheck := time.Now()
+		lastCheck, lastGoing := time.Now(), time.Now()
 		for {
 			select {
 			case <-ticker.C:
@@ -221,7 +229,10 @@
 			switch {
 			case paused:
 				lastToken.updateIfSet(now)
-			case c.r.stalled(endpoint, lastToken, now):
+				lastGoing = now
+			case !c.r.stalled(endpoint, lastToken, now):
+				lastGoing = now
+			case now.Sub(lastGoing) > maxStall || next.reserve(now):
 				cancel(errStalled)
 				return
 			}
@@ -252,11 +263,11 @@
 		c.deliveredTokens = chunk.TokenIndex + 1
 		count(metricTokensOut, 1)
 	case len(chunk.Choices) > len(`[]`):
-		c.resumable = false
+		c.unresumable.Store(true)
 	}
 	if chunk.Usage != nil {
 		usage := *chunk.Usage
-		if c.resumable && c.deliveredTokens > 0 {
+		if !c.unresumable.Load() && c.deliveredTokens > 0 {
 			// The engine counts only the tokens of its own attempt.
 			usage.CompletionTokens = c.deliveredTokens
 			usage.TotalTokens = usage.PromptTokens + c.deliveredTokens
@@ -300,7 +311,7 @@
 	}
 	// A crash interrupts many streams at once. The crash guard limits how often they are resumed. The retry budget does
 	// not apply, because it would leave most of them incomplete.
-	return c.retryOrFail(failed, crashed || c.r.takeRetry())
+	return c.retryOrFail(failed, crashed || errors.Is(err, errStalled) || c.r.takeRetry())
 }
 
 // withdrawCancelledClaim withdraws the claim of a cancelled request if its attempt ended by the cancellation or was not
@@ -328,7 +339,7 @@
 // retryOrFail allows another attempt if mayRetry is set, attempts are left and a started stream can be resumed. If not,
 // it returns true and the refusal.
 func (c *chatRun) retryOrFail(failed *engine.StreamError, mayRetry bool) (*refusal.Error, bool) {
-	if c.hasBegun && !c.resumable {
+	if c.hasBegun && c.unresumable.Load() {
 		return c.callerRefusal(refusal.New(statusBadGateway, refusal.CodeStreamCut, "the engine failed")), true
 	}
 	if mayRetry && c.attempts < maxChatAttempts {
--- a/pkg/router/chat.go
+++ b/pkg/router/chat.go
@@ -60,11 +60,11 @@
 	hasBegun bool
 	// deliveredTokens is the number of tokens sent to the caller.
 	deliveredTokens int64
-	// resumable is false once a token without an index was delivered.
-	resumable bool
-	usage     *engine.Usage
-	excluded  []string
-	attempts  int
+	// unresumable is set once a token without an index was delivered.
+	unresumable atomic.Bool
+	usage       *engine.Usage
+	excluded    []string
+	attempts    int
 	// mayHaveRun is set once an attempt may have reached an engine. No later refusal then reports NotRun.
 	mayHaveRun bool
 	// exclusiveUntil is the time until which the request, once accused, waits for an engine without another accused
@@ -144,7 +144,6 @@
 		events:        make(chan caller.Event, eventBuffer),
 		begun:         make(chan struct{}),
 		started:       time.Now(),
-		resumable:     true,
 	}
 	run.prompt = route.EncodePrompt(req.Messages)
 	run.setVersion(r.readyVersion(model))
--- a/pkg/router/engines.go
+++ b/pkg/router/engines.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"github.com/corneldeal/corneldeal/pkg/cacheindex"
@@ -219,14 +220,24 @@
 	})
 }
 
-// engineUnresponsive reports whether an engine has answered no state request for longer than unresponsiveAfter. An
-// engine that is no longer followed counts as unresponsive.
+// engineUnresponsive reports whether an engine has answered no state request for longer than unresponsiveAfter.
 func (r *Router) engineUnresponsive(endpoint string) bool {
-	now := time.Now()
-	return locked(&r.engineInfos, func(t *engineTable) bool {
+	return r.engineSilentFor(endpoint, time.Now()) > unresponsiveAfter
+}
+
+// engineSilentFor returns for how long an engine has answered no state request, or zero if none has failed since. An engine
+// that is no longer followed is silent for ever.
+func (r *Router) engineSilentFor(endpoint string, now time.Time) time.Duration {
+	return locked(&r.engineInfos, func(t *engineTable) time.Duration {
 		info, ok := t.engines[endpoint]
-		// If no request has failed since the last answer, this process was paused, not the engine.
-		return !ok || info.lastFailed.After(info.lastAnswered) && now.Sub(info.lastAnswered) > unresponsiveAfter
+		switch {
+		case !ok:
+			return math.MaxInt64
+		case !info.lastFailed.After(info.lastAnswered):
+			// This process was paused, not the engine.
+			return 0
+		}
+		return now.Sub(info.lastAnswered)
 	})
 }
 
