--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -13,8 +13,12 @@
 	"github.com/corneldeal/corneldeal/pkg/standstill"
 )
 
-// connectionPollInterval is the interval at which Shutdown checks for open connections.
-const connectionPollInterval = 50 * time.Millisecond
+const (
+	// connectionPollInterval is the interval at which Shutdown checks for open connections.
+	connectionPollInterval = 50 * time.Millisecond
+	// acceptTime is the time after a standstill in which the connections that were opened meanwhile are accepted.
+	acceptTime = 200 * time.Millisecond
+)
 
 // stoppingFor returns the time from SIGTERM to a time, or a negative duration if this VM is not stopping.
 func (g *Gateway) stoppingFor(at time.Time) time.Duration {
@@ -55,6 +59,7 @@
 	plan := drain.NewPlan(g.settings.Grace())
 	// The balancer has been told only now.
 	time.Sleep(plan.CloseListener)
+	g.awaitAccepts()
 	g.ingress.Close()
 	g.awaitConnections(since.Add(plan.Report))
 	g.logOpenRequests(since)
@@ -64,6 +69,13 @@
 	g.Close()
 }
 
+// awaitAccepts waits, right after a standstill, until what has connected meanwhile is accepted. Closing the listener resets the rest.
+func (g *Gateway) awaitAccepts() {
+	now := g.now()
+	g.hasStoodStill(now)
+	time.Sleep(acceptTime - now.Sub(g.standstill.Last().To))
+}
+
 // awaitConnections waits until no connection of a caller is open, at the latest until the given time.
 func (g *Gateway) awaitConnections(until time.Time) {
 	for g.ingress.OpenConnections() > 0 && g.now().Before(until) {
