--- a/pkg/gateway/paths.go
+++ b/pkg/gateway/paths.go
@@ -12,7 +12,7 @@
 	"github.com/corneldeal/corneldeal/pkg/pathcheck"
 	"github.com/corneldeal/corneldeal/pkg/place"
 	"github.com/corneldeal/corneldeal/pkg/reach"
-	"github.com/corneldeal/corneldeal/pkg/sendqueue"
+	"github.com/corneldeal/corneldeal/pkg/socketqueue"
 )
 
 const (
@@ -158,7 +158,7 @@
 // returns ends the watch.
 func (g *Gateway) watchPath(t *target, c net.Conn) (stop func() bool) {
 	return time.AfterFunc(suspicionDelay, func() {
-		if sendqueue.Unacknowledged(c) > 0 {
+		if socketqueue.Unacknowledged(c) > 0 {
 			g.checkPath(t.choice.Endpoint, reach.Unknown, g.now().Add(-suspicionDelay))
 		}
 	}).Stop
--- a/pkg/ingress/connection.go
+++ b/pkg/ingress/connection.go
@@ -13,7 +13,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/corneldeal/corneldeal/pkg/sendqueue"
+	"github.com/corneldeal/corneldeal/pkg/socketqueue"
 	"github.com/corneldeal/corneldeal/pkg/steady"
 )
 
@@ -89,7 +89,7 @@
 	limits := c.server.handler.Limits()
 	c.setIdle(true, limits.IdleTimeout)
 	_, err := c.reader.Peek(1)
-	arrived := err == nil || errors.Is(err, os.ErrDeadlineExceeded) && sendqueue.Unread(c.conn) > 0
+	arrived := err == nil || errors.Is(err, os.ErrDeadlineExceeded) && socketqueue.Unread(c.conn) > 0
 	if !arrived {
 		return false
 	}
--- a/pkg/ingress/slowcaller.go
+++ b/pkg/ingress/slowcaller.go
@@ -6,7 +6,7 @@
 	"os"
 	"time"
 
-	"github.com/corneldeal/corneldeal/pkg/sendqueue"
+	"github.com/corneldeal/corneldeal/pkg/socketqueue"
 )
 
 const (
@@ -46,7 +46,7 @@
 			return written, err
 		}
 		before := unread + n
-		unread = sendqueue.Unacknowledged(raw)
+		unread = socketqueue.Unacknowledged(raw)
 		idleIntervals++
 		if first || unread < before {
 			// The caller's kernel has acknowledged bytes, or what it acknowledged is not known yet.
