Probe also endpoints that are not cut off themselves, of a service that is

A service that is cut off as a whole is now probed at the others too, in turn, and opens as a whole. No check begins for it meanwhile. The longest pause between probes is 1 s, since their rate is bounded anyway.

--- a/pkg/reach/table.go
+++ b/pkg/reach/table.go
@@ -1,6 +1,7 @@
 package reach
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -15,7 +16,7 @@
 	// minProbePause and maxProbePause bound the time between two probes of an endpoint that is cut off. It doubles each time
 	// that the endpoint is cut off again within flapTime.
 	minProbePause = 500 * time.Millisecond
-	maxProbePause = 2 * time.Second
+	maxProbePause = time.Second
 	flapTime      = 10 * time.Second
 	// probeRate is the number of endpoints that are probed in a second, and maxProbes that in one round.
 	probeRate = 8
@@ -60,8 +61,8 @@
 	epoch int
 	// reached is when something last arrived from one of its endpoints, and opened when one was reached again after a cut.
 	reached, opened time.Time
-	// probedAt is when one of its endpoints was last probed.
-	probedAt time.Time
+	// probedAt is when one of its endpoints was last probed, and exploredAt when one was that is not cut off itself.
+	probedAt, exploredAt time.Time
 }
 
 // Table holds the paths of this VM to the endpoints. It is safe for concurrent use; its lock is taken after all others.
@@ -102,7 +103,7 @@
 }
 
 // RecordReached records that an endpoint accepted a connection of this VM. It reports whether the endpoint counted as cut off.
-// The endpoints that were lost together with it, nothing of the service reached since, are taken to be back too.
+// The endpoints that were lost together with it, or together with its whole service, are taken to be back too.
 func (t *Table) RecordReached(e *fleet.Endpoint, now time.Time) (opened bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -127,28 +128,28 @@
 func (t *Table) reach(p *path, now time.Time) (opened bool) {
 	s := t.service(p.service)
 	p.reached, s.reached = now, now
-	if p.cut {
-		opened = true
+	opened = p.cut
+	lostTogether := p.cut && p.epoch == s.epoch
+	if opened || s.fresh >= minCutEndpoints {
 		s.opened = now
-		t.open(p)
 	}
+	if lostTogether || s.fresh >= minCutEndpoints {
+		t.openFresh(p.service)
+	}
+	t.uncount(p)
+	p.cut = false
 	s.epoch++
 	s.fresh = 0
 	return opened
 }
 
-// open ends the cut of a path, and of the paths that were lost together with it. The caller holds the lock.
-func (t *Table) open(p *path) {
-	s := t.services[p.service]
-	if p.epoch != s.epoch {
-		t.uncount(p)
-		p.cut = false
-		return
-	}
-	for _, other := range t.paths {
-		if other.cut && other.service == p.service && other.epoch == s.epoch {
-			t.uncount(other)
-			other.cut = false
+// openFresh ends the cuts of a service since something last arrived from it. The caller holds the lock.
+func (t *Table) openFresh(service string) {
+	s := t.services[service]
+	for _, p := range t.paths {
+		if p.cut && p.service == service && p.epoch == s.epoch {
+			t.uncount(p)
+			p.cut = false
 		}
 	}
 }
@@ -273,13 +274,17 @@
 
 // BeginCheck reports whether the path to an endpoint from which nothing has arrived since the given time is to be checked
 // now, and records the check. An endpoint that is cut off is checked again while others of its service are reached, since it
-// may have ended.
+// may have ended, and none is while the service is cut off as a whole.
 func (t *Table) BeginCheck(e *fleet.Endpoint, since, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.pathOf(e)
-	lostTogether := p.cut && p.epoch == t.services[p.service].epoch
-	if lostTogether || p.reached.After(since) || !p.checkedAt.IsZero() && now.Sub(p.checkedAt) < checkInterval || !t.checks.take(now) {
+	s := t.service(p.service)
+	if p.cut && p.epoch == s.epoch || s.fresh >= minCutEndpoints {
+		// Nothing of the service was reached since, so an answer would show nothing new.
+		return false
+	}
+	if p.reached.After(since) || !p.checkedAt.IsZero() && now.Sub(p.checkedAt) < checkInterval || !t.checks.take(now) {
 		return false
 	}
 	p.checkedAt = now
@@ -294,8 +299,8 @@
 	return t.answers.take(now)
 }
 
-// DueProbes returns the endpoints among those given that are cut off and to be probed now, at most maxProbes, and records the
-// probes. The service that was probed longest ago goes first, and within it the endpoint that has been due longest.
+// DueProbes returns the endpoints among those given that are to be probed now, at most maxProbes, and records the probes. They
+// are cut off, or belong to a service that is cut off as a whole. The service that was probed longest ago goes first, and within it the endpoint that has been due longest.
 func (t *Table) DueProbes(endpoints []*fleet.Endpoint, now time.Time) []*fleet.Endpoint {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -305,17 +310,51 @@
 			due = append(due, e)
 		}
 	}
+	due = append(due, t.dueExplorations(endpoints, now)...)
 	for len(due) > 0 && len(out) < maxProbes && t.probes.take(now) {
 		next := slices.MinFunc(due, t.compareProbes)
 		p := t.paths[next.Incarnation()]
 		p.probeAt = now.Add(p.pause)
-		t.services[p.service].probedAt = now
+		s := t.services[p.service]
+		s.probedAt = now
+		if !p.cut {
+			s.exploredAt = now
+		}
 		out = append(out, next)
 		due = slices.DeleteFunc(due, func(e *fleet.Endpoint) bool { return e == next })
 	}
 	return out
 }
 
+// dueExplorations returns for each service that is cut off as a whole the endpoint to be probed among those that are not cut off
+// themselves: all that are may have ended. The caller holds the lock.
+func (t *Table) dueExplorations(endpoints []*fleet.Endpoint, now time.Time) []*fleet.Endpoint {
+	usable := map[string]int{}
+	for name, s := range t.services {
+		if s.fresh > 0 && now.Sub(s.exploredAt) >= minProbePause {
+			usable[name] = 0
+		}
+	}
+	if len(usable) == 0 {
+		return nil
+	}
+	for _, e := range endpoints {
+		if _, due := usable[e.Service]; due {
+			usable[e.Service]++
+		}
+	}
+	oldest := map[string]*fleet.Endpoint{}
+	for _, e := range endpoints {
+		if usable[e.Service] == 0 || !t.serviceCut(e.Service, usable[e.Service]) || t.pathOf(e).cut {
+			continue
+		}
+		if other := oldest[e.Service]; other == nil || t.pathOf(e).probeAt.Before(t.pathOf(other).probeAt) {
+			oldest[e.Service] = e
+		}
+	}
+	return slices.Collect(maps.Values(oldest))
+}
+
 // isDue reports whether an endpoint that is cut off is to be probed: after its pause, or once another of its service was
 // reached. The caller holds the lock.
 func (t *Table) isDue(p *path, now time.Time) bool {
