Send requests through peers after slow failures that no peer explains

An endpoint that is cut off while few others of its service are is checked again, whether something was reached since or not: one at a VM with little traffic had ended and still counted as cut off 5 s after the heal.

--- a/pkg/reach/property_test.go
+++ b/pkg/reach/property_test.go
@@ -407,6 +407,47 @@
 	})
 }
 
+// Guards against requests that wait in vain at one endpoint after the other where no peer can say that the service is cut off,
+// and against a service that is given up for failures that are quick, far apart or before something arrived.
+func TestSlowFailuresLeadToPeersUntilSomethingArrives(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, now := NewTable(), time.Unix(1000, 0)
+		endpoints := makeEndpoints(rapid.IntRange(1, 6).Draw(t, "endpoints"), 1)
+		failed := map[*fleet.Endpoint]bool{}
+		for range rapid.IntRange(1, 12).Draw(t, "attempts") {
+			pause := time.Duration(rapid.SampledFrom([]int{0, 1000, 3000}).Draw(t, "pause")) * time.Millisecond
+			took := time.Duration(rapid.SampledFrom([]int{2, 250}).Draw(t, "ms")) * time.Millisecond
+			e := rapid.SampledFrom(endpoints).Draw(t, "endpoint")
+			now = now.Add(pause + took)
+			switch {
+			case rapid.IntRange(0, 5).Draw(t, "arrives") == 0:
+				table.RecordReceived(e, now)
+				clear(failed)
+			case took >= minFailure:
+				if pause+took > failureTime {
+					clear(failed)
+				}
+				table.BeginCheck(e, now.Add(-took), now)
+				failed[e] = true
+			default:
+				table.BeginCheck(e, now.Add(-took), now)
+				// The next slow failure is to follow the last slow one, so this time does not pass for the series.
+				now = now.Add(-pause - took)
+			}
+			want := Direct
+			if len(failed) > 0 && len(failed) >= min(minCutEndpoints, len(endpoints)) {
+				want = ThroughPeer
+			}
+			if got := table.RouteTo(e, len(endpoints)); got != want {
+				t.Fatalf("the route is %v after failures at %d of %d endpoints", got, len(failed), len(endpoints))
+			}
+			if _, listed := table.Cut()["s0"]; listed != (len(failed) > 0) {
+				t.Fatalf("listed for probes: %v, after failures at %d endpoints", listed, len(failed))
+			}
+		}
+	})
+}
+
 // Guards against more checks, or connections for peers, in a second than the budgets allow, and against budgets that starve.
 func TestChecksAndAnswersAreBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/pkg/reach/table.go
+++ b/pkg/reach/table.go
@@ -18,6 +18,8 @@
 	minProbePause = 500 * time.Millisecond
 	maxProbePause = time.Second
 	flapTime      = 10 * time.Second
+	// explorePause is the time between two probes of endpoints that are not cut off, of a service that is or may be.
+	explorePause = 250 * time.Millisecond
 	// probeRate is the number of endpoints that are probed in a second, and maxProbes that in one round.
 	probeRate = 8
 	maxProbes = 2
@@ -29,6 +31,10 @@
 	// answerRate is the number of connections in a second for questions of peers, and maxAnswers that at once.
 	answerRate = 5
 	maxAnswers = 4
+	// minFailure is the shortest duration of an attempt that counts as failed. One that is refused at once costs little.
+	minFailure = 200 * time.Millisecond
+	// failureTime is the longest time between two failed attempts that count together.
+	failureTime = 2 * time.Second
 	// checkInterval is the shortest time between two checks of the same endpoint.
 	checkInterval = time.Second
 )
@@ -44,8 +50,9 @@
 	// cutAt is when it was last found to be cut off, probeAt when it is to be probed, and pause the time between probes.
 	cutAt, probeAt time.Time
 	pause          time.Duration
-	// epoch is that of the service when the path was cut off.
-	epoch int
+	// epoch is that of the service when the path was cut off, and failures the number of its series of failures to which the last
+	// failed attempt belongs.
+	epoch, failures int
 	// checkedAt is when a check last began.
 	checkedAt time.Time
 }
@@ -55,6 +62,10 @@
 	// cut is the number of endpoints that are cut off, and fresh the number of those found so since something last arrived from
 	// any endpoint of the service.
 	cut, fresh int
+	// failed is the number of endpoints at which attempts failed slowly in a series, the last at failedAt. failures is the number of the
+	// present series. It ends when something arrives, or with a pause of failureTime.
+	failed, failures int
+	failedAt         time.Time
 	// timedOut is the number of those that are cut off whose connections time out.
 	timedOut int
 	// epoch is the number of times that something arrived from one of its endpoints.
@@ -65,6 +76,24 @@
 	probedAt, exploredAt time.Time
 }
 
+// recordFailure records that an attempt failed at an endpoint of the service.
+func (s *serviceState) recordFailure(p *path, now time.Time) {
+	if now.Sub(s.failedAt) > failureTime {
+		s.endFailures()
+	}
+	s.failedAt = now
+	if p.failures != s.failures {
+		p.failures = s.failures
+		s.failed++
+	}
+}
+
+// endFailures begins a new series of failures.
+func (s *serviceState) endFailures() {
+	s.failed = 0
+	s.failures++
+}
+
 // Table holds the paths of this VM to the endpoints. It is safe for concurrent use; its lock is taken after all others.
 type Table struct {
 	mu       sync.Mutex
@@ -96,7 +125,7 @@
 func (t *Table) service(name string) *serviceState {
 	s := t.services[name]
 	if s == nil {
-		s = &serviceState{}
+		s = &serviceState{failures: 1}
 		t.services[name] = s
 	}
 	return s
@@ -140,6 +169,7 @@
 	p.cut = false
 	s.epoch++
 	s.fresh = 0
+	s.endFailures()
 	return opened
 }
 
@@ -200,6 +230,8 @@
 		probe = p.probe
 	case t.serviceCut(e.Service, usable):
 		probe = t.commonProbe(e.Service)
+	case t.isSuspect(e.Service, usable):
+		probe = TimedOut
 	}
 	switch probe {
 	case Refused:
@@ -244,6 +276,13 @@
 	return s.fresh >= min(minCutEndpoints, left)
 }
 
+// isSuspect reports whether attempts failed slowly at several endpoints of a service, or at all, and none was reached since. It counts
+// as cut off for requests although no peer has said so: where all peers are cut off too, none can. The caller holds the lock.
+func (t *Table) isSuspect(service string, usable int) bool {
+	s := t.services[service]
+	return s != nil && s.failed > 0 && s.failed >= min(minCutEndpoints, usable)
+}
+
 // Reachable returns the endpoints of a service that are not cut off, or all if each of them is. The slice that it is given is
 // not changed.
 func (t *Table) Reachable(endpoints []*fleet.Endpoint) []*fleet.Endpoint {
@@ -273,14 +312,17 @@
 }
 
 // BeginCheck reports whether the path to an endpoint from which nothing has arrived since the given time is to be checked
-// now, and records the check. An endpoint that is cut off is checked again while others of its service are reached, since it
-// may have ended, and none is while the service is cut off as a whole.
+// now, and records the check. An endpoint that is cut off is checked again, since it may have ended, but none is while the
+// service is cut off as a whole.
 func (t *Table) BeginCheck(e *fleet.Endpoint, since, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.pathOf(e)
 	s := t.service(p.service)
-	if p.cut && p.epoch == s.epoch || s.fresh >= minCutEndpoints {
+	if !p.reached.After(since) && now.Sub(since) >= minFailure {
+		s.recordFailure(p, now)
+	}
+	if s.fresh >= minCutEndpoints {
 		// Nothing of the service was reached since, so an answer would show nothing new.
 		return false
 	}
@@ -300,7 +342,7 @@
 }
 
 // DueProbes returns the endpoints among those given that are to be probed now, at most maxProbes, and records the probes. They
-// are cut off, or belong to a service that is cut off as a whole. The service that was probed longest ago goes first, and within it the endpoint that has been due longest.
+// are cut off, or belong to a service that is or may be cut off as a whole. The service that was probed longest ago goes first, and within it the endpoint that has been due longest.
 func (t *Table) DueProbes(endpoints []*fleet.Endpoint, now time.Time) []*fleet.Endpoint {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -326,12 +368,12 @@
 	return out
 }
 
-// dueExplorations returns for each service that is cut off as a whole the endpoint to be probed among those that are not cut off
+// dueExplorations returns for each service that is or may be cut off as a whole the endpoint to be probed among those that are not cut off
 // themselves: all that are may have ended. The caller holds the lock.
 func (t *Table) dueExplorations(endpoints []*fleet.Endpoint, now time.Time) []*fleet.Endpoint {
 	usable := map[string]int{}
 	for name, s := range t.services {
-		if s.fresh > 0 && now.Sub(s.exploredAt) >= minProbePause {
+		if (s.fresh > 0 || s.failed > 0) && now.Sub(s.exploredAt) >= explorePause {
 			usable[name] = 0
 		}
 	}
@@ -345,7 +387,10 @@
 	}
 	oldest := map[string]*fleet.Endpoint{}
 	for _, e := range endpoints {
-		if usable[e.Service] == 0 || !t.serviceCut(e.Service, usable[e.Service]) || t.pathOf(e).cut {
+		if usable[e.Service] == 0 || t.pathOf(e).cut {
+			continue
+		}
+		if !t.serviceCut(e.Service, usable[e.Service]) && !t.isSuspect(e.Service, usable[e.Service]) {
 			continue
 		}
 		if other := oldest[e.Service]; other == nil || t.pathOf(e).probeAt.Before(t.pathOf(other).probeAt) {
@@ -383,8 +428,7 @@
 		if keep(id) {
 			continue
 		}
-		t.uncount(p)
-		delete(t.paths, id)
+		t.forget(id, p)
 	}
 }
 
@@ -393,9 +437,17 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if p := t.paths[e.Incarnation()]; p != nil {
-		t.uncount(p)
-		delete(t.paths, e.Incarnation())
+		t.forget(e.Incarnation(), p)
+	}
+}
+
+// forget removes a path. The caller holds the lock.
+func (t *Table) forget(id fleet.Incarnation, p *path) {
+	t.uncount(p)
+	if s := t.services[p.service]; s != nil && p.failures == s.failures {
+		s.failed--
 	}
+	delete(t.paths, id)
 }
 
 // uncount takes a path out of the counts of its service. The caller holds the lock.
@@ -411,13 +463,14 @@
 	}
 }
 
-// Cut returns the number of endpoints of each service that are cut off, without services that have none.
+// Cut returns the number of endpoints of each service that are cut off, without services that have none. It is zero for a service
+// at which attempts failed, none of its endpoints reached since: its endpoints may be due for probes too.
 func (t *Table) Cut() map[string]int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := map[string]int{}
 	for name, s := range t.services {
-		if s.cut > 0 {
+		if s.cut > 0 || s.failed > 0 {
 			out[name] = s.cut
 		}
 	}
