--- a/pkg/reach/table.go
+++ b/pkg/reach/table.go
@@ -1,7 +1,6 @@
 package reach
 
 import (
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -397,7 +396,7 @@
 			oldest[e.Service] = e
 		}
 	}
-	return slices.Collect(maps.Values(oldest))
+	return slices.DeleteFunc(slices.Clone(endpoints), func(e *fleet.Endpoint) bool { return oldest[e.Service] != e })
 }
 
 // isDue reports whether an endpoint that is cut off is to be probed: after its pause, or once another of its service was
