--- a/pkg/gateway/forwarded.go
+++ b/pkg/gateway/forwarded.go
@@ -128,27 +128,32 @@
 
 // Probe implements gossip.Relay.
 func (s relayService) Probe(_ context.Context, req *gossip.ProbeRequest) (*gossip.ProbeResponse, error) {
-	e, control := s.g.probeTargets(req)
-	if e == nil {
+	e, control, ended := s.g.probeTargets(req)
+	switch {
+	case e == nil:
 		return &gossip.ProbeResponse{Result: reach.Unknown.String()}, nil
+	case ended:
+		return &gossip.ProbeResponse{Result: reach.Refused.String()}, nil
 	}
 	return &gossip.ProbeResponse{Result: s.g.pathChecks.Answer(e, control).String()}, nil
 }
 
-// probeTargets returns the endpoint that a peer asks about and another one of its service, either of which may be nil.
-func (g *Gateway) probeTargets(req *gossip.ProbeRequest) (e, control *fleet.Endpoint) {
+// probeTargets returns the endpoint that a peer asks about and another one of its service, either of which may be nil, and
+// whether the first is known to have ended.
+func (g *Gateway) probeTargets(req *gossip.ProbeRequest) (e, control *fleet.Endpoint, ended bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e = g.endpoints.Get(req.GetEndpoint())
 	if e == nil || e.StartTimeMs != req.GetBorn() {
-		return nil, nil
+		return nil, nil, false
 	}
+	ended = g.endpoints.HasEnded(e, g.now())
 	usable := g.endpoints.Usable(e.Service)
 	first := g.random.IntN(len(usable))
 	for i := range usable {
 		if other := usable[(first+i)%len(usable)]; other.ID != e.ID {
-			return e, other
+			return e, other, ended
 		}
 	}
-	return e, nil
+	return e, nil, ended
 }
--- a/pkg/gateway/paths.go
+++ b/pkg/gateway/paths.go
@@ -251,14 +251,22 @@
 	}
 	g.mu.Unlock()
 	for _, e := range g.paths.DueProbes(cut, now) {
-		go func() {
-			g.metrics.count("path_probes_total")
-			if g.pathChecks.Reprobe(e) {
-				g.log.info(partPath).Str("endpoint", e.ID).Str("service", e.Service).Msg("endpoint is reached again")
-				g.reportCutServices()
-			}
-		}()
+		go g.probePath(e)
+	}
+}
+
+// probePath looks whether an endpoint is reached again.
+func (g *Gateway) probePath(e *fleet.Endpoint) {
+	g.metrics.count("path_probes_total")
+	began := g.now()
+	probe := g.pathChecks.Reprobe(e)
+	if probe != reach.Connected {
+		// It may have ended since it was cut off.
+		g.checkPath(e, probe, began)
+		return
 	}
+	g.log.info(partPath).Str("endpoint", e.ID).Str("service", e.Service).Msg("endpoint is reached")
+	g.reportCutServices()
 }
 
 // forgetPaths forgets the paths to endpoints that are gone.
--- a/pkg/pathcheck/pathcheck.go
+++ b/pkg/pathcheck/pathcheck.go
@@ -131,9 +131,13 @@
 	return c.network.Connect(ctx, e.Address)
 }
 
-// Reprobe connects again to an endpoint that counts as cut off, and reports whether it was reached.
-func (c *Checker) Reprobe(e *fleet.Endpoint) bool {
-	return c.connect(e) == reach.Connected && c.table.RecordReached(e, c.now())
+// Reprobe connects again to an endpoint that may be cut off, and returns the result.
+func (c *Checker) Reprobe(e *fleet.Endpoint) reach.Probe {
+	probe := c.connect(e)
+	if probe == reach.Connected {
+		c.table.RecordReached(e, c.now())
+	}
+	return probe
 }
 
 // Answer connects to an endpoint for a peer. A refusal counts only if control, another endpoint of the service, accepts a
@@ -145,10 +149,7 @@
 	if fresh && c.now().Sub(known.at) < answerValidity {
 		return known.probe
 	}
-	if !c.table.BeginAnswer(c.now()) {
-		return reach.Unknown
-	}
-	probe := c.connect(e)
+	probe := c.connectForPeer(e)
 	if probe == reach.Refused {
 		probe = c.confirmRefusal(e, control)
 	}
@@ -165,7 +166,15 @@
 
 // confirmRefusal returns what a refused connection to an endpoint is worth as evidence.
 func (c *Checker) confirmRefusal(e, control *fleet.Endpoint) reach.Probe {
-	if control == nil || c.connect(control) != reach.Connected {
+	if control == nil || c.connectForPeer(control) != reach.Connected {
+		return reach.Unknown
+	}
+	return c.connectForPeer(e)
+}
+
+// connectForPeer probes an endpoint to answer a question, if the budget for answers allows it.
+func (c *Checker) connectForPeer(e *fleet.Endpoint) reach.Probe {
+	if !c.table.BeginAnswer(c.now()) {
 		return reach.Unknown
 	}
 	return c.connect(e)
