Bring a stream back to its engine if the next one turns it away

Now a second retry is reserved for the way back, and given back where it is not needed; an engine that stays silent for 0.8 s longer is given up without one, since it hardly comes back.

--- a/pkg/admit/retry.go
+++ b/pkg/admit/retry.go
@@ -49,8 +49,13 @@
 
 // CanRetry reports whether one retry is allowed.
 func (b *RetryBudget) CanRetry(now time.Time) bool {
+	return b.canRetry(1, now)
+}
+
+// canRetry reports whether a number of retries is allowed.
+func (b *RetryBudget) canRetry(count int, now time.Time) bool {
 	allowed := retryFloor - b.floorReduction + b.firsts.sum(now, retryBuckets)/firstAttemptsPerRetry
-	return b.retries.sum(now, retryBuckets+1) < allowed
+	return b.retries.sum(now, retryBuckets+1)+count <= allowed
 }
 
 // Take reports whether one retry is allowed, and counts it if so.
@@ -62,6 +67,25 @@
 	return true
 }
 
+// TakeSome counts as many retries as are allowed, at most the given number, and returns how many. It counts none if fewer than
+// least are allowed. Those that are not used are to be given back.
+func (b *RetryBudget) TakeSome(least, most int, now time.Time) (taken int) {
+	for taken = most; taken >= least; taken-- {
+		if b.canRetry(taken, now) {
+			for range taken {
+				b.retries.add(now)
+			}
+			return taken
+		}
+	}
+	return 0
+}
+
+// GiveBack undoes the count of a retry that was taken and not used. One that was taken too long ago counts no more.
+func (b *RetryBudget) GiveBack(now time.Time) {
+	b.retries.remove(now)
+}
+
 // slidingCount counts events in the current bucket and the ten before it.
 type slidingCount struct {
 	counts [retryBuckets + 1]int
@@ -93,6 +117,17 @@
 	w.counts[w.index(w.bucket)]++
 }
 
+// remove undoes the count of an event, in the newest bucket that has one.
+func (w *slidingCount) remove(now time.Time) {
+	w.advance(now)
+	for i := range int64(len(w.counts)) {
+		if n := &w.counts[w.index(w.bucket-i)]; *n > 0 {
+			*n--
+			return
+		}
+	}
+}
+
 // sum returns the count of the newest buckets. Ten buckets cover at most RetryWindow, eleven at least RetryWindow.
 func (w *slidingCount) sum(now time.Time, buckets int64) int {
 	w.advance(now)
--- a/pkg/failover/failover.go
+++ b/pkg/failover/failover.go
@@ -14,6 +14,22 @@
 // RecheckInterval is the time after which a silent attempt that was kept is looked at again.
 const RecheckInterval = 400 * time.Millisecond
 
+// patience is the number of rechecks after which an attempt is given up although no retry is left for the way back.
+const patience = 2
+
+// RetriesNeeded returns the least and the most retries to reserve for giving an attempt up that has been silent for the given time
+// of the given wait. Once events were passed on, a successor that turns the request away would cut the stream, so a second retry is
+// reserved for the way back. An endpoint that stays silent for long does without.
+func RetriesNeeded(started bool, silence, wait time.Duration) (least, most int) {
+	switch {
+	case !started:
+		return 1, 1
+	case silence < wait+patience*RecheckInterval:
+		return 2, 2
+	}
+	return 1, 2
+}
+
 // Reason is why an attempt at a silent endpoint is kept.
 type Reason string
 
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -54,8 +55,8 @@
 	pathWatch func() bool
 	// endForward ends the record of the request at the peer, or is nil.
 	endForward func()
-	// retryReserved is set once a retry was taken from the budget for the attempt after this one.
-	retryReserved bool
+	// retriesReserved is the number of retries that were taken from the budget for the attempts after this one.
+	retriesReserved int
 	// rollout is the part of the attempt in a roll-out.
 	rollout rolloutAttempt
 	// underLimit is set if the endpoint was limited when the request was sent.
@@ -78,6 +79,7 @@
 
 // forward sends the request to endpoints until the caller has its final answer.
 func (g *Gateway) forward(r *request) {
+	defer g.giveBackRetry(r)
 	for {
 		t, refused := g.chooseEndpoint(r)
 		if refused != nil {
@@ -104,6 +106,28 @@
 	}
 }
 
+// wayBack allows a request to return to an endpoint that was given up for its silence. A retry is reserved for it.
+type wayBack struct {
+	endpoint, service string
+}
+
+// takeWayBack lets the request return to the endpoint that was given up, since its successor turned the request away.
+func (r *request) takeWayBack() {
+	id := r.wayBack.endpoint
+	r.excluded = slices.DeleteFunc(r.excluded, func(excluded string) bool { return excluded == id })
+	r.wayBack = nil
+}
+
+// giveBackRetry returns the retry that was reserved for a way back and not used.
+func (g *Gateway) giveBackRetry(r *request) {
+	if r.wayBack == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.retryBudget(r.wayBack.service).GiveBack(g.now())
+}
+
 // chooseEndpoint selects the endpoint for the next attempt under the configuration in force now.
 func (g *Gateway) chooseEndpoint(r *request) (*target, *refusal.Error) {
 	if refused := g.authorize(r); refused != nil {
@@ -292,7 +316,14 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if t.retryReserved {
+	switch {
+	case t.retriesReserved > 0:
+		if t.retriesReserved > 1 {
+			r.wayBack = &wayBack{endpoint: t.choice.Endpoint.ID, service: t.service.Name}
+		}
+		return true
+	case res.notRun && r.wayBack != nil:
+		r.takeWayBack()
 		return true
 	}
 	if !g.retryBudget(t.service.Name).Take(now) {
--- a/pkg/gateway/origin.go
+++ b/pkg/gateway/origin.go
@@ -131,7 +131,7 @@
 	g.mu.Lock()
 	records := g.canRecordOrigins()
 	g.mu.Unlock()
-	return !records && r.mayRunAgain() && g.reserveSuccessor(r, t, progressOf(r), steady.Now()) == ""
+	return !records && r.mayRunAgain() && g.reserveSuccessor(r, t, progressOf(r), 1, 1, steady.Now()) == ""
 }
 
 // endOrigin records that a stream was passed on to its end.
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -48,6 +48,8 @@
 	// possibleRuns counts the attempts that may have run the request; attempts counts all.
 	possibleRuns, attempts int
 	excluded               []string
+	// wayBack is set while the successor of an endpoint that was given up for its silence has not taken the request, or nil.
+	wayBack *wayBack
 	// lastEventID is the last event that the caller has received, for a resumed stream.
 	lastEventID string
 	// origin is where the stream began, or nil before its first event.
--- a/pkg/gateway/silence.go
+++ b/pkg/gateway/silence.go
@@ -83,14 +83,16 @@
 	}
 	now := steady.Now()
 	g.hasStoodStill(now)
-	if rest := l.currentWait - failover.Silence(l.since, g.standstill.Last(), now); rest > 0 {
-		l.timer.Reset(rest)
+	silence := failover.Silence(l.since, g.standstill.Last(), now)
+	if silence < l.currentWait {
+		l.timer.Reset(l.currentWait - silence)
 		return
 	}
 	if !t.throughPeer.Load() {
 		g.checkPath(t.choice.Endpoint, reach.Unknown, l.since)
 	}
-	reason := g.reserveSuccessor(r, t, l.progress, now)
+	least, most := failover.RetriesNeeded(l.progress.started, silence, l.currentWait)
+	reason := g.reserveSuccessor(r, t, l.progress, least, most, now)
 	if reason == "" {
 		l.timer = nil
 		cancel(errEndpointSilent)
@@ -105,9 +107,11 @@
 	l.timer.Reset(failover.RecheckInterval)
 }
 
-// reserveSuccessor returns why the attempt at a silent endpoint is kept. If it is not, a retry is taken from the budget for
-// the next attempt.
-func (g *Gateway) reserveSuccessor(r *request, t *target, p streamProgress, now time.Time) failover.Reason {
+// reserveSuccessor returns why the attempt at a silent endpoint is kept. If it is not, retries are taken from the budget, one for the
+// next attempt and, with two, one for the way back.
+func (g *Gateway) reserveSuccessor(
+	r *request, t *target, p streamProgress, least, most int, now time.Time,
+) failover.Reason {
 	next := r.successor(t, p)
 	refused := g.authorize(next)
 	g.mu.Lock()
@@ -116,13 +120,18 @@
 		_, refused = g.findTarget(next, now)
 	}
 	budget := g.retryBudget(t.service.Name)
+	taken := budget.TakeSome(least, most, now)
 	reason := failover.Decide(failover.Situation{
 		Stopping: g.isTooLateToSend(now), Left: r.deadline.Sub(now), MinLeft: minTimeToSend,
 		Started: p.started, HasPosition: p.lastEventID != "", Suspect: g.isCrashSuspect(next, now),
-		HasSuccessor: refused == nil, HasRetry: budget.CanRetry(now),
+		HasSuccessor: refused == nil, HasRetry: taken > 0,
 	})
 	if reason == "" {
-		t.retryReserved = budget.Take(now)
+		t.retriesReserved = taken
+		return ""
+	}
+	for range taken {
+		budget.GiveBack(now)
 	}
 	return reason
 }
