--- a/pkg/httpcall/httpcall.go
+++ b/pkg/httpcall/httpcall.go
@@ -32,9 +32,11 @@
 	maxIdleTime = 5 * time.Second
 	// keepAliveFraction is the fraction of the keep-alive time announced by a server for which a connection is reused.
 	keepAliveFraction = 0.7
-	// tcpUserTimeout is the time after which the kernel closes a connection with unacknowledged data.
+	// tcpUserTimeout is the time after which the kernel closes a connection with unacknowledged data. It also decides when
+	// keep-alive probes give up: at the first probe that is due after it, whatever their count.
 	tcpUserTimeout = 2 * time.Second
-	// Keep-alive probes detect that the server became unreachable while a call waits for its response.
+	// Keep-alive probes detect that the server became unreachable while a call waits for its response. A server whose kernel
+	// answers them may stay silent for as long as the call waits.
 	keepAliveProbeIdle     = time.Second
 	keepAliveProbeInterval = 700 * time.Millisecond
 	keepAliveProbeCount    = 3
