Let a VM that is cut off from engines give no orders

It now has no orders to give, so that the others pass it over after the usual waits. The test failed without the condition.

--- a/pkg/gateway/orders.go
+++ b/pkg/gateway/orders.go
@@ -57,7 +57,7 @@
 // leaseSituation returns the inputs of the lease's next step. It forgets all loads if no order is due. The caller holds
 // the lock.
 func (g *Gateway) leaseSituation(now time.Time) issuer.Situation {
-	ordersDue := g.ordersDue() && !g.leaving.Load()
+	ordersDue := g.ordersDue() && !g.leaving.Load() && !g.cutFromEngines()
 	rolloutsDue := g.rolloutsDue(now) && !g.leaving.Load()
 	s := issuer.Situation{
 		Pending:   ordersDue || rolloutsDue,
@@ -150,6 +150,21 @@
 	return false
 }
 
+// cutFromEngines reports whether this VM lost its paths to a service of engines, so that its orders would not arrive. It gives none
+// then, and another VM takes over. The caller holds the lock.
+func (g *Gateway) cutFromEngines() bool {
+	c := g.config.Load()
+	if c == nil {
+		return false
+	}
+	for name := range g.cutServices {
+		if s := c.Services[name]; s != nil && s.Engine != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // enginesServing returns the usable endpoints that serve a model. The caller holds the lock.
 func (g *Gateway) enginesServing(model string) []*fleet.Endpoint {
 	c := g.config.Load()
--- a/pkg/gateway/orders_test.go
+++ b/pkg/gateway/orders_test.go
@@ -6,11 +6,13 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/corneldeal/corneldeal/pkg/fleet"
 	"github.com/corneldeal/corneldeal/pkg/gossip"
 	"github.com/corneldeal/corneldeal/pkg/issuer"
 	"github.com/corneldeal/corneldeal/pkg/logpos"
 	"github.com/corneldeal/corneldeal/pkg/place"
 	"github.com/corneldeal/corneldeal/pkg/steady"
+	"github.com/corneldeal/corneldeal/pkg/traffic"
 )
 
 // Guards against waiting for a holder that gives no orders: one that does not know its claim, one that holds another claim,
@@ -95,3 +97,22 @@
 		t.Error("a stored announcement time counts as not stored")
 	}
 }
+
+// Guards against a holder of the order lease that keeps it while its orders do not arrive.
+func TestVMCutFromEnginesGivesNoOrders(t *testing.T) {
+	g := newTestGateway(1)
+	now := steady.Now()
+	g.config.Store(&traffic.Config{Version: 1, Services: map[string]*traffic.Service{
+		"llm": {Name: "llm", Engine: &traffic.Engine{Models: []string{"m"}}},
+	}})
+	e := &fleet.Endpoint{ID: "e", Service: "llm", Ready: true, Versions: map[string]int64{"m": 1}}
+	g.endpoints.Apply("e", logpos.Position{Offset: 1}, e, now)
+	g.addAnnouncement("m", place.Announcement{Version: 2, At: now})
+	if !g.leaseSituation(now).Pending {
+		t.Fatal("no order is due")
+	}
+	g.cutServices["llm"] = true
+	if g.leaseSituation(now).Pending {
+		t.Error("a VM that reaches no engine has orders to give")
+	}
+}
