--- a/pkg/reach/table.go
+++ b/pkg/reach/table.go
@@ -275,8 +275,9 @@
 	return s.fresh >= min(minCutEndpoints, left)
 }
 
-// isSuspect reports whether attempts failed slowly at several endpoints of a service, or at all, and none was reached since. It counts
-// as cut off for requests although no peer has said so: where all peers are cut off too, none can. The caller holds the lock.
+// isSuspect reports whether attempts failed slowly at several endpoints of a service, or at all, and none was reached since.
+// It counts as cut off for requests although no peer has said so: where all peers are cut off too, none can. The caller holds
+// the lock.
 func (t *Table) isSuspect(service string, usable int) bool {
 	s := t.services[service]
 	return s != nil && s.failed > 0 && s.failed >= min(minCutEndpoints, usable)
@@ -341,7 +342,8 @@
 }
 
 // DueProbes returns the endpoints among those given that are to be probed now, at most maxProbes, and records the probes. They
-// are cut off, or belong to a service that is or may be cut off as a whole. The service that was probed longest ago goes first, and within it the endpoint that has been due longest.
+// are cut off, or belong to a service that is or may be cut off as a whole. The service that was probed longest ago goes first,
+// and within it the endpoint that has been due longest.
 func (t *Table) DueProbes(endpoints []*fleet.Endpoint, now time.Time) []*fleet.Endpoint {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -367,8 +369,8 @@
 	return out
 }
 
-// dueExplorations returns for each service that is or may be cut off as a whole the endpoint to be probed among those that are not cut off
-// themselves: all that are may have ended. The caller holds the lock.
+// dueExplorations returns for each service that is or may be cut off as a whole the endpoint to be probed among those that are not
+// cut off themselves: all that are may have ended. The caller holds the lock.
 func (t *Table) dueExplorations(endpoints []*fleet.Endpoint, now time.Time) []*fleet.Endpoint {
 	usable := map[string]int{}
 	for name, s := range t.services {
