Keep brittle endpoints from rejecting too much over all VMs

Change: the header is read into the answer, malformed values are logged at most once in 10 s and change nothing; placement leaves out endpoints that might fail; digests carry brittle services and recent rejections (fields 60 and 61, only while a service is brittle); metrics and log lines.

TestAllVMsAgreeOnBrittleEndpoints: 9, 30 and 100 VMs agree within 2 s; with ages instead of revisions 100 VMs never agreed on the end.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -92,6 +92,7 @@
 		g.placer.RecordOutputTokens(r.id, t.events)
 	}
 	g.placer.RecordOutcome(r.id, res.outcome, now)
+	g.recordRejection(r, t, res, now)
 	if t.firstTokenAt.IsZero() && !res.notRun {
 		g.observeFirstToken(r, t, now, true)
 	}
@@ -258,6 +259,7 @@
 		g.placer.RecordVersion(e, t.request.Model, answer.Version)
 	}
 	g.applyLimit(t, answer, now)
+	g.applyBrittle(t, answer, now)
 	if answer.Leaving && g.endpoints.MarkDraining(e.ID, e.StartTimeMs, now) {
 		g.announceDeparture(e.ID, "said so in an answer", logpos.Position{Era: g.storeEra})
 	}
--- a/pkg/gateway/broadcast.go
+++ b/pkg/gateway/broadcast.go
@@ -170,6 +170,7 @@
 		func() { d.EndedStarts = nil },
 		func() { d.Announcements = nil },
 		func() { d.Departures = nil },
+		func() { d.BrittleRejections = nil },
 		func() { d.Limits = nil },
 	} {
 		if proto.Size(short) <= gossip.MaxBatchBytes {
--- a/pkg/gateway/digest.go
+++ b/pkg/gateway/digest.go
@@ -47,6 +47,7 @@
 	g.takeOverRefusalWrites(now)
 	g.shareRetries(now)
 	g.updateLimits(now)
+	g.updateBrittle(now)
 	g.updateConnectionShares(now)
 	g.placer.ForgetEndpoints(func(id string) bool { return g.endpoints.Get(id) != nil })
 	loading := g.enginesOutOfService()
@@ -116,6 +117,7 @@
 	d.RolloutEvidence = g.rolloutEvidence(now)
 	reachesAll := !g.isLargeSystem() || g.isHub(now)
 	d.Limits = limitsToProto(g.limits.Reports(reachesAll || sequence%allLimitsInterval < allLimitsRepeats, now))
+	g.addBrittle(d, reachesAll || sequence%allLimitsInterval < allLimitsRepeats, now)
 	d.TakesRequests = g.takesRequests(now)
 	if reachesAll || g.reportsAnnouncements(now) {
 		// The digests of hubs reach every VM, so the others need not repeat these.
--- a/pkg/gateway/explain.go
+++ b/pkg/gateway/explain.go
@@ -152,6 +152,7 @@
 	c.leavingSince.Store(g.leavingSince.Load())
 	c.crashes = g.crashes.Clone()
 	c.limits = g.limits.Clone()
+	c.brittle = g.brittle.Clone()
 	c.partTraffic.withPart = maps.Clone(g.partTraffic.withPart)
 	return c
 }
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -171,6 +171,7 @@
 	r.atLimit += choice.AtLimit
 	g.metrics.counters.Add("endpoints_left_out_at_limit_total", int64(choice.AtLimit))
 	g.metrics.counters.Add("endpoints_left_out_connections_total", int64(choice.NoConnection))
+	g.metrics.counters.Add("endpoints_left_out_full_total", int64(choice.Full))
 	return &target{service: s, choice: choice, request: p, slots: properties.Slots, sentAt: now}
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/corneldeal/corneldeal/pkg/admit"
 	"github.com/corneldeal/corneldeal/pkg/affinity"
+	"github.com/corneldeal/corneldeal/pkg/brittle"
 	"github.com/corneldeal/corneldeal/pkg/crashguard"
 	"github.com/corneldeal/corneldeal/pkg/drain"
 	"github.com/corneldeal/corneldeal/pkg/endpointlimit"
@@ -124,6 +125,10 @@
 	checkingEnded map[string]bool
 	// limits are the rate limits that endpoints named.
 	limits *endpointlimit.Table
+	// brittle are the services whose endpoints fail when they reject too many requests.
+	brittle *brittle.Table
+	// brittleWarnedAt is when a malformed announcement was last logged, or zero.
+	brittleWarnedAt time.Time
 	// lastRequestAt is when this VM last placed a request, or zero.
 	lastRequestAt time.Time
 	lease         *issuer.Lease
@@ -238,6 +243,7 @@
 		crashSync:          newCrashSync(),
 		checkingEnded:      map[string]bool{},
 		limits:             endpointlimit.New(s.VM),
+		brittle:            brittle.New(s.VM),
 		lease:              issuer.NewLease(s.Lease()),
 		peers:              map[string]*peerState{},
 		vms:                map[string]*knownVM{},
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -224,6 +224,7 @@
 	g.applyPeerRefusals(d)
 	g.applyPeerEnded(d, now)
 	g.addPeerLimits(d.GetLimits(), p.vm, now)
+	g.addPeerBrittle(d, p.vm, now)
 	for _, n := range d.GetAnnouncements() {
 		at := now.Add(-time.Duration(n.GetAgeMs()) * time.Millisecond)
 		g.addAnnouncement(n.GetModel(), place.Announcement{Version: n.GetVersion(), At: at})
--- a/pkg/gateway/placement.go
+++ b/pkg/gateway/placement.go
@@ -84,6 +84,9 @@
 	if !g.limits.Empty() {
 		f.Limits = placementLimits{g.limits}
 	}
+	if _, isBrittle := g.brittle.Rejections(s.Name); isBrittle {
+		f.Rejections = g.brittleService(s, len(p.Exclude) > 0)
+	}
 	if s.ConnectionLimit > 0 {
 		f.Connections = placementConnections{limits: g.connections, limit: s.ConnectionLimit}
 	}
--- a/pkg/gateway/platform.go
+++ b/pkg/gateway/platform.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/corneldeal/corneldeal/pkg/brittle"
 	"github.com/corneldeal/corneldeal/pkg/endpointlimit"
 	"github.com/corneldeal/corneldeal/pkg/fleet"
 	"github.com/corneldeal/corneldeal/pkg/logpos"
@@ -203,6 +204,8 @@
 	RetryAfter time.Duration
 	// Limit is what the answer says about the rate limit of the endpoint over all VMs.
 	Limit endpointlimit.Advertisement
+	// Brittle is what the answer says about the rejections that the endpoint tolerates.
+	Brittle brittle.Announcement
 }
 
 // Wire translates between the platform's headers and the gateway's types.
--- a/pkg/place/explain.go
+++ b/pkg/place/explain.go
@@ -46,6 +46,7 @@
 	ReasonAtLimit      = "at its rate limit"
 	ReasonEjected      = "ejected after failures"
 	ReasonUnresponsive = "unresponsive"
+	ReasonFull         = "full, it might fail"
 	ReasonNoConnection = "this VM's share of the connections is in use"
 )
 
@@ -168,6 +169,8 @@
 		return LeftOut{Endpoint: e, Reason: ReasonAtLimit, Until: next}
 	case now.Before(s.waitUntil):
 		return LeftOut{Endpoint: e, Reason: ReasonAskedToWait, Until: s.waitUntil}
+	case f.nextWithoutRejection(&c, now).After(now):
+		return LeftOut{Endpoint: e, Reason: ReasonFull, Until: f.nextWithoutRejection(&c, now)}
 	case now.Before(s.ejectUntil):
 		return LeftOut{Endpoint: e, Reason: ReasonEjected, Until: s.ejectUntil}
 	case s.unresponsive(now):
--- a/pkg/place/loads.go
+++ b/pkg/place/loads.go
@@ -112,6 +112,19 @@
 	return out
 }
 
+// OwnLoad returns the load of this VM on an endpoint.
+func (p *Placer) OwnLoad(id string) Load {
+	if s := p.states[id]; s != nil {
+		return s.load
+	}
+	return Load{}
+}
+
+// Load returns the load of all VMs on an endpoint.
+func (p *Placer) Load(id string) Load {
+	return p.totalLoad(id)
+}
+
 // Running returns the number of running requests of all VMs on an endpoint.
 func (p *Placer) Running(id string) int {
 	return p.totalLoad(id).Running
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -61,10 +61,12 @@
 	// Candidates is the number of endpoints that passed the filters.
 	Candidates int
 	// WaitUntil is the earliest time at which an endpoint accepts requests again. It is set only where Endpoint is nil
-	// because every allowed endpoint asked this VM to wait or is at its rate limit.
+	// because every allowed endpoint asked this VM to wait, is at its rate limit or is full.
 	WaitUntil time.Time
 	// AtLimit is the number of endpoints that were left out because of their rate limits.
 	AtLimit int
+	// Full is the number of endpoints that were left out because they might reject the request and fail.
+	Full int
 	// NoConnection is the number of endpoints that were left out because this VM uses its share of their connections.
 	NoConnection int
 	// BeyondShare is set if this VM uses its share of the connections of every endpoint, so that the shares were not regarded.
@@ -160,7 +162,7 @@
 	candidates, left := p.filter(r, endpoints, f, now)
 	candidates = healthy(candidates, now)
 	if len(candidates) == 0 {
-		return Choice{WaitUntil: left.waitUntil, AtLimit: left.atLimit}
+		return Choice{WaitUntil: left.waitUntil, AtLimit: left.atLimit, Full: left.full}
 	}
 	candidates, noConnection := withRoom(candidates, f, now)
 	p.loadRates(r, candidates, f, now)
@@ -175,6 +177,7 @@
 	}
 	choice.Candidates = len(candidates)
 	choice.AtLimit = left.atLimit
+	choice.Full = left.full
 	choice.NoConnection = noConnection
 	choice.BeyondShare = f.Connections != nil && !best.connections.Room
 	if r.OnEngine && f.Store != "" && p.savedTokens(r, choice.Version, f, now) < r.sharedTokens()-minTransferTokens {
@@ -206,8 +209,8 @@
 type leftOut struct {
 	// waitUntil is the earliest time at which one of them accepts requests again, or zero.
 	waitUntil time.Time
-	// atLimit is the number of those that are at their rate limits.
-	atLimit int
+	// atLimit is the number of those that are at their rate limits, and full that of those that might fail.
+	atLimit, full int
 }
 
 // filter returns the endpoints that may take the request now. The slice is reused by the next call.
@@ -225,6 +228,10 @@
 			left.atLimit++
 			until = later(until, next)
 		}
+		if next := f.nextWithoutRejection(&c, now); next.After(now) {
+			left.full++
+			until = later(until, next)
+		}
 		if !now.Before(until) {
 			candidates = append(candidates, c)
 		} else if left.waitUntil.IsZero() || until.Before(left.waitUntil) {
--- a/pkg/place/request.go
+++ b/pkg/place/request.go
@@ -83,6 +83,15 @@
 	Limits RateLimits
 	// Connections are this VM's shares of the connections that the endpoints accept, or nil if they accept any number.
 	Connections Connections
+	// Rejections are what the endpoints tolerate of rejected requests, or nil if they tolerate any number.
+	Rejections Rejections
+}
+
+// Rejections are the numbers of requests that endpoints may reject, over all VMs together, without failing.
+type Rejections interface {
+	// NextSend returns when this VM may send the next request to an endpoint: now or earlier if it may send one. own is the
+	// number of this VM's requests on it, and total that of all VMs. It is called for each candidate of each placement.
+	NextSend(e *fleet.Endpoint, own, total int, now time.Time) time.Time
 }
 
 // Connections are this VM's shares of the connections that endpoints accept from all VMs together.
@@ -116,6 +125,14 @@
 	return f.Limits.NextSend(e, now)
 }
 
+// nextWithoutRejection returns when a request may be sent to a candidate without too many rejections.
+func (f *ServiceProperties) nextWithoutRejection(c *Candidate, now time.Time) time.Time {
+	if f.Rejections == nil {
+		return now
+	}
+	return f.Rejections.NextSend(c.Endpoint, c.state.load.Running, c.Load.Running, now)
+}
+
 // sharedParts returns the parts that other requests may share, which are all but the last.
 func (r *Request) sharedParts() []Part {
 	return r.Chain[:max(len(r.Chain)-1, 0)]
