--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -90,6 +90,7 @@
 		g.placer.RecordOutputTokens(r.id, t.events)
 	}
 	g.placer.RecordOutcome(r.id, res.outcome, now)
+	g.recordRejection(r, t, res, now)
 	if t.firstTokenAt.IsZero() && !res.notRun && !res.pathLost {
 		g.observeFirstToken(r, t, now, true)
 	}
@@ -272,6 +273,7 @@
 		g.placer.RecordVersion(e, t.request.Model, answer.Version)
 	}
 	g.applyLimit(t, answer, now)
+	g.applyBrittle(t, answer, now)
 	g.applyDeparture(e, answer, now)
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/corneldeal/corneldeal/pkg/admit"
 	"github.com/corneldeal/corneldeal/pkg/affinity"
+	"github.com/corneldeal/corneldeal/pkg/brittle"
 	"github.com/corneldeal/corneldeal/pkg/crashguard"
 	"github.com/corneldeal/corneldeal/pkg/digestage"
 	"github.com/corneldeal/corneldeal/pkg/drain"
@@ -135,6 +136,10 @@
 	cutServices map[string]bool
 	// limits are the rate limits that endpoints named.
 	limits *endpointlimit.Table
+	// brittle are the services whose endpoints fail when they reject too many requests.
+	brittle *brittle.Table
+	// brittleWarnedAt is when a malformed announcement was last logged, or zero.
+	brittleWarnedAt time.Time
 	// lastRequestAt is when this VM last placed a request, or zero.
 	lastRequestAt time.Time
 	lease         *issuer.Lease
@@ -253,6 +258,7 @@
 		crashSync:          newCrashSync(),
 		cutServices:        map[string]bool{},
 		limits:             endpointlimit.New(s.VM),
+		brittle:            brittle.New(s.VM),
 		lease:              issuer.NewLease(s.Lease()),
 		peers:              map[string]*peerState{},
 		vms:                map[string]*knownVM{},
