Keep asking a VM that reaches a part of a service

A VM that was asked for an endpoint that it did not reach counted as cut off from the whole service and was left alone for a second; now it says that it lacks the endpoint, and the next attempt, at another one, may go through it.

--- a/pkg/gateway/forwarded.go
+++ b/pkg/gateway/forwarded.go
@@ -84,7 +84,7 @@
 		g.metrics.count("forwarded_not_sent_total")
 		line.Err(err).Msg("request of a peer not sent")
 		g.checkPath(e, probeOf(err), began)
-		return nil, peerforward.Refusal{Reason: reach.PeerCutOff}, nil
+		return nil, g.refuseUnreached(e), nil
 	}
 	g.metrics.count("forwarded_lost_total")
 	line.Err(err).Msg("request of a peer lost")
@@ -100,12 +100,29 @@
 	if e == nil || e.StartTimeMs != r.StartTimeMs || g.endpoints.HasEnded(e, now) || g.placer.WaitsUntil(e).After(now) {
 		return nil, peerforward.Refusal{Reason: reach.PeerLacksEndpoint}
 	}
-	if g.paths.RouteTo(e, len(g.endpoints.Usable(e.Service))) != reach.Direct {
-		return nil, peerforward.Refusal{Reason: reach.PeerCutOff, Referral: g.forwarders.Referral(e.Service, now)}
+	usable := len(g.endpoints.Usable(e.Service))
+	if g.paths.RouteTo(e, usable) != reach.Direct {
+		return nil, g.unreachedRefusal(e, usable, now)
 	}
 	return e, peerforward.Refusal{}
 }
 
+// refuseUnreached returns the refusal of a peer's request to an endpoint that this VM does not reach either.
+func (g *Gateway) refuseUnreached(e *fleet.Endpoint) peerforward.Refusal {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.unreachedRefusal(e, len(g.endpoints.Usable(e.Service)), g.now())
+}
+
+// unreachedRefusal is refuseUnreached for a caller that holds the lock. A VM that reaches other endpoints of the service may help
+// with the next attempt.
+func (g *Gateway) unreachedRefusal(e *fleet.Endpoint, usable int, now time.Time) peerforward.Refusal {
+	if !g.paths.CutOff(e.Service, usable) {
+		return peerforward.Refusal{Reason: reach.PeerLacksEndpoint}
+	}
+	return peerforward.Refusal{Reason: reach.PeerCutOff, Referral: g.forwarders.Referral(e.Service, now)}
+}
+
 // applyForwardedAnswer records what an endpoint's answer to a peer's request asks of this VM too.
 func (g *Gateway) applyForwardedAnswer(e *fleet.Endpoint, answer Answer) {
 	now := steady.Now()
--- a/pkg/reach/peers.go
+++ b/pkg/reach/peers.go
@@ -13,14 +13,14 @@
 
 // The reasons of peers.
 const (
-	// PeerCutOff means that the peer does not reach the endpoint either.
+	// PeerCutOff means that the peer is cut off from the service too.
 	PeerCutOff Reason = "cut_off"
 	// PeerBusy means that the peer sends as many requests of others as it may.
 	PeerBusy Reason = "busy"
 	// PeerStopping means that the peer is stopping.
 	PeerStopping Reason = "stopping"
-	// PeerLacksEndpoint means that the peer may not send to the endpoint now: it does not know this start of it, or the endpoint
-	// leaves or has asked the peer to wait.
+	// PeerLacksEndpoint means that the peer may not send to the endpoint now: it does not know this start of it or does not
+	// reach it, or the endpoint leaves or has asked the peer to wait.
 	PeerLacksEndpoint Reason = "no_endpoint"
 	// PeerUnreachable means that the peer did not answer, or does not know how to.
 	PeerUnreachable Reason = "unreachable"
