--- a/pkg/brittle/table.go
+++ b/pkg/brittle/table.go
@@ -26,7 +26,8 @@
 	calmUse     = 0.5
 	calmChoices = 5
 	calmFactor  = 2
-	// fullUse is the share of the room of a service from which only the shares hold. Below, they grow by up to growth.
+	// fullUse is the share of the room of a service in use from which VMs keep to their shares. Below it, what they share is larger,
+	// by up to the fraction growth.
 	fullUse = 1.05
 	growth  = 0.5
 	// calmAfter is the time without a rejection by any endpoint of a service after which the service may be calm.
@@ -35,7 +36,7 @@
 	roomPerSecond = 1.0
 	// roomWeight is the weight of one rejection in the assumed room of the other endpoints of the service.
 	roomWeight = 0.1
-	// waitForRoom is the time after which a caller may return where this VM uses its shares.
+	// waitForRoom is the time after which a request may be tried again where this VM has used its share, or the endpoint is full.
 	waitForRoom = 300 * time.Millisecond
 	// endpointRetention is the time after the last use at which the state of an endpoint is forgotten.
 	endpointRetention = time.Minute
@@ -203,7 +204,7 @@
 	x := t.state(e.Incarnation, now)
 	room := t.currentRoom(x, e, now)
 	limit, fullAt := t.limit(x, room, rejections, r, now), room+risked(rejections)
-	if t.settles(e.Service, now) {
+	if t.isSettling(e.Service, now) {
 		limit, fullAt = room, room
 	}
 	full := now.Sub(x.rejectedAt) < fullFor
@@ -220,9 +221,9 @@
 	return Verdict{Reason: ShareUsed, WaitUntil: now.Add(waitForRoom)}
 }
 
-// settles reports whether a service became brittle so lately that its endpoints may still hold more requests than they will
+// isSettling reports whether a service became brittle so lately that its endpoints may still hold more requests than they will
 // let wait.
-func (t *Table) settles(name string, now time.Time) bool {
+func (t *Table) isSettling(name string, now time.Time) bool {
 	return now.Sub(t.services[name].brittleSince) < settleFor
 }
 
--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -105,9 +105,11 @@
 	var small *fasthttp.ErrSmallBuffer
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		writeRefusal(ctx, refusal.New(fasthttp.StatusRequestEntityTooLarge, refusal.CodeTooLarge, "the body is larger than this router accepts"))
+		writeRefusal(ctx, refusal.New(fasthttp.StatusRequestEntityTooLarge, refusal.CodeTooLarge,
+			"the body is larger than this router accepts"))
 	case errors.As(err, &small):
-		writeRefusal(ctx, refusal.New(fasthttp.StatusRequestHeaderFieldsTooLarge, refusal.CodeTooLarge, "the headers are larger than this router accepts"))
+		writeRefusal(ctx, refusal.New(fasthttp.StatusRequestHeaderFieldsTooLarge, refusal.CodeTooLarge,
+			"the headers are larger than this router accepts"))
 	default:
 		writeRefusal(ctx, badRequest("the request could not be read"))
 	}
@@ -298,7 +300,8 @@
 	var usage *engine.Usage
 	for event := range answer.Events {
 		if err := whole.add(event.Choices); err != nil {
-			writeRefusal(ctx, refusal.New(fasthttp.StatusBadGateway, refusal.CodeEndpointFailed, "the engine sent a malformed answer").WithRunState(refusal.Run))
+			writeRefusal(ctx, refusal.New(fasthttp.StatusBadGateway, refusal.CodeEndpointFailed, "the engine sent a malformed answer").
+				WithRunState(refusal.Run))
 			return
 		}
 		if event.Usage != nil {
--- a/pkg/drain/plan.go
+++ b/pkg/drain/plan.go
@@ -19,7 +19,7 @@
 	maxReportMargin = 600 * time.Millisecond
 	// reportMarginFraction limits the margin of a short grace.
 	reportMarginFraction = 0.2
-	// signalDelay is the time after a standstill within which a signal is handled that was sent during it.
+	// signalDelay is the longest time from the end of a standstill until a signal that was sent during it is handled.
 	signalDelay = 300 * time.Millisecond
 )
 
@@ -31,7 +31,7 @@
 	CloseListener time.Duration
 	// LastSend is when a request is sent to an endpoint for the last time, which may be another attempt.
 	LastSend time.Duration
-	// Report is when the peers are told for the last time, and the log what is still open. What goes on then may still end.
+	// Report is when the last digest goes to the peers and the open requests are logged. They may still end after that.
 	Report time.Duration
 }
 
@@ -48,8 +48,8 @@
 	}
 }
 
-// SignalledAt returns the earliest time at which SIGTERM may have been sent that was handled at the given time. The platform's
-// grace begins when it sends the signal, which a process takes only after it stood still.
+// SignalledAt returns the earliest time at which a SIGTERM that was handled at the given time may have been sent. The platform's
+// grace begins when it sends the signal, but a process that stands still handles it only afterwards. last is the last standstill.
 func SignalledAt(handled time.Time, last standstill.Gap) time.Time {
 	if last.To.IsZero() || handled.Sub(last.To) > signalDelay {
 		return handled
--- a/pkg/failover/failover.go
+++ b/pkg/failover/failover.go
@@ -1,4 +1,4 @@
-// Package failover decides when an attempt at an endpoint that brings nothing is given up so that another endpoint takes
+// Package failover decides when an attempt at an endpoint that sends nothing is given up so that another endpoint takes
 // the request over.
 //
 // Silence alone is no reason: an endpoint may stand still for a moment and go on, and its answer is lost with the attempt.
@@ -17,9 +17,10 @@
 // patience is the number of rechecks after which an attempt is given up although no retry is left for the way back.
 const patience = 2
 
-// RetriesNeeded returns the least and the most retries to reserve for giving an attempt up that has been silent for the given time
-// of the given wait. Once events were passed on, a successor that turns the request away would cut the stream, so a second retry is
-// reserved for the way back. An endpoint that stays silent for long does without.
+// RetriesNeeded returns the least and the most retries to reserve before an attempt is given up. silence is how long it has been
+// silent, and wait the silence that it was allowed. Once events were passed on, a successor that turns the request away would cut
+// the stream, so a second retry is reserved for the way back to the silent endpoint. After patience rechecks the second one is
+// reserved only if the budget has it.
 func RetriesNeeded(started bool, silence, wait time.Duration) (least, most int) {
 	switch {
 	case !started:
@@ -65,8 +66,8 @@
 	HasRetry bool
 }
 
-// Silence returns how long an endpoint has been silent that brought something last at the time since. It begins anew when this
-// process has stood still: what the endpoint sent meanwhile may not be read yet.
+// Silence returns how long an endpoint has been silent from which something last arrived at the time since. The silence begins anew
+// at the end of this process's last standstill, since what the endpoint sent meanwhile may not be read yet.
 func Silence(since time.Time, last standstill.Gap, now time.Time) time.Duration {
 	if last.To.After(since) {
 		since = last.To
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -57,13 +57,15 @@
 	now := steady.Now()
 	listAge := g.recordOutcome(r, t, res, started, now)
 	line := g.log.info(partRequest).Str("request", r.call.ID).Int("try", r.attempts).
-		Str("endpoint", t.choice.Endpoint.ID).Str("software", t.choice.Endpoint.Software).Int64("config", r.configVersion).Int64("weights", t.choice.Version).
+		Str("endpoint", t.choice.Endpoint.ID).Str("software", t.choice.Endpoint.Software).
+		Int64("config", r.configVersion).Int64("weights", t.choice.Version).
 		Int("running", t.choice.Running).Int("missing", t.choice.UncachedTokens).Int("candidates", t.choice.Candidates).
 		Str("fetch_from", t.choice.FetchFrom).Dur("list_age_ms", listAge).
 		Dur("expected_ms", t.choice.Expected).Dur("took_ms", now.Sub(started)).Str("outcome", outcomeNames[res.outcome]).
 		Bool("not_run", res.notRun).Str("limit", t.limit.Kind.String()).Float64("limit_per_s", t.limit.PerSecond).
 		Bool("under_limit", t.underLimit).Int("at_limit", t.choice.AtLimit).
-		Str("peer", t.peer).Bool("path_lost", res.pathLost).Bool("reused", t.reused).Int("no_connection", t.choice.NoConnection).Bool("beyond_share", t.choice.BeyondShare).
+		Str("peer", t.peer).Bool("path_lost", res.pathLost).Bool("reused", t.reused).
+		Int("no_connection", t.choice.NoConnection).Bool("beyond_share", t.choice.BeyondShare).
 		Strs("fingerprints", formatFingerprints(r.fingerprints)).
 		Strs("parts", formatParts(r.call.Chain))
 	logAdmission(line, r.admission)
--- a/pkg/gateway/endedstarts.go
+++ b/pkg/gateway/endedstarts.go
@@ -13,7 +13,8 @@
 
 // An endpoint may start again under its ID and at its address with other software, and is taken for its earlier process until
 // its new record is read. What tells a VM sooner is that connections broke and nothing listens at the address, neither for this
-// VM nor for others: that process has ended for good. Until a newer record arrives, no stream begins or goes on there that must stay at one software version.
+// VM nor for others: that process has ended for good. Until a newer record arrives, no stream begins or goes on there that
+// must stay at one software version.
 
 // endedReportPeriod is the time for which an ended start is sent to peers.
 const endedReportPeriod = 3 * time.Second
--- a/pkg/gateway/explain.go
+++ b/pkg/gateway/explain.go
@@ -142,7 +142,8 @@
 func (g *Gateway) copyForReading() *Gateway {
 	c := &Gateway{
 		sources: g.sources, settings: g.settings, ownIP: g.ownIP, platform: g.platform, boot: g.boot, started: g.started,
-		startedUnixMs: g.startedUnixMs, ctx: g.ctx, metrics: newMetrics(), log: newLimitedLogger(g.settings.VM, g.boot, "error", io.Discard),
+		startedUnixMs: g.startedUnixMs, ctx: g.ctx, metrics: newMetrics(),
+		log:          newLimitedLogger(g.settings.VM, g.boot, "error", io.Discard),
 		guardedState: g.guardedState,
 		// The shares of connections are computed when they are asked for, in the same way by every decision.
 		connections: g.connections, paths: g.paths,
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -46,14 +46,14 @@
 	slots int
 	// reused is set if the request was sent on a connection that had carried another one.
 	reused bool
-	// usable is the number of usable endpoints of the service.
+	// usable is the number of usable endpoints of the service when the endpoint was chosen.
 	usable int
-	// throughPeer is set once the request went through a peer, whose name is peer.
+	// throughPeer is set once the request was sent to a peer that may have sent it on. peer is the name of its VM.
 	throughPeer atomic.Bool
 	peer        string
-	// pathWatch ends the watch on the request's connection, or is nil.
-	pathWatch func() bool
-	// endForward ends the record of the request at the peer, or is nil.
+	// stopPathWatch ends the watch on the request's connection, or is nil.
+	stopPathWatch func() bool
+	// endForward records that the peer no longer sends the request, or is nil.
 	endForward func()
 	// retriesReserved is the number of retries that were taken from the budget for the attempts after this one.
 	retriesReserved int
@@ -65,12 +65,12 @@
 
 // stopWatch ends the watch on the connection of a request that was sent directly.
 func (t *target) stopWatch() {
-	if t.pathWatch != nil {
-		t.pathWatch()
+	if t.stopPathWatch != nil {
+		t.stopPathWatch()
 	}
 }
 
-// endSend ends the record of a request at a peer, if there is one.
+// endSend records that a peer no longer sends the request, if one did.
 func (t *target) endSend() {
 	if t.endForward != nil {
 		t.endForward()
@@ -106,7 +106,8 @@
 	}
 }
 
-// wayBack allows a request to return to an endpoint that was given up for its silence. A retry is reserved for it.
+// wayBack is a request's reserved return to an endpoint that was given up for its silence, in case the next endpoint turns the
+// request away. A retry of the service's budget is held for it.
 type wayBack struct {
 	endpoint, service string
 }
@@ -299,7 +300,8 @@
 	})
 }
 
-// mayRetry reports whether another endpoint may be tried. It takes a retry from the service's budget.
+// mayRetry reports whether another attempt may follow. It uses a retry that was reserved for the request, or else takes one from
+// the service's budget.
 func (g *Gateway) mayRetry(r *request, t *target, res attemptResult) bool {
 	if res.notRun {
 		if r.attempts >= maxNotRunAttempts {
--- a/pkg/gateway/forwarded.go
+++ b/pkg/gateway/forwarded.go
@@ -14,7 +14,8 @@
 	"github.com/corneldeal/corneldeal/pkg/steady"
 )
 
-// forwardedDescriptorFraction is the part of the VM's file descriptors for requests of peers, each of which takes two.
+// forwardedDescriptorFraction is the fraction of the VM's file descriptors that requests of peers may take. Each takes two: one to
+// the peer and one to the endpoint.
 const forwardedDescriptorFraction = 0.1
 
 // forwardService implements peerforward.Sender.
@@ -123,7 +124,8 @@
 	return peerforward.Refusal{Reason: reach.PeerCutOff, Referral: g.forwarders.Referral(e.Service, now)}
 }
 
-// applyForwardedAnswer records what an endpoint's answer to a peer's request asks of this VM too.
+// applyForwardedAnswer records the departure and the requested pause that an endpoint states in its answer to a peer's request,
+// since they hold for this VM too.
 func (g *Gateway) applyForwardedAnswer(e *fleet.Endpoint, answer Answer) {
 	now := steady.Now()
 	g.mu.Lock()
--- a/pkg/gateway/orders.go
+++ b/pkg/gateway/orders.go
@@ -264,8 +264,8 @@
 	g.lease.Claimed(at, predecessor, lastOrder, now)
 	g.setOrderClaim(issuer.Claim{Holder: g.settings.VM, Boot: g.boot, At: at}, now)
 	g.requestDigest()
-	g.log.info(partOrder).Int64("era", at.Era).Int64("offset", at.Offset).Str("after", claim.Holder).Str("predecessor", predecessor.String()).
-		Int("rank", g.rank(now)).Msg("order lease acquired")
+	g.log.info(partOrder).Int64("era", at.Era).Int64("offset", at.Offset).Str("after", claim.Holder).
+		Str("predecessor", predecessor.String()).Int("rank", g.rank(now)).Msg("order lease acquired")
 }
 
 // predecessorOf returns what is known about the holder of an older claim, and the latest time at which it may have
--- a/pkg/gateway/origin.go
+++ b/pkg/gateway/origin.go
@@ -125,8 +125,8 @@
 	}
 }
 
-// mayBeginUnrecorded reports whether another endpoint takes over a stream that waits for its record, without one. While
-// records are written, it would wait for the same write.
+// mayBeginUnrecorded reports whether another endpoint may take over, without a record, a stream that waits for its record. It then
+// reserves the retry. While records can be written, the other endpoint would only wait for the same write.
 func (g *Gateway) mayBeginUnrecorded(r *request, t *target) bool {
 	g.mu.Lock()
 	records := g.canRecordOrigins()
--- a/pkg/gateway/paths.go
+++ b/pkg/gateway/paths.go
@@ -71,7 +71,7 @@
 	return out
 }
 
-// forwardingPeers returns the live VMs that may help this one.
+// forwardingPeers returns the live peers, each of which may send requests on for this VM.
 func (g *Gateway) forwardingPeers() []reach.Peer {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -85,7 +85,7 @@
 	return out
 }
 
-// randomPeers returns some live peers.
+// randomPeers returns at most count live peers, chosen at random.
 func (g *Gateway) randomPeers(count int) []reach.Peer {
 	peers := g.forwardingPeers()
 	g.mu.Lock()
@@ -94,7 +94,7 @@
 	return peers[:min(len(peers), count)]
 }
 
-// concludePath acts on the result of a check.
+// concludePath counts the result of a check. Unless the endpoint accepts connections, it also logs and applies the result.
 func (g *Gateway) concludePath(r pathcheck.Result) {
 	e := r.Endpoint
 	g.metrics.count("path_checks_" + r.Verdict.String() + "_total")
@@ -110,7 +110,7 @@
 	switch r.Verdict {
 	case reach.CutOff:
 		if r.Own == reach.TimedOut {
-			// The open connections hang like new ones.
+			// Where new connections time out, those that are already open hang too.
 			g.metrics.counters.Add("idle_connections_closed_total", int64(g.http.CloseIdle(e.Address)))
 		}
 		g.reportCutServices()
@@ -121,8 +121,8 @@
 	}
 }
 
-// reportCutServices updates the gauge of endpoints that this VM does not reach, and logs a service that it lost as a whole, or
-// reaches again.
+// reportCutServices updates the gauges of endpoints and services that this VM does not reach, and logs each service that it has
+// just lost as a whole or reaches again.
 func (g *Gateway) reportCutServices() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -147,15 +147,16 @@
 	g.metrics.set("services_cut_off", float64(len(g.cutServices)))
 }
 
-// checkPath starts a check of the path to an endpoint from which nothing has arrived since the given time.
+// checkPath starts a check of the path to an endpoint from which nothing has arrived since the given time, unless reach.Table
+// holds it back. own is the result of a connection that was just tried, or reach.Unknown.
 func (g *Gateway) checkPath(e *fleet.Endpoint, own reach.Probe, since time.Time) {
 	if g.paths.BeginCheck(e, since, g.now()) {
 		go g.pathChecks.Check(g.ctx, e, own)
 	}
 }
 
-// watchPath checks the path of a request that was written to a connection and is not acknowledged for long. The function that it
-// returns ends the watch.
+// watchPath checks the path to an endpoint if, after suspicionDelay, its host has not acknowledged all bytes of the request that
+// were written to the connection. The function that it returns ends the watch.
 func (g *Gateway) watchPath(t *target, c net.Conn) (stop func() bool) {
 	return time.AfterFunc(suspicionDelay, func() {
 		if socketqueue.Unacknowledged(c) > 0 {
@@ -164,8 +165,8 @@
 	}).Stop
 }
 
-// recordArrival records that something arrived from an endpoint on an own connection. reused is set if it was not opened just
-// now.
+// recordArrival records that something arrived from an endpoint on a connection of this VM. reused is set unless the connection
+// was opened for this request.
 func (g *Gateway) recordArrival(e *fleet.Endpoint, reused bool) {
 	if reused {
 		g.paths.RecordReceived(e, g.now())
@@ -174,8 +175,8 @@
 	g.paths.RecordReached(e, g.now())
 }
 
-// judgePath changes the result of an attempt that failed because this VM lost its path to the endpoint: it shows nothing about
-// the endpoint then. It records an endpoint that has ended.
+// judgePath finds out whether an attempt failed because this VM lost its path to the endpoint, and returns the result. Such a
+// failure shows nothing about the endpoint, so its outcome becomes neutral.
 func (g *Gateway) judgePath(r *request, t *target, res attemptResult) attemptResult {
 	e := t.choice.Endpoint
 	switch {
@@ -219,7 +220,7 @@
 	return len(g.livePeers(g.now())) > 0
 }
 
-// routeTo returns the way to the endpoint of an attempt.
+// routeTo returns how a request gets to the endpoint of an attempt now.
 func (g *Gateway) routeTo(t *target) reach.Route {
 	return g.paths.RouteTo(t.choice.Endpoint, t.usable)
 }
@@ -255,13 +256,13 @@
 	}
 }
 
-// probePath looks whether an endpoint is reached again.
+// probePath connects to an endpoint to find out whether this VM reaches it again.
 func (g *Gateway) probePath(e *fleet.Endpoint) {
 	g.metrics.count("path_probes_total")
 	began := g.now()
 	probe := g.pathChecks.Reprobe(e)
 	if probe != reach.Connected {
-		// It may have ended since it was cut off.
+		// It may have ended since it was cut off, which only a check with peers shows.
 		g.checkPath(e, probe, began)
 		return
 	}
--- a/pkg/gateway/placement.go
+++ b/pkg/gateway/placement.go
@@ -79,7 +79,9 @@
 }
 
 // serviceProperties returns the properties of a service that placement depends on. The caller holds the lock.
-func (g *Gateway) serviceProperties(c *traffic.Config, s *traffic.Service, p *place.Request, endpoints []*fleet.Endpoint) place.ServiceProperties {
+func (g *Gateway) serviceProperties(
+	c *traffic.Config, s *traffic.Service, p *place.Request, endpoints []*fleet.Endpoint,
+) place.ServiceProperties {
 	f := place.ServiceProperties{DataCentre: g.settings.DataCentre}
 	if !g.limits.Empty() {
 		f.Limits = placementLimits{g.limits}
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -48,7 +48,7 @@
 	// possibleRuns counts the attempts that may have run the request; attempts counts all.
 	possibleRuns, attempts int
 	excluded               []string
-	// wayBack is set while the successor of an endpoint that was given up for its silence has not taken the request, or nil.
+	// wayBack is set from when an endpoint was given up for its silence until its successor turns the request away, or nil.
 	wayBack *wayBack
 	// lastEventID is the last event that the caller has received, for a resumed stream.
 	lastEventID string
--- a/pkg/gateway/silence.go
+++ b/pkg/gateway/silence.go
@@ -15,13 +15,12 @@
 )
 
 const (
-	// minFirstByteWait and firstByteWaitFactor times the predicted duration are the lower bounds of the wait for the first
-	// byte of an idempotent request before another endpoint is tried.
+	// The wait for the first byte of the answer to an idempotent request, before another endpoint is tried, is
+	// firstByteWaitFactor times the predicted duration, but at least minFirstByteWait.
 	minFirstByteWait    = 900 * time.Millisecond
 	firstByteWaitFactor = 4
-	// minEventWait and eventWaitFactor times the route's allowed gap between events are the lower bounds of the wait for
-	// the next complete event before a stream continues at another endpoint. Callers give up a stream after twice that
-	// wait.
+	// The wait for the next complete event, before a stream continues at another endpoint, is eventWaitFactor times the
+	// route's allowed gap between events, but at least minEventWait. Callers give up a stream after twice that wait.
 	minEventWait    = 1200 * time.Millisecond
 	eventWaitFactor = 4
 )
@@ -29,14 +28,14 @@
 // errEndpointSilent cancels an attempt at a silent endpoint.
 var errEndpointSilent = fmt.Errorf("gateway: endpoint is silent: %w", httpcall.ErrNoAnswer)
 
-// streamProgress is what a caller has of a stream.
+// streamProgress is what a caller has received of a stream.
 type streamProgress struct {
 	started     bool
 	lastEventID string
 	origin      *affinity.Origin
 }
 
-// progressOf returns what the caller of a request has of its stream.
+// progressOf returns what the caller of a request has received of its stream.
 func progressOf(r *request) streamProgress {
 	return streamProgress{started: r.streamStarted, lastEventID: r.lastEventID, origin: r.origin}
 }
@@ -74,7 +73,7 @@
 	return l
 }
 
-// handleSilence gives a silent attempt up, or looks again later.
+// handleSilence gives up an attempt that has been silent for its wait, or looks again later.
 func (g *Gateway) handleSilence(r *request, t *target, l *silenceTimer, cancel context.CancelCauseFunc) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -82,7 +81,7 @@
 		return
 	}
 	now := steady.Now()
-	g.hasStoodStill(now)
+	g.recordRunning(now)
 	silence := failover.Silence(l.since, g.standstill.Last(), now)
 	if silence < l.currentWait {
 		l.timer.Reset(l.currentWait - silence)
@@ -107,8 +106,9 @@
 	l.timer.Reset(failover.RecheckInterval)
 }
 
-// reserveSuccessor returns why the attempt at a silent endpoint is kept. If it is not, retries are taken from the budget, one for the
-// next attempt and, with two, one for the way back.
+// reserveSuccessor returns why the attempt at a silent endpoint is kept, or an empty reason if it is given up. It then reserves
+// between least and most retries of the budget: one for the next attempt, and a second one for the return to the silent endpoint
+// in case the next one turns the request away.
 func (g *Gateway) reserveSuccessor(
 	r *request, t *target, p streamProgress, least, most int, now time.Time,
 ) failover.Reason {
@@ -162,7 +162,7 @@
 	l.timer.Stop()
 }
 
-// eventsSent records what the caller has of a stream, and restarts the timer with the wait for the next event.
+// eventsSent records what the caller has received of a stream, and restarts the timer with the wait for the next event.
 func (l *silenceTimer) eventsSent(r *request) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -48,7 +48,7 @@
 // grace has passed, when the platform kills the process.
 func (g *Gateway) Shutdown() {
 	handled := g.now()
-	g.hasStoodStill(handled)
+	g.recordRunning(handled)
 	since := drain.SignalledAt(handled, g.standstill.Last())
 	g.leavingSince.Store(since.UnixNano())
 	g.leaving.Store(true)
@@ -57,7 +57,7 @@
 	g.log.info(partProcess).Int("connections", g.ingress.OpenConnections()).Int("requests", g.inProgress.Len()).
 		Dur("late_ms", handled.Sub(since)).Msg("stopping")
 	plan := drain.NewPlan(g.settings.Grace())
-	// The balancer has been told only now.
+	// The balancer sees the failed readiness only from now on, so this time does not begin at the signal.
 	time.Sleep(plan.CloseListener)
 	g.awaitAccepts()
 	g.ingress.Close()
@@ -69,10 +69,11 @@
 	g.Close()
 }
 
-// awaitAccepts waits, right after a standstill, until what has connected meanwhile is accepted. Closing the listener resets the rest.
+// awaitAccepts waits, right after a standstill, until the connections that were opened during it are accepted. Closing the listener
+// resets those that are not.
 func (g *Gateway) awaitAccepts() {
 	now := g.now()
-	g.hasStoodStill(now)
+	g.recordRunning(now)
 	time.Sleep(acceptTime - now.Sub(g.standstill.Last().To))
 }
 
@@ -84,7 +85,8 @@
 	}
 }
 
-// logOpenRequests logs each request that is in progress shortly before the grace ends. Those that do not end until then are cut.
+// logOpenRequests logs each request that is in progress shortly before the grace ends. Those that have not ended by
+// then are cut.
 func (g *Gateway) logOpenRequests(stopping time.Time) {
 	now := g.now()
 	for _, e := range g.inProgress.List() {
@@ -94,21 +96,21 @@
 	}
 }
 
-// observeStandstills notices when this process stood still, until it ends.
+// observeStandstills records regularly that the process runs, so that a pause shows as a standstill, until the process ends.
 func (g *Gateway) observeStandstills() {
 	for next := true; next; next = g.sleep(standstill.Interval) {
-		g.hasStoodStill(g.now())
+		g.recordRunning(g.now())
 	}
 }
 
-// hasStoodStill records that the process runs now, and logs a standstill that has just ended.
-func (g *Gateway) hasStoodStill(now time.Time) bool {
+// recordRunning records that the process runs now, and logs a standstill that has just ended. Whatever depends on the last
+// standstill calls it first, since the loop that observes standstills may not have run since.
+func (g *Gateway) recordRunning(now time.Time) {
 	gap, stood := g.standstill.Observe(now)
 	if stood {
 		g.metrics.count("standstills_total")
 		g.log.warn(partProcess).Dur("for_ms", gap.Duration()).Msg("process stood still")
 	}
-	return stood
 }
 
 // Close stops all work at once and releases what Provision and Start acquired. Further calls do nothing.
--- a/pkg/gateway/throughpeer.go
+++ b/pkg/gateway/throughpeer.go
@@ -15,40 +15,41 @@
 // connectTimeout bounds the time to connect to an endpoint or a peer while another VM may be asked instead.
 const connectTimeout = 250 * time.Millisecond
 
-// errLostAtPeer means that a peer sent a request and its endpoint did not answer.
+// errLostAtPeer means that a peer sent a request to the endpoint and got no answer.
 var errLostAtPeer = errors.New("gateway: the endpoint did not answer the peer")
 
 // open sends the request to the chosen endpoint, through a peer if this VM does not reach it. encode returns the request as it
 // is to be sent now.
 func (g *Gateway) open(ctx context.Context, r *request, t *target, encode func() httpcall.RawRequest) (*httpcall.Stream, error) {
 	req := encode()
-	req.Connected = func(c net.Conn) { t.pathWatch = g.watchPath(t, c) }
+	req.Connected = func(c net.Conn) { t.stopPathWatch = g.watchPath(t, c) }
 	peers := g.forwardingPeers()
 	if len(peers) == 0 || req.NoResponseBody {
 		return g.http.OpenRaw(ctx, t.choice.Endpoint.Address, req)
 	}
 	route := g.routeTo(t)
-	direct := error(&httpcall.Error{Address: t.choice.Endpoint.Address, Err: errPathLost})
+	directErr := error(&httpcall.Error{Address: t.choice.Endpoint.Address, Err: errPathLost})
 	if route != reach.ThroughPeer {
 		req.ConnectTimeout, req.IdleOnly = connectTimeout, route == reach.IdleOnly
 		stream, err := g.http.OpenRaw(ctx, t.choice.Endpoint.Address, req)
 		if err == nil || !httpcall.NeverWritten(err) || ctx.Err() != nil {
 			return stream, err
 		}
-		direct = err
+		directErr = err
 		if route == reach.Direct {
 			g.checkPath(t.choice.Endpoint, probeOf(err), t.sentAt)
 		}
 	}
 	stream, err := g.openThroughPeers(ctx, r, t, peers, encode)
 	if httpcall.NeverWritten(err) {
-		// What this VM saw itself tells more about the endpoint.
-		return nil, direct
+		// What this VM saw itself tells more about the endpoint than that no peer sent the request.
+		return nil, directErr
 	}
 	return stream, err
 }
 
-// openThroughPeers sends the request through the first peer that does so.
+// openThroughPeers asks one peer after another until one does not refuse, and returns its result. The error satisfies
+// httpcall.NeverWritten if all refused.
 func (g *Gateway) openThroughPeers(
 	ctx context.Context, r *request, t *target, peers []reach.Peer, encode func() httpcall.RawRequest,
 ) (*httpcall.Stream, error) {
@@ -73,7 +74,8 @@
 	return nil, &httpcall.Error{Address: e.Address, Err: errPathLost}
 }
 
-// openThroughPeer sends the request through a peer. It returns a refusal if no byte of it reached the endpoint.
+// openThroughPeer sends the request through a peer. It returns a refusal if no byte of the request reached the endpoint, or an
+// error if the request may have run and its answer is lost.
 func (g *Gateway) openThroughPeer(
 	ctx context.Context, r *request, t *target, peer reach.Peer, req httpcall.RawRequest,
 ) (*httpcall.Stream, peerforward.Refusal, error) {
--- a/pkg/httpcall/json.go
+++ b/pkg/httpcall/json.go
@@ -9,7 +9,9 @@
 
 // DoJSON is like Do. It decodes the body of a response with status 200 into answer, unless answer is nil, and returns the
 // status of the response. Errors are of type *Error without a response, and else those of the decoder.
-func (c *Client) DoJSON(ctx context.Context, address string, req *fasthttp.Request, answer any, opts Options) (status int, err error) {
+func (c *Client) DoJSON(
+	ctx context.Context, address string, req *fasthttp.Request, answer any, opts Options,
+) (status int, err error) {
 	resp := &fasthttp.Response{}
 	if err := c.Do(ctx, address, req, resp, opts); err != nil {
 		return 0, err
--- a/pkg/pathcheck/pathcheck.go
+++ b/pkg/pathcheck/pathcheck.go
@@ -36,13 +36,13 @@
 	Verdict  reach.Verdict
 }
 
-// running is a check in progress. done is closed once result is set.
+// running is a check in progress. Its field done is closed once result is set.
 type running struct {
 	done   chan struct{}
 	result Result
 }
 
-// answer is what a peer was told.
+// answer is what peers were told about an endpoint, and when.
 type answer struct {
 	probe reach.Probe
 	at    time.Time
@@ -100,7 +100,7 @@
 	return r
 }
 
-// run checks a path.
+// run checks a path, records the verdict in the table and reports the result to conclude.
 func (c *Checker) run(e *fleet.Endpoint, own reach.Probe) Result {
 	r := Result{Endpoint: e, Own: own}
 	if own == reach.Unknown {
@@ -144,9 +144,9 @@
 // connection before the endpoint refuses another one, see reach.Judge. control may be nil.
 func (c *Checker) Answer(e, control *fleet.Endpoint) reach.Probe {
 	c.mu.Lock()
-	known, fresh := c.answers[e.Incarnation()]
+	known, ok := c.answers[e.Incarnation()]
 	c.mu.Unlock()
-	if fresh && c.now().Sub(known.at) < answerValidity {
+	if ok && c.now().Sub(known.at) < answerValidity {
 		return known.probe
 	}
 	probe := c.connectForPeer(e)
@@ -164,7 +164,7 @@
 	return probe
 }
 
-// confirmRefusal returns what a refused connection to an endpoint is worth as evidence.
+// confirmRefusal returns what to tell a peer about an endpoint that has refused a connection.
 func (c *Checker) confirmRefusal(e, control *fleet.Endpoint) reach.Probe {
 	if control == nil || c.connectForPeer(control) != reach.Connected {
 		return reach.Unknown
--- a/pkg/peerforward/message.go
+++ b/pkg/peerforward/message.go
@@ -83,7 +83,7 @@
 	}
 	head = append(head, "\r\n"...)
 	body := append(append(make([]byte, 0, len(r.Head)+len(r.Body)), r.Head...), r.Body...)
-	// A request that must not run twice does not meet a connection that the peer may be closing.
+	// A request that must not run twice gets a new connection, since the peer may be closing one that is open.
 	return httpcall.RawRequest{Head: head, Body: body, Fresh: !r.Idempotent, Idempotent: r.Idempotent}
 }
 
--- a/pkg/peerforward/server.go
+++ b/pkg/peerforward/server.go
@@ -107,11 +107,11 @@
 	headLength, lengthErr := strconv.Atoi(h.Get(headerHeadLength))
 	idempotent, idempotentErr := strconv.ParseBool(h.Get(headerIdempotent))
 	fresh, freshErr := strconv.ParseBool(h.Get(headerFresh))
-	if errors.Join(startErr, timeoutErr, lengthErr, idempotentErr, freshErr) != nil || headLength <= 0 || headLength > size || timeoutMs <= 0 ||
-		h.Get(headerEndpoint) == "" {
+	if errors.Join(startErr, timeoutErr, lengthErr, idempotentErr, freshErr) != nil ||
+		headLength <= 0 || headLength > size || timeoutMs <= 0 || h.Get(headerEndpoint) == "" {
 		return Request{}, errMalformed
 	}
-	// A connection without deadlines only reads until the call's end in any case.
+	// An error means that the connection has no deadlines; reading then goes on until the call ends.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readTimeout))
 	data := make([]byte, size)
 	if _, err := io.ReadFull(call.Body, data); err != nil {
@@ -132,7 +132,7 @@
 // passOn writes an endpoint's answer. If it ends early, so does the connection.
 func passOn(w http.ResponseWriter, answer *httpcall.Stream) {
 	header := w.Header()
-	// The server would add these to an answer that has none.
+	// The server would add these headers to an answer that lacks them.
 	header[fasthttp.HeaderDate], header[fasthttp.HeaderContentType] = nil, nil
 	for name, value := range answer.Response.Header.All() {
 		if key := string(name); !connectionHeaders[strings.ToLower(key)] {
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -2,7 +2,8 @@
 //
 // The estimate uses the requests in flight of this VM and its peers, the prompt parts that the engines are expected to
 // hold in their caches, and the recent answers of each endpoint. Filters drop endpoints, scorers add expected
-// milliseconds, and the lowest sum wins, in large systems among a few drawn endpoints. The package does no I/O; callers pass the current time.
+// milliseconds, and the lowest sum wins, in large systems among a few drawn endpoints. The package does no I/O;
+// callers pass the current time.
 package place
 
 import (
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -40,7 +40,7 @@
 	busyUntil               time.Time
 	ejectUntil              time.Time
 	ejections               int
-	// pending holds the attempts without an outcome, in no order. A slice, since each placement reads all of them.
+	// pending holds the attempts without an outcome, in no order. It is a slice because each placement reads all of them.
 	pending           []*attempt
 	lastAnswer        time.Time
 	consecutiveBroken int
--- a/pkg/reach/budget.go
+++ b/pkg/reach/budget.go
@@ -6,7 +6,8 @@
 type budget struct {
 	rate, burst float64
 	tokens      float64
-	at          time.Time
+	// at is the time as of which tokens is the number of uses left.
+	at time.Time
 }
 
 // newBudget returns a budget of which nothing is used.
@@ -14,7 +15,7 @@
 	return budget{rate: rate, burst: burst, tokens: burst}
 }
 
-// take reports whether it may be done now, and counts it then.
+// take reports whether it may be done now, and counts it if so.
 func (b *budget) take(now time.Time) bool {
 	if passed := now.Sub(b.at); passed > 0 {
 		b.tokens = min(b.burst, b.tokens+b.rate*passed.Seconds())
--- a/pkg/reach/peers.go
+++ b/pkg/reach/peers.go
@@ -55,7 +55,7 @@
 // help is what is known of a peer that lately sent a request.
 type help struct {
 	until time.Time
-	// seen is set if it sent a request of this VM, else another VM said so.
+	// seen is set if it sent a request of this VM. Otherwise another VM named it as able to.
 	seen bool
 }
 
@@ -70,7 +70,7 @@
 	inFlight map[string]int
 }
 
-// NewPeers returns an empty choice.
+// NewPeers returns a choice that knows nothing of any peer.
 func NewPeers() *Peers {
 	return &Peers{avoidUntil: map[peerService]time.Time{}, helpers: map[peerService]help{}, inFlight: map[string]int{}}
 }
--- a/pkg/reach/table.go
+++ b/pkg/reach/table.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// minCutEndpoints is the number of endpoints that were cut off since one of the service was reached, from which the whole
-	// service counts as cut off. One of which fewer are left counts once all of them are.
+	// minCutEndpoints is the number of endpoints found to be cut off, since this VM last reached one of the service, from which
+	// the whole service counts as cut off. A service with fewer endpoints left counts once all of them are.
 	minCutEndpoints = 3
 	// minProbePause and maxProbePause bound the time between two probes of an endpoint that is cut off. It doubles each time
 	// that the endpoint is cut off again within flapTime.
@@ -19,7 +19,7 @@
 	flapTime      = 10 * time.Second
 	// explorePause is the time between two probes of endpoints that are not cut off, of a service that is or may be.
 	explorePause = 250 * time.Millisecond
-	// probeRate is the number of endpoints that are probed in a second, and maxProbes that in one round.
+	// probeRate is the number of endpoints that are probed in a second, and maxProbes the number in one call of DueProbes.
 	probeRate = 8
 	maxProbes = 2
 	// openingTime is the time after one endpoint of a service was reached again for which the others are probed at once.
@@ -30,9 +30,10 @@
 	// answerRate is the number of connections in a second for questions of peers, and maxAnswers that at once.
 	answerRate = 5
 	maxAnswers = 4
-	// minFailure is the shortest duration of an attempt that counts as failed. One that is refused at once costs little.
+	// minFailure is the shortest duration of an attempt that counts as failed slowly. One that is refused at once costs the
+	// request little time.
 	minFailure = 200 * time.Millisecond
-	// failureTime is the longest time between two failed attempts that count together.
+	// failureTime is the longest time between two failed attempts of the same series.
 	failureTime = 2 * time.Second
 	// checkInterval is the shortest time between two checks of the same endpoint.
 	checkInterval = time.Second
@@ -49,8 +50,8 @@
 	// cutAt is when it was last found to be cut off, probeAt when it is to be probed, and pause the time between probes.
 	cutAt, probeAt time.Time
 	pause          time.Duration
-	// epoch is that of the service when the path was cut off, and failures the number of its series of failures to which the last
-	// failed attempt belongs.
+	// epoch is the epoch of the service when the path was cut off. failures is the number of the service's series of failures to
+	// which the last failed attempt at this endpoint belongs.
 	epoch, failures int
 	// checkedAt is when a check last began.
 	checkedAt time.Time
@@ -61,11 +62,12 @@
 	// cut is the number of endpoints that are cut off, and fresh the number of those found so since something last arrived from
 	// any endpoint of the service.
 	cut, fresh int
-	// failed is the number of endpoints at which attempts failed slowly in a series, the last at failedAt. failures is the number of the
-	// present series. It ends when something arrives, or with a pause of failureTime.
+	// failed is the number of endpoints at which attempts failed slowly in the present series of failures, the last at failedAt.
+	// failures numbers the series. A series ends when something arrives, or when an attempt fails more than failureTime after the
+	// last one: time alone does not end it.
 	failed, failures int
 	failedAt         time.Time
-	// timedOut is the number of those that are cut off whose connections time out.
+	// timedOut is the number of endpoints that are cut off and whose connections time out.
 	timedOut int
 	// epoch is the number of times that something arrived from one of its endpoints.
 	epoch int
@@ -87,7 +89,7 @@
 	}
 }
 
-// endFailures begins a new series of failures.
+// endFailures ends the present series of failures. The next failure begins a new one.
 func (s *serviceState) endFailures() {
 	s.failed = 0
 	s.failures++
@@ -172,7 +174,8 @@
 	return opened
 }
 
-// openFresh ends the cuts of a service since something last arrived from it. The caller holds the lock.
+// openFresh takes the endpoints of a service that were cut off since something last arrived from it to be reached again. The
+// caller holds the lock.
 func (t *Table) openFresh(service string) {
 	s := t.services[service]
 	for _, p := range t.paths {
@@ -276,8 +279,8 @@
 }
 
 // isSuspect reports whether attempts failed slowly at several endpoints of a service, or at all, and none was reached since.
-// It counts as cut off for requests although no peer has said so: where all peers are cut off too, none can. The caller holds
-// the lock.
+// Requests to such a service go through peers although no peer has said that it reaches an endpoint: where all peers asked are
+// cut off too, none can. The caller holds the lock.
 func (t *Table) isSuspect(service string, usable int) bool {
 	s := t.services[service]
 	return s != nil && s.failed > 0 && s.failed >= min(minCutEndpoints, usable)
@@ -369,8 +372,8 @@
 	return out
 }
 
-// dueExplorations returns for each service that is or may be cut off as a whole the endpoint to be probed among those that are not
-// cut off themselves: all that are may have ended. The caller holds the lock.
+// dueExplorations returns, for each service that is or may be cut off as a whole, the endpoint to be probed among those that are
+// not cut off themselves. Probing only the cut ones is not enough, since all of them may have ended. The caller holds the lock.
 func (t *Table) dueExplorations(endpoints []*fleet.Endpoint, now time.Time) []*fleet.Endpoint {
 	usable := map[string]int{}
 	for name, s := range t.services {
@@ -451,7 +454,7 @@
 	delete(t.paths, id)
 }
 
-// uncount takes a path out of the counts of its service. The caller holds the lock.
+// uncount takes a path that is cut off out of the counts of its service. The caller holds the lock.
 func (t *Table) uncount(p *path) {
 	if !p.cut {
 		return
@@ -464,8 +467,9 @@
 	}
 }
 
-// Cut returns the number of endpoints of each service that are cut off, without services that have none. It is zero for a service
-// at which attempts failed, none of its endpoints reached since: its endpoints may be due for probes too.
+// Cut returns the number of endpoints that are cut off, by service. It contains the services that have such endpoints, and also
+// those at which attempts failed slowly and nothing has arrived since, with zero if none of their endpoints is cut off: their
+// endpoints may be due for probes too.
 func (t *Table) Cut() map[string]int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/pkg/router/attempt.go
+++ b/pkg/router/attempt.go
@@ -28,7 +28,7 @@
 	processPauseThreshold = time.Second
 	// maxTokenGap is the time without a token after which a started stream counts as interrupted. The target is 53 ms.
 	maxTokenGap = 5 * time.Second
-	// maxStall is the time for which an attempt on a stalled engine is kept at most while no other engine takes it over.
+	// maxStall is the longest time for which an attempt on a stalled engine is kept while no other engine takes the request over.
 	maxStall = 15 * time.Second
 )
 
@@ -196,13 +196,15 @@
 		forwarded := c.forward(chunk)
 		lastToken.store(time.Now())
 		if !forwarded {
-			return response.Incarnation, &engine.StreamError{Endpoint: endpoint.Name, Failure: engine.FailureCancelled, Err: context.Cause(c.ctx)}
+			return response.Incarnation, &engine.StreamError{
+				Endpoint: endpoint.Name, Failure: engine.FailureCancelled, Err: context.Cause(c.ctx),
+			}
 		}
 	}
 }
 
-// errStalled is the cause of the cancellation of an attempt whose engine stopped answering. The retry that follows needs no
-// further one from the budget.
+// errStalled is the cause of the cancellation of an attempt whose engine stopped answering. The retry that follows takes nothing
+// from the budget, since its successor has reserved one or needs none.
 var errStalled = errors.New("the engine has stopped answering")
 
 // watch cancels an attempt whose engine no longer answers state requests, or sends no token for too long after the last
@@ -216,6 +218,7 @@
 	go func() {
 		ticker := time.NewTicker(stallCheckInterval)
 		defer ticker.Stop()
+		// lastGoing is when the engine was last found not to be stalled.
 		lastCheck, lastGoing := time.Now(), time.Now()
 		for {
 			select {
@@ -279,7 +282,9 @@
 }
 
 // handleFailure decides whether another attempt follows a failed one. If not, it returns true and the refusal.
-func (c *chatRun) handleFailure(endpoint config.Endpoint, incarnation string, claim *engineClaim, err error) (*refusal.Error, bool) {
+func (c *chatRun) handleFailure(
+	endpoint config.Endpoint, incarnation string, claim *engineClaim, err error,
+) (*refusal.Error, bool) {
 	var failed *engine.StreamError
 	if !errors.As(err, &failed) {
 		failed = &engine.StreamError{Failure: engine.FailureInterrupted, Err: err}
@@ -346,7 +351,8 @@
 		count(metricRetries, 1)
 		return nil, false
 	}
-	ref := refusal.New(statusBadGateway, refusal.CodeEndpointFailed, "the engine failed").WithRunState(c.runState()).WithRetryAfter(time.Second)
+	ref := refusal.New(statusBadGateway, refusal.CodeEndpointFailed, "the engine failed").
+		WithRunState(c.runState()).WithRetryAfter(time.Second)
 	return c.callerRefusal(ref), true
 }
 
--- a/pkg/router/successor.go
+++ b/pkg/router/successor.go
@@ -10,13 +10,16 @@
 // crashSilence is the time without an answer after which an engine counts as crashed.
 const crashSilence = 4 * time.Second
 
-// successor is the attempt that would follow one on a stalled engine. It holds what the run may change meanwhile.
+// successor is the attempt that would follow one on a stalled engine. It holds copies of what the run may change while the stall
+// is judged.
 type successor struct {
 	run *chatRun
 	// endpoint is the stalled engine, and version the weight version of its answer.
 	endpoint, version string
-	excluded          []string
-	hasAttempt        bool
+	// excluded are the names of the engines that may not serve the request.
+	excluded []string
+	// hasAttempt is set if the request may be attempted once more.
+	hasAttempt bool
 }
 
 // reserve reports whether the request may go on at another engine, and takes a retry from the budget. As after a crash, no
