--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -77,11 +77,13 @@
 	nextID       atomic.Uint64
 	// inProgress holds the requests that have no final answer yet.
 	inProgress drain.Register
-	// paths are the ways to endpoints, pathChecks finds out why they fail, and forwarders chooses the peers that help.
+	// paths holds which endpoints this VM reaches, pathChecks finds out why connections fail, and forwarders chooses the peers
+	// through which requests are sent.
 	paths      *reach.Table
 	pathChecks *pathcheck.Checker
 	forwarders *reach.Peers
-	// peerHTTP sends requests through peers, and forwarded is the number of those of peers that this VM sends now.
+	// peerHTTP sends this VM's requests to peers that forward them. forwarded is the number of requests of peers that this VM is
+	// forwarding.
 	peerHTTP   *httpcall.Client
 	forwarded  atomic.Int64
 	standstill standstill.Detector
--- a/pkg/gateway/orders.go
+++ b/pkg/gateway/orders.go
@@ -150,8 +150,8 @@
 	return false
 }
 
-// cutFromEngines reports whether this VM lost its paths to a service of engines, so that its orders would not arrive. It gives none
-// then, and another VM takes over. The caller holds the lock.
+// cutFromEngines reports whether this VM lost its paths to a service of engines, so that its orders would not arrive. It then gives
+// no orders, and another VM takes over. The caller holds the lock.
 func (g *Gateway) cutFromEngines() bool {
 	c := g.config.Load()
 	if c == nil {
--- a/pkg/peerforward/server.go
+++ b/pkg/peerforward/server.go
@@ -129,7 +129,8 @@
 	"connection": true, "keep-alive": true, "transfer-encoding": true, "content-length": true, "trailer": true, "upgrade": true,
 }
 
-// passOn writes an endpoint's answer. If it ends early, so does the connection.
+// passOn writes an endpoint's answer. If the answer ends early, passOn panics with http.ErrAbortHandler, at which the server closes
+// the connection.
 func passOn(w http.ResponseWriter, answer *httpcall.Stream) {
 	header := w.Header()
 	// The server would add these headers to an answer that lacks them.
