--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -79,7 +79,7 @@
 
 // forward sends the request to endpoints until the caller has its final answer.
 func (g *Gateway) forward(r *request) {
-	defer g.giveBackRetry(r)
+	defer g.giveBackRetries(r)
 	for {
 		t, refused := g.chooseEndpoint(r)
 		if refused != nil {
@@ -87,6 +87,10 @@
 			return
 		}
 		res := g.attempt(r, t)
+		if t.retriesReserved > 0 {
+			g.giveBackRetries(r)
+			r.reserved = reservedRetries{endpoint: t.choice.Endpoint.ID, service: t.service.Name, count: t.retriesReserved}
+		}
 		if res.callerAnswered {
 			return
 		}
@@ -106,27 +110,30 @@
 	}
 }
 
-// wayBack is a request's reserved return to an endpoint that was given up for its silence, in case the next endpoint turns the
-// request away. A retry of the service's budget is held for it.
-type wayBack struct {
+// reservedRetries are retries of a service's budget that are held for a request: one for the attempt after an endpoint was given up
+// for its silence, and one for the return to that endpoint, in case the next one turns the request away.
+type reservedRetries struct {
 	endpoint, service string
+	count             int
 }
 
 // takeWayBack lets the request return to the endpoint that was given up, since its successor turned the request away.
 func (r *request) takeWayBack() {
-	id := r.wayBack.endpoint
-	r.excluded = slices.DeleteFunc(r.excluded, func(excluded string) bool { return excluded == id })
-	r.wayBack = nil
+	r.reserved.count--
+	r.excluded = slices.DeleteFunc(r.excluded, func(id string) bool { return id == r.reserved.endpoint })
 }
 
-// giveBackRetry returns the retry that was reserved for a way back and not used.
-func (g *Gateway) giveBackRetry(r *request) {
-	if r.wayBack == nil {
+// giveBackRetries returns the retries that are held for a request to the budget.
+func (g *Gateway) giveBackRetries(r *request) {
+	if r.reserved.count == 0 {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.retryBudget(r.wayBack.service).GiveBack(g.now())
+	for range r.reserved.count {
+		g.retryBudget(r.reserved.service).GiveBack(g.now())
+	}
+	r.reserved.count = 0
 }
 
 // chooseEndpoint selects the endpoint for the next attempt under the configuration in force now.
@@ -321,11 +328,9 @@
 	defer g.mu.Unlock()
 	switch {
 	case t.retriesReserved > 0:
-		if t.retriesReserved > 1 {
-			r.wayBack = &wayBack{endpoint: t.choice.Endpoint.ID, service: t.service.Name}
-		}
+		r.reserved.count--
 		return true
-	case res.notRun && r.wayBack != nil:
+	case res.notRun && r.reserved.count > 0:
 		r.takeWayBack()
 		return true
 	}
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -48,8 +48,8 @@
 	// possibleRuns counts the attempts that may have run the request; attempts counts all.
 	possibleRuns, attempts int
 	excluded               []string
-	// wayBack is set from when an endpoint was given up for its silence until its successor turns the request away, or nil.
-	wayBack *wayBack
+	// reserved are the retries that are held for the request.
+	reserved reservedRetries
 	// lastEventID is the last event that the caller has received, for a resumed stream.
 	lastEventID string
 	// origin is where the stream began, or nil before its first event.
