Mend what the read-through found in the forwarding

- A request of more than 1 MB, or one whose time ends within a millisecond, was answered 400 by a peer and put it out of use for 2 s; such requests are not sent through peers, or state 1 ms.
- A caller that left while this VM connected to a peer put the peer out of use.
- A VM that hangs while it reads an answer held the peer's slot until the kernel gave up; now until the request's deadline.

--- a/pkg/gateway/throughpeer.go
+++ b/pkg/gateway/throughpeer.go
@@ -24,7 +24,7 @@
 	req := encode()
 	req.Connected = func(c net.Conn) { t.stopPathWatch = g.watchPath(t, c) }
 	peers := g.forwardingPeers()
-	if len(peers) == 0 || req.NoResponseBody {
+	if len(peers) == 0 || req.NoResponseBody || len(req.Head)+len(req.Body) > peerforward.MaxRequestBytes {
 		return g.http.OpenRaw(ctx, t.choice.Endpoint.Address, req)
 	}
 	route := g.routeTo(t)
@@ -62,14 +62,14 @@
 		if refused.Reason == "" {
 			return stream, err
 		}
+		if ctx.Err() != nil {
+			break
+		}
 		g.metrics.count("forwards_refused_" + string(refused.Reason) + "_total")
 		g.forwarders.RecordRefusal(peer.VM, e.Service, refused.Reason, g.now())
 		if refused.Referral != "" {
 			g.forwarders.RecordReferral(refused.Referral, e.Service, g.now())
 		}
-		if ctx.Err() != nil {
-			break
-		}
 	}
 	return nil, &httpcall.Error{Address: e.Address, Err: errPathLost}
 }
--- a/pkg/peerforward/message.go
+++ b/pkg/peerforward/message.go
@@ -75,7 +75,7 @@
 	head := fmt.Appendf(nil, "POST %s HTTP/1.1\r\nHost: %s\r\n", Path, address)
 	for _, h := range []struct{ name, value string }{
 		{headerVM, r.VM}, {headerEndpoint, r.Endpoint}, {headerStart, strconv.FormatInt(r.StartTimeMs, 10)},
-		{headerHeadLength, strconv.Itoa(len(r.Head))}, {headerTimeout, strconv.FormatInt(r.Timeout.Milliseconds(), 10)},
+		{headerHeadLength, strconv.Itoa(len(r.Head))}, {headerTimeout, strconv.FormatInt(max(r.Timeout.Milliseconds(), 1), 10)},
 		{headerIdempotent, strconv.FormatBool(r.Idempotent)}, {headerFresh, strconv.FormatBool(r.Fresh)},
 		{fasthttp.HeaderContentLength, strconv.Itoa(len(r.Head) + len(r.Body))},
 	} {
--- a/pkg/peerforward/server.go
+++ b/pkg/peerforward/server.go
@@ -85,7 +85,11 @@
 		w.WriteHeader(http.StatusBadGateway)
 	default:
 		defer answer.Close()
+		// A VM that reads nothing does not hold the answer beyond the deadline. An error leaves that to the kernel.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(r.Timeout))
 		passOn(w, answer)
+		// The connection may carry another call.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 	}
 }
 
