Replay the overload loads with one seed per goroutine

Cause: nearly all of the time of pkg/admit is TestWorkInTimeStaysNearItsBestAtOverload, and 9/10 of its profile are refused callers that come back. One load, "callers return at once at 2", has 1.63 of the 2.24 million refusals, as its callers come back each 20 ms. The replays of a load, one for each seed, ran one after the other.

Change: each load and seed is a replay of its own, four at a time as before. The simulator keeps the sum of unread prompts of each engine instead of adding them up at each refusal. place.Placer keeps the pending attempts of an endpoint in a slice, which each placement reads for each endpoint, and computes no decay of a failure rate of zero. Loads, seeds and bounds are the same.

The tables of both rules that -v prints (work in time, shares, refusals, lateness of all ten loads) are the same to the last digit before and after. pkg/place passes with -race.

--- a/pkg/admit/overload_replay_test.go
+++ b/pkg/admit/overload_replay_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -104,9 +105,11 @@
 	list    []*fleet.Endpoint
 	parts   []map[uint64]bool
 	running map[uint64]*caller
-	due     map[int64][]func()
-	all     []*caller
-	tries   uint64
+	// unread are the prompt tokens of the running requests without a first token, by engine.
+	unread []int
+	due    map[int64][]func()
+	all    []*caller
+	tries  uint64
 	// refusals and faults are those of loadResult.
 	refusals, faults int
 }
@@ -114,7 +117,7 @@
 func newLoadReplay(c loadCase, shape loadShape, basic bool, seed uint64) *loadReplay {
 	s := &loadReplay{
 		loadCase: c, loadShape: shape, basic: basic, random: rand.New(rand.NewPCG(seed, 1)), now: loadStart,
-		running: map[uint64]*caller{}, due: map[int64][]func(){},
+		running: map[uint64]*caller{}, due: map[int64][]func(){}, unread: make([]int, shape.engines),
 	}
 	for range s.loadShape.vms {
 		s.vms = append(s.vms, &loadVM{placer: place.New(), overload: admit.NewOverload()})
@@ -255,6 +258,7 @@
 	}
 	c.attempt = s.tries
 	s.running[c.attempt] = c
+	s.unread[c.engine] += c.prompt
 	s.engines[c.engine].Submit(enginesim.Request{
 		ID: c.attempt, Uncached: uncached, Cached: c.prompt - uncached, Output: c.output, Urgency: 3 + 2*c.kind,
 	})
@@ -271,7 +275,7 @@
 	v := vm.overload.Decide(admit.Situation{
 		Left: c.deadline.Sub(s.now), Expected: c.choice.Expected, Prefill: c.choice.Prefill, Objective: c.objective(),
 		Running: c.choice.Running, Slots: s.slots, Lateness: 1, Urgency: c.kind,
-		Workspace: fmt.Sprint(c.workspace), Weight: 1, Cost: int64(c.work()), Subject: c.subject,
+		Workspace: strconv.Itoa(c.workspace), Weight: 1, Cost: int64(c.work()), Subject: c.subject,
 		Request: uint64(c.arrived.UnixNano()) ^ uint64(c.prompt)<<1, Draw: s.random.Float64(),
 	}, s.now)
 	return v.Refused(), v.RetryAfter
@@ -299,12 +303,7 @@
 
 // trueFirstToken returns the time to the first token of a request on its engine if no other is sent after it.
 func (s *loadReplay) trueFirstToken(c *caller) time.Duration {
-	unread := c.prompt
-	for _, other := range s.running {
-		if other.engine == c.engine && !other.firstToken {
-			unread += other.prompt
-		}
-	}
+	unread := c.prompt + s.unread[c.engine]
 	return time.Duration(float64(unread)/s.tokensPerMs*float64(time.Millisecond)) + 20*time.Millisecond
 }
 
@@ -321,6 +320,7 @@
 	s.engines[c.engine].Cancel(c.attempt)
 	s.vms[c.vm].placer.RecordOutcome(c.attempt, outcome, s.now)
 	if !c.firstToken {
+		s.unread[c.engine] -= c.prompt
 		s.observe(c, true)
 	}
 }
@@ -345,6 +345,7 @@
 				continue
 			}
 			c.firstToken = true
+			s.unread[c.engine] -= c.prompt
 			c.inTime = s.now.Sub(c.sent) <= c.objective()
 			s.parts[i][c.subject] = true
 			s.vms[c.vm].placer.RecordFirstToken(c.attempt, s.now)
@@ -428,22 +429,35 @@
 
 // replayLoads replays all loads and returns their results, each summed up over the replays.
 func replayLoads(shape loadShape, basic bool) []loadResult {
+	replays := runReplays(shape, basic)
 	out := make([]loadResult, len(loadCases))
+	for i := range out {
+		for _, s := range replays[i] {
+			out[i].add(s)
+		}
+		left := float64(shape.engines-replays[i][0].lost) / float64(shape.engines)
+		out[i].inTime = out[i].done["all"] / float64(*loadSeeds) / measured.Seconds() / left
+	}
+	return out
+}
+
+// runReplays runs the replays of all loads, parallelReplays at a time, and returns them by load and seed.
+func runReplays(shape loadShape, basic bool) [][]*loadReplay {
+	out := make([][]*loadReplay, len(loadCases))
 	var running sync.WaitGroup
 	turns := make(chan struct{}, parallelReplays)
 	for i, c := range loadCases {
 		if c.lost > 0 {
 			c.lost = shape.engines / 4
 		}
-		running.Go(func() {
-			turns <- struct{}{}
-			defer func() { <-turns }()
-			for seed := range uint64(*loadSeeds) {
-				out[i].add(newLoadReplay(c, shape, basic, seed).run())
-			}
-			left := float64(shape.engines-c.lost) / float64(shape.engines)
-			out[i].inTime = out[i].done["all"] / float64(*loadSeeds) / measured.Seconds() / left
-		})
+		out[i] = make([]*loadReplay, *loadSeeds)
+		for seed := range out[i] {
+			running.Go(func() {
+				turns <- struct{}{}
+				defer func() { <-turns }()
+				out[i][seed] = newLoadReplay(c, shape, basic, uint64(seed)).run()
+			})
+		}
 	}
 	running.Wait()
 	return out
--- a/pkg/place/outcome.go
+++ b/pkg/place/outcome.go
@@ -67,7 +67,7 @@
 	s.load.Running += x.load.Running
 	s.load.Memory += x.load.Memory
 	s.load.PendingPrefill += x.prefill
-	s.pending[r.ID] = x
+	s.addPending(x)
 	p.attempts[r.ID] = x
 	if p.model != nil {
 		p.model.ObserveSend(c.query, now)
@@ -107,7 +107,7 @@
 	}
 	delete(p.attempts, id)
 	s := x.state
-	delete(s.pending, id)
+	s.dropPending(x)
 	s.load.Running -= x.load.Running
 	s.load.Memory -= x.load.Memory
 	s.load.PendingPrefill -= x.prefill
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -40,9 +40,10 @@
 	busyUntil               time.Time
 	ejectUntil              time.Time
 	ejections               int
-	pending                 map[uint64]*attempt
-	lastAnswer              time.Time
-	consecutiveBroken       int
+	// pending holds the attempts without an outcome, in no order. A slice, since each placement reads all of them.
+	pending           []*attempt
+	lastAnswer        time.Time
+	consecutiveBroken int
 	// waitUntil is the time until which the endpoint asked this VM to send no requests.
 	waitUntil time.Time
 	// versionUncertainUntil is the time until which the endpoint's weight version counts as uncertain.
@@ -55,7 +56,7 @@
 	if s != nil && (s.startUnixMs == e.StartTimeMs || e.StartTimeMs == 0) {
 		return s
 	}
-	next := &endpointState{startUnixMs: e.StartTimeMs, slowdownAvg: 1, versions: map[string]int64{}, pending: map[uint64]*attempt{}}
+	next := &endpointState{startUnixMs: e.StartTimeMs, slowdownAvg: 1, versions: map[string]int64{}}
 	p.states[e.ID] = next
 	return next
 }
@@ -80,6 +81,9 @@
 
 // failureRate returns the share of failed attempts. Without new observations it tends to 0.
 func (s *endpointState) failureRate(now time.Time) float64 {
+	if s.failureAvg == 0 {
+		return 0
+	}
 	return s.failureAvg * decay(s.failureAt, now)
 }
 
@@ -118,6 +122,23 @@
 	return false
 }
 
+// addPending adds an attempt.
+func (s *endpointState) addPending(x *attempt) {
+	s.pending = append(s.pending, x)
+}
+
+// dropPending drops an attempt, if it is pending.
+func (s *endpointState) dropPending(x *attempt) {
+	i := slices.Index(s.pending, x)
+	if i < 0 {
+		return
+	}
+	last := len(s.pending) - 1
+	s.pending[i] = s.pending[last]
+	s.pending[last] = nil
+	s.pending = s.pending[:last]
+}
+
 // healthy drops ejected and unresponsive endpoints, unless none would be left. It reuses the slice.
 func healthy(candidates []Candidate, now time.Time) []Candidate {
 	unhealthy := func(c Candidate) bool {
