Move the age of digests out of the gateway

Cause: pkg/gateway/sharing.go held two decisions that need nothing of the Gateway: whether a digest may have waited in the socket's buffer while this process stood still (activity), and how long a digest was on its way (peerClock). The first was a second copy of the search for gaps in pkg/standstill.

Change: both are in pkg/digestage, with tests of their own. standstill.Gaps is the search for gaps that Detector and digestage.Activity share; each keeps its own shortest gap (0.5 s and 1 s). One difference: an observation with an earlier time than the last one no longer sets the last time back. In peers.go, digest.go and gateway.go only the types and calls changed.

--- a/pkg/gateway/digest.go
+++ b/pkg/gateway/digest.go
@@ -65,7 +65,7 @@
 		loading = append(loading, p.loading...)
 	}
 	g.placer.SetLoading(loading)
-	g.activity.record(g.started, now)
+	g.activity.Record(g.started, now)
 	g.checkFreshness(now)
 	g.logSharing(now)
 	g.showWork(now)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/corneldeal/corneldeal/pkg/admit"
 	"github.com/corneldeal/corneldeal/pkg/affinity"
 	"github.com/corneldeal/corneldeal/pkg/crashguard"
+	"github.com/corneldeal/corneldeal/pkg/digestage"
 	"github.com/corneldeal/corneldeal/pkg/drain"
 	"github.com/corneldeal/corneldeal/pkg/endpointlimit"
 	"github.com/corneldeal/corneldeal/pkg/fleet"
@@ -171,7 +172,7 @@
 	storeRestored bool
 	// storeFailedAt is when a call to the store last failed, or zero.
 	storeFailedAt time.Time
-	activity      activity
+	activity      digestage.Activity
 	// lostConfigVersion is the newest version of a configuration that the store lost while a peer holds it, or zero.
 	lostConfigVersion int64
 	// sharingSuspended is set while workspaces share no cached material, see mayShareCache.
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/corneldeal/corneldeal/pkg/digestage"
 	"github.com/corneldeal/corneldeal/pkg/gossip"
 	"github.com/corneldeal/corneldeal/pkg/issuer"
 	"github.com/corneldeal/corneldeal/pkg/logpos"
@@ -48,7 +49,7 @@
 	// started is when the peer's process started, and startedUnixMs the time of day then by its own clock.
 	started       time.Time
 	startedUnixMs int64
-	clock         peerClock
+	clock         digestage.Clock
 	// leaseAt is the position of the claim under which the peer holds the order lease, or issuer.NoClaim.
 	leaseAt logpos.Position
 	// lastOrder is when the peer's process or a holder before it may have given its last order, or the start of the
@@ -122,7 +123,7 @@
 func (g *Gateway) applyBatch(b *gossip.Batch, now time.Time) (forward []outgoingBatch, source *peerState) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.activity.record(g.started, now)
+	g.activity.Record(g.started, now)
 	direct := len(b.GetDigests()) == 1 && b.GetSpread() == gossip.Spread_SPREAD_NONE
 	for _, d := range b.GetDigests() {
 		if d.GetVm() == g.settings.VM {
@@ -167,7 +168,7 @@
 	p.lastSeen = now
 	p.storeAnsweredAt = now.Add(-time.Duration(d.GetStoreAgeMs()) * time.Millisecond)
 	uptime := time.Duration(d.GetUptimeMs()) * time.Millisecond
-	underway := p.clock.observe(uptime, g.activity.mayReadQueuedDigests(now), now)
+	underway := p.clock.Observe(uptime, g.activity.MayReadQueued(now), now)
 	g.applyPeerPositions(p, d, now)
 	p.leaving = d.GetLeaving()
 	p.takesRequests = d.GetTakesRequests()
@@ -191,7 +192,7 @@
 	g.applyPeerRollouts(p, d, now.Add(-underway))
 	g.compareCrashState(p, d, appeared, now)
 	g.recordLostConfig(p)
-	if p.clock.known {
+	if p.clock.Known() {
 		g.applyPeerProofs(p, d, now.Add(-underway))
 	}
 	return appeared
--- a/pkg/gateway/rolloutdigest.go
+++ b/pkg/gateway/rolloutdigest.go
@@ -77,7 +77,7 @@
 			continue
 		}
 		ro.pool.Merge(rollout.Process{VM: p.vm, Boot: p.boot}, evidenceFromProto(e))
-		if !p.clock.known {
+		if !p.clock.Known() {
 			// The digest may have waited while this process stood still, so its age is not known.
 			continue
 		}
@@ -120,7 +120,7 @@
 // applyPeerInstruction applies an instruction in a digest that was sent at a time. The caller holds the lock.
 func (g *Gateway) applyPeerInstruction(p *peerState, i *gossip.RolloutInstruction, sentAt time.Time) {
 	state, known := rolloutStateFromProto(i.GetState())
-	if !known || !state.IsFinal() && !p.clock.known {
+	if !known || !state.IsFinal() && !p.clock.Known() {
 		// The age of an instruction that expires must be known. A later digest of the peer repeats it.
 		return
 	}
--- a/pkg/gateway/rollouts_test.go
+++ b/pkg/gateway/rollouts_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/corneldeal/corneldeal/pkg/digestage"
 	"github.com/corneldeal/corneldeal/pkg/fleet"
 	"github.com/corneldeal/corneldeal/pkg/gossip"
 	"github.com/corneldeal/corneldeal/pkg/logpos"
@@ -65,7 +66,7 @@
 			RolloutEvidence: []*gossip.RolloutEvidence{{Service: "app", OrderOffset: 10, FollowedPerMille: rollout.SealedPerMille}},
 		}}}
 	}
-	resumed := start.Add(maxActivityGap)
+	resumed := start.Add(digestage.MinStandstill)
 	g.applyBatch(digest(1, 0), resumed)
 	if share := ro.follower.SharePerMille(resumed); share != 0 {
 		t.Errorf("share %d by a digest of unknown age", share)
@@ -73,8 +74,8 @@
 	if _, known := ro.reports["b"]; known || !g.lacksReports(ro, resumed) {
 		t.Error("a digest of unknown age counts as a recent report")
 	}
-	later := resumed.Add(queuedDigestsTime)
-	g.activity.record(g.started, resumed.Add(queuedDigestsTime/2))
+	later := resumed.Add(digestage.QueuedTime)
+	g.activity.Record(g.started, resumed.Add(digestage.QueuedTime/2))
 	g.applyBatch(digest(2, 100*time.Millisecond), later)
 	if idle, sealed := g.oldUse(ro, later); !idle || !sealed || g.lacksReports(ro, later) {
 		t.Errorf("idle %v, sealed %v with a report that is new", idle, sealed)
--- a/pkg/standstill/standstill.go
+++ b/pkg/standstill/standstill.go
@@ -27,31 +27,53 @@
 	return g.To.Sub(g.From)
 }
 
-// Detector holds the last standstill. It is safe for concurrent use. The zero value has observed nothing.
-type Detector struct {
-	mu       sync.Mutex
+// Gaps finds the gaps in a series of observations of this process. The zero value has observed nothing. It is not safe for
+// concurrent use.
+type Gaps struct {
 	observed time.Time
 	last     Gap
 }
 
+// Observe records that the process runs now. It returns the gap that has just ended, if at least minGap has passed since
+// the last observation.
+func (g *Gaps) Observe(now time.Time, minGap time.Duration) (ended Gap, stood bool) {
+	if !g.Empty() && now.Sub(g.observed) >= minGap {
+		ended, stood = Gap{From: g.observed, To: now}, true
+		g.last = ended
+	}
+	if now.After(g.observed) {
+		g.observed = now
+	}
+	return ended, stood
+}
+
+// Empty reports whether nothing was observed.
+func (g *Gaps) Empty() bool {
+	return g.observed.IsZero()
+}
+
+// Last returns the last gap that was found.
+func (g *Gaps) Last() Gap {
+	return g.last
+}
+
+// Detector holds the last standstill. It is safe for concurrent use. The zero value has observed nothing.
+type Detector struct {
+	mu   sync.Mutex
+	gaps Gaps
+}
+
 // Observe records that the process runs now. It returns the standstill that has just ended, if there was one. Whatever
 // depends on a standstill calls it first, since nothing else may have run after it.
 func (d *Detector) Observe(now time.Time) (ended Gap, stood bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.observed.IsZero() && now.Sub(d.observed) >= minGap {
-		ended, stood = Gap{From: d.observed, To: now}, true
-		d.last = ended
-	}
-	if now.After(d.observed) {
-		d.observed = now
-	}
-	return ended, stood
+	return d.gaps.Observe(now, minGap)
 }
 
 // Last returns the last standstill that was observed.
 func (d *Detector) Last() Gap {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.last
+	return d.gaps.Last()
 }
