Decode JSON answers in one place

Change: httpcall.Client.DoJSON does them and returns the status; each client keeps its own error type.

--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -224,18 +224,12 @@
 
 // do sends a request and decodes the response into answer unless that is nil. Errors are of type *CallError.
 func (c *Client) do(ctx context.Context, op, address string, req *fasthttp.Request, answer any) error {
-	resp := &fasthttp.Response{}
-	if err := c.http.Do(ctx, address, req, resp, httpcall.Options{MaxBody: maxResponseBytes}); err != nil {
+	status, err := c.http.DoJSON(ctx, address, req, answer, httpcall.Options{MaxBody: maxResponseBytes})
+	if err != nil {
 		return &CallError{Op: op, Err: err}
 	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return &CallError{Op: op, Status: resp.StatusCode()}
-	}
-	if answer == nil {
-		return nil
-	}
-	if err := json.Unmarshal(resp.Body(), answer); err != nil {
-		return &CallError{Op: op, Err: err}
+	if status != fasthttp.StatusOK {
+		return &CallError{Op: op, Status: status}
 	}
 	return nil
 }
--- a/pkg/logservice/client.go
+++ b/pkg/logservice/client.go
@@ -122,15 +122,12 @@
 
 // call sends req and decodes the JSON response into answer. Errors are of type *Error.
 func (c *Client) call(ctx context.Context, op, stream string, req *fasthttp.Request, answer any) error {
-	resp := &fasthttp.Response{}
-	if err := c.http.Do(ctx, c.address, req, resp, httpcall.Options{MaxBody: maxReadBytes}); err != nil {
+	status, err := c.http.DoJSON(ctx, c.address, req, answer, httpcall.Options{MaxBody: maxReadBytes})
+	if err != nil {
 		return &Error{Op: op, Stream: stream, Err: err}
 	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return &Error{Op: op, Stream: stream, Status: resp.StatusCode()}
-	}
-	if err := json.Unmarshal(resp.Body(), answer); err != nil {
-		return &Error{Op: op, Stream: stream, Err: err}
+	if status != fasthttp.StatusOK {
+		return &Error{Op: op, Stream: stream, Status: status}
 	}
 	return nil
 }
--- a/pkg/vmlist/client.go
+++ b/pkg/vmlist/client.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"time"
 
@@ -84,16 +83,13 @@
 	defer cancel()
 	req := &fasthttp.Request{}
 	req.SetRequestURI("/v1/vms")
-	resp := &fasthttp.Response{}
-	if err := c.http.Do(ctx, c.address, req, resp, httpcall.Options{MaxBody: maxListBytes}); err != nil {
-		return List{}, &Error{Err: err}
-	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return List{}, &Error{Status: resp.StatusCode()}
-	}
 	var list List
-	if err := json.Unmarshal(resp.Body(), &list); err != nil {
+	status, err := c.http.DoJSON(ctx, c.address, req, &list, httpcall.Options{MaxBody: maxListBytes})
+	if err != nil {
 		return List{}, &Error{Err: err}
 	}
+	if status != fasthttp.StatusOK {
+		return List{}, &Error{Status: status}
+	}
 	return list, nil
 }
