--- a/pkg/gateway/silence.go
+++ b/pkg/gateway/silence.go
@@ -10,6 +10,7 @@
 	"github.com/corneldeal/corneldeal/pkg/affinity"
 	"github.com/corneldeal/corneldeal/pkg/failover"
 	"github.com/corneldeal/corneldeal/pkg/httpcall"
+	"github.com/corneldeal/corneldeal/pkg/reach"
 	"github.com/corneldeal/corneldeal/pkg/steady"
 )
 
@@ -35,6 +36,11 @@
 	origin      *affinity.Origin
 }
 
+// progressOf returns what the caller of a request has of its stream.
+func progressOf(r *request) streamProgress {
+	return streamProgress{started: r.streamStarted, lastEventID: r.lastEventID, origin: r.origin}
+}
+
 // silenceTimer cancels an attempt at an endpoint that stays silent once another one takes the request over. Bytes that
 // complete no event do not reset it, so an endpoint that sends a byte now and then counts as silent. The zero value never
 // cancels.
@@ -45,16 +51,18 @@
 	currentWait time.Duration
 	eventWait   time.Duration
 	// since is when the present silence began.
-	since    time.Time
-	progress streamProgress
+	since time.Time
+	// passingOn is set while events are passed on, so that the endpoint's stream is not read.
+	passingOn bool
+	progress  streamProgress
 	// kept is the last reason why the silent attempt was kept.
 	kept failover.Reason
 }
 
 // startSilenceTimer starts the timer of an attempt. It returns an inactive timer if the request may not be sent again.
 func (g *Gateway) startSilenceTimer(r *request, t *target, cancel context.CancelCauseFunc) *silenceTimer {
-	l := &silenceTimer{progress: streamProgress{started: r.streamStarted, lastEventID: r.lastEventID, origin: r.origin}}
-	if !r.route.Idempotent() || r.possibleRuns+1 >= r.route.Attempts {
+	l := &silenceTimer{progress: progressOf(r)}
+	if !r.mayRunAgain() {
 		return l
 	}
 	l.currentWait = max(minFirstByteWait, firstByteWaitFactor*t.choice.Expected)
@@ -70,7 +78,7 @@
 func (g *Gateway) handleSilence(r *request, t *target, l *silenceTimer, cancel context.CancelCauseFunc) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.timer == nil {
+	if l.timer == nil || l.passingOn {
 		return
 	}
 	now := steady.Now()
@@ -79,6 +87,9 @@
 		l.timer.Reset(rest)
 		return
 	}
+	if !t.throughPeer.Load() {
+		g.checkPath(t.choice.Endpoint, reach.Unknown, l.since)
+	}
 	reason := g.reserveSuccessor(r, t, l.progress, now)
 	if reason == "" {
 		l.timer = nil
@@ -116,6 +127,11 @@
 	return reason
 }
 
+// mayRunAgain reports whether the request may run once more after the attempt in progress.
+func (r *request) mayRunAgain() bool {
+	return r.route.Idempotent() && r.possibleRuns+1 < r.route.Attempts
+}
+
 // successor returns the request as it is after an attempt that was given up. The attempt may still be changing the rest of r.
 func (r *request) successor(t *target, p streamProgress) *request {
 	return &request{
@@ -125,24 +141,31 @@
 	}
 }
 
-// eventReceived restarts the timer with the wait for the next event of a stream.
+// eventReceived stops the timer while events are passed on. That may take long, since a caller may read slowly, and what the
+// endpoint sends meanwhile is not read.
 func (l *silenceTimer) eventReceived() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.timer == nil {
 		return
 	}
-	l.currentWait = l.eventWait
-	l.since = steady.Now()
-	l.kept = ""
-	l.timer.Reset(l.currentWait)
+	l.passingOn = true
+	l.timer.Stop()
 }
 
-// eventsSent records what the caller has of a stream.
+// eventsSent records what the caller has of a stream, and restarts the timer with the wait for the next event.
 func (l *silenceTimer) eventsSent(r *request) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.progress = streamProgress{started: r.streamStarted, lastEventID: r.lastEventID, origin: r.origin}
+	l.progress = progressOf(r)
+	if l.timer == nil {
+		return
+	}
+	l.passingOn = false
+	l.currentWait = l.eventWait
+	l.since = steady.Now()
+	l.kept = ""
+	l.timer.Reset(l.currentWait)
 }
 
 // stop ends the timer for good. Afterwards it reads nothing of its request.
