Choose peers only where a request goes through one

Now the list is built for requests and questions that go to peers. Table.ReachedWithin, a field of the service's state and Peer.DataCentre had no use any more.

No change of decisions; pkg/reach, its simulation and pkg/pathcheck pass.

--- a/pkg/gateway/paths.go
+++ b/pkg/gateway/paths.go
@@ -71,15 +71,12 @@
 	return out
 }
 
-// forwardingPeers returns the live peers, each of which may send requests on for this VM.
-func (g *Gateway) forwardingPeers() []reach.Peer {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.now()
+// helpers returns the live peers, each of which may answer questions and send requests for this VM. The caller holds the lock.
+func (g *Gateway) helpers(now time.Time) []reach.Peer {
 	out := make([]reach.Peer, 0, len(g.peers))
 	for _, p := range sorted(g.peers) {
 		if p.live(now) {
-			out = append(out, reach.Peer{VM: p.vm, Address: p.address, DataCentre: p.dataCentre})
+			out = append(out, reach.Peer{VM: p.vm, Address: p.address})
 		}
 	}
 	return out
@@ -87,9 +84,9 @@
 
 // randomPeers returns at most count live peers, chosen at random.
 func (g *Gateway) randomPeers(count int) []reach.Peer {
-	peers := g.forwardingPeers()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	peers := g.helpers(g.now())
 	g.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	return peers[:min(len(peers), count)]
 }
@@ -217,7 +214,13 @@
 func (g *Gateway) hasLivePeers() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.livePeers(g.now())) > 0
+	now := g.now()
+	for _, p := range g.peers {
+		if p.live(now) {
+			return true
+		}
+	}
+	return false
 }
 
 // routeTo returns how a request gets to the endpoint of an attempt now.
--- a/pkg/gateway/throughpeer.go
+++ b/pkg/gateway/throughpeer.go
@@ -23,8 +23,7 @@
 func (g *Gateway) open(ctx context.Context, r *request, t *target, encode func() httpcall.RawRequest) (*httpcall.Stream, error) {
 	req := encode()
 	req.Connected = func(c net.Conn) { t.stopPathWatch = g.watchPath(t, c) }
-	peers := g.forwardingPeers()
-	if len(peers) == 0 || req.NoResponseBody || len(req.Head)+len(req.Body) > peerforward.MaxRequestBytes {
+	if !g.hasLivePeers() || req.NoResponseBody || len(req.Head)+len(req.Body) > peerforward.MaxRequestBytes {
 		return g.http.OpenRaw(ctx, t.choice.Endpoint.Address, req)
 	}
 	route := g.routeTo(t)
@@ -40,7 +39,7 @@
 			g.checkPath(t.choice.Endpoint, probeOf(err), t.sentAt)
 		}
 	}
-	stream, err := g.openThroughPeers(ctx, r, t, peers, encode)
+	stream, err := g.openThroughPeers(ctx, r, t, encode)
 	if httpcall.NeverWritten(err) {
 		// What this VM saw itself tells more about the endpoint than that no peer sent the request.
 		return nil, directErr
@@ -51,11 +50,12 @@
 // openThroughPeers asks one peer after another until one does not refuse, and returns its result. The error satisfies
 // httpcall.NeverWritten if all refused.
 func (g *Gateway) openThroughPeers(
-	ctx context.Context, r *request, t *target, peers []reach.Peer, encode func() httpcall.RawRequest,
+	ctx context.Context, r *request, t *target, encode func() httpcall.RawRequest,
 ) (*httpcall.Stream, error) {
 	e := t.choice.Endpoint
 	g.mu.Lock()
-	order := g.forwarders.Order(peers, e.Service, g.random, g.now())
+	now := g.now()
+	order := g.forwarders.Order(g.helpers(now), e.Service, g.random, now)
 	g.mu.Unlock()
 	for _, peer := range order {
 		stream, refused, err := g.openThroughPeer(ctx, r, t, peer, encode())
--- a/pkg/reach/peers.go
+++ b/pkg/reach/peers.go
@@ -44,7 +44,7 @@
 
 // Peer is a live VM that may send requests on for this one.
 type Peer struct {
-	VM, Address, DataCentre string
+	VM, Address string
 }
 
 // peerService names a peer and a service.
--- a/pkg/reach/table.go
+++ b/pkg/reach/table.go
@@ -71,8 +71,8 @@
 	timedOut int
 	// epoch is the number of times that something arrived from one of its endpoints.
 	epoch int
-	// reached is when something last arrived from one of its endpoints, and opened when one was reached again after a cut.
-	reached, opened time.Time
+	// opened is when one of its endpoints was last reached again after a cut.
+	opened time.Time
 	// probedAt is when one of its endpoints was last probed, and exploredAt when one was that is not cut off itself.
 	probedAt, exploredAt time.Time
 }
@@ -157,7 +157,7 @@
 // reach is RecordReached for a caller that holds the lock.
 func (t *Table) reach(p *path, now time.Time) (opened bool) {
 	s := t.service(p.service)
-	p.reached, s.reached = now, now
+	p.reached = now
 	opened = p.cut
 	lostTogether := p.cut && p.epoch == s.epoch
 	if opened || s.fresh >= minCutEndpoints {
@@ -305,15 +305,6 @@
 	return left
 }
 
-// ReachedWithin reports whether something arrived from an endpoint of a service within the given time. It does not show that
-// new connections are accepted now: what arrived may be from before a cut, or from a connection that outlives it.
-func (t *Table) ReachedWithin(service string, d time.Duration, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.services[service]
-	return s != nil && !s.reached.IsZero() && now.Sub(s.reached) <= d
-}
-
 // BeginCheck reports whether the path to an endpoint from which nothing has arrived since the given time is to be checked
 // now, and records the check. An endpoint that is cut off is checked again, since it may have ended, but none is while the
 // service is cut off as a whole.
