--- a/pkg/admit/admit_test.go
+++ b/pkg/admit/admit_test.go
@@ -268,6 +268,27 @@
 	})
 }
 
+// Guards against retries that were held and not used and that count as used, and against a hold of fewer than are needed.
+func TestHeldRetriesAreGivenBack(t *testing.T) {
+	var b RetryBudget
+	if taken := b.TakeSome(2, 2, at(0)); taken != 2 {
+		t.Fatalf("%d of two retries are held", taken)
+	}
+	if taken := b.TakeSome(2, 2, at(0)); taken != 0 {
+		t.Errorf("%d retries are held where one is left and two are needed", taken)
+	}
+	if taken := b.TakeSome(1, 2, at(0)); taken != 1 {
+		t.Errorf("%d retries are held where one is left and enough", taken)
+	}
+	if b.CanRetry(at(500)) {
+		t.Error("a retry is allowed beyond those that are held")
+	}
+	b.GiveBack(at(2000))
+	if !b.Take(at(2000)) || b.CanRetry(at(2000)) {
+		t.Error("a retry that was given back, and only that one, is allowed")
+	}
+}
+
 // Guards against every VM using the budget of the whole system: a floor of three for each of hundreds of VMs, and again
 // after each restart, exceeds what all of them may send together.
 func TestRetriesOfAllVMsKeepTheSharedBudget(t *testing.T) {
