--- a/pkg/brittle/simulation_test.go
+++ b/pkg/brittle/simulation_test.go
@@ -488,9 +488,23 @@
 			out = append(out, c)
 		}
 	}
+	if *large {
+		out = append(out, hardCases(base)...)
+	}
 	return out
 }
 
+// hardCases returns systems in which too many endpoints fail or too few requests are served, see KNOWN-RED.txt.
+func hardCases(base simCase) []simCase {
+	few := base
+	few.vmCount, few.endpointCount, few.overload, few.rejections, few.service = 410, 100, 3, 2, 4*time.Second
+	small := base
+	small.vmCount, small.endpointCount, small.overload, small.rejections, small.slots, small.sudden = 85, 40, 3, 5, 32, true
+	short := base
+	short.vmCount, short.endpointCount, short.overload, short.rejections, short.service = 85, 40, 1.5, 5, 100*time.Millisecond
+	return []simCase{few, small, short}
+}
+
 // String returns the name of the case.
 func (c simCase) String() string {
 	return fmt.Sprintf("%d VMs, %d endpoints, %d of %d slots, waiting %d, %d rejections, overload %v, %v, sudden %v",
