Show sound callers that are refused with a crashing part, as case 8

Cause: a part that the sound requests share is accused in the same crashes as the guilty one when they pause for over 2 s, and the probes are sent with crashing requests.

--- a/review/stand-2/retryafter.go
+++ b/review/stand-2/retryafter.go
@@ -20,7 +20,7 @@
 	f := s.newFleet("llm")
 	defer f.close()
 	var needy *engine
-	for i := range 4 {
+	for i := range 5 {
 		e, err := f.add(fmt.Sprint("i-", i+1), "v1", "127.0.0.1:0", 10, 50*time.Millisecond)
 		if err != nil {
 			return false, err
@@ -48,7 +48,7 @@
 		time.AfterFunc(time.Until(began.Add(6*time.Second)), func() {
 			f.setSilent(needy.id, true)
 			time.AfterFunc(registrationExpiry, func() { f.remove(needy.id) })
-			time.AfterFunc(5500*time.Millisecond, func() { f.setSilent(needy.id, false) })
+			time.AfterFunc(5*time.Second, func() { f.setSilent(needy.id, false) })
 		})
 	}
 	every(began, end, 25*time.Millisecond, func(n int) {
