--- a/review/stand-2/system.go
+++ b/review/stand-2/system.go
@@ -86,7 +86,7 @@
 	}
 	store.AppendJSON("keyed.op", "config", config)
 	store.AppendJSON("keyed.op", "version/m", map[string]any{"model": "m", "version": 1})
-	return &system{dir: dir, store: store, record: r, trouble: os.Getenv("TROUBLE") != "0"}, nil
+	return &system{dir: dir, store: store, record: r, trouble: withTrouble}, nil
 }
 
 // startGateways starts gateways and waits until they are ready.
