Read the heads of all responses in one place

Cause: Do, Open and OpenRaw each called the parser of fasthttp, so a check of heads or of ends would have stood three times. Change: all three make a Stream, whose readHead reads the head; Do reads the stream to its end. The limit of bytes that bring no body now holds for calls without a bound, too. No check is added yet. Ruled out: a wrapper of the connection that checks bytes on their way, since it would have to know where a body ends.

--- a/pkg/httpcall/framing.go
+++ b/pkg/httpcall/framing.go
@@ -16,26 +16,19 @@
 // framingLimiter reads from a connection and limits the bytes that bring no part of a body.
 type framingLimiter struct {
 	conn net.Conn
-	// left is the number of bytes that may still be read, or negative if there is no limit.
+	// left is the number of bytes that may still be read.
 	left int
-	// unlimited is set if the number of bytes is not limited.
-	unlimited bool
 	// received is set once a byte arrived.
 	received bool
 }
 
-// allow limits the bytes that may be read from now on to those of a body of the given size and maxFramingBytes.
-func (f *framingLimiter) allow(bodyBytes int) {
-	f.left, f.unlimited = maxFramingBytes+bodyBytes, false
+// allow limits the bytes that may be read from now on to maxFramingBytes.
+func (f *framingLimiter) allow() {
+	f.left = maxFramingBytes
 }
 
 // Read implements io.Reader.
 func (f *framingLimiter) Read(p []byte) (int, error) {
-	if f.unlimited {
-		n, err := f.conn.Read(p)
-		f.received = f.received || n > 0
-		return n, err
-	}
 	if f.left <= 0 {
 		return 0, errTooMuchFraming
 	}
--- a/pkg/httpcall/httpcall.go
+++ b/pkg/httpcall/httpcall.go
@@ -12,7 +12,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"strconv"
 	"sync"
@@ -235,7 +234,7 @@
 	if err != nil {
 		return nil, &Error{Address: address, Unanswered: isClosedByServer(err), Err: err}
 	}
-	framing := &framingLimiter{conn: raw, unlimited: true}
+	framing := &framingLimiter{conn: raw}
 	return &persistConn{
 		Conn:    raw,
 		reader:  bufio.NewReaderSize(framing, readBufferBytes),
@@ -293,25 +292,20 @@
 // Do sends req to address and reads the whole response into resp. Cancelling ctx ends the call at once.
 // Errors are of type *Error.
 func (c *Client) Do(ctx context.Context, address string, req *fasthttp.Request, resp *fasthttp.Response, opts Options) error {
-	conn, err := c.send(ctx, address, req, opts.Fresh)
+	stream, err := c.call(ctx, address, req, resp, opts.Fresh)
 	if err != nil {
 		return err
 	}
-	conn.framing.unlimited = true
-	if opts.MaxBody > 0 {
-		conn.framing.allow(opts.MaxBody)
-	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	err = resp.ReadLimitBody(conn.reader, opts.MaxBody)
-	if !stop() {
-		c.closeSilent(ctx, address, conn)
-		return &Error{Address: address, Written: true, Err: context.Cause(ctx)}
-	}
+	defer stream.Close()
+	body, err := stream.readAll(opts.MaxBody)
 	if err != nil {
-		_ = conn.Close()
+		if ctx.Err() != nil {
+			c.closeSilent(ctx, address, stream.conn)
+			err = context.Cause(ctx)
+		}
 		return &Error{Address: address, Written: true, Err: err}
 	}
-	c.release(address, conn, resp)
+	resp.SetBodyRaw(body)
 	return nil
 }
 
@@ -389,95 +383,3 @@
 	}
 	return conn, nil
 }
-
-// Stream is a response whose body is read incrementally. Close must be called.
-type Stream struct {
-	// Response contains the status and headers. Its body must not be used; use Read.
-	Response *fasthttp.Response
-	// Reused is set if the connection carried other requests before. The response may then be a late duplicate of an
-	// earlier one.
-	Reused bool
-
-	client  *Client
-	address string
-	conn    *persistConn
-	// stop cancels the closing of the connection with the context. It reports whether the context was still active.
-	stop func() bool
-	body io.Reader
-	// ended is set once the body was read to the end.
-	ended bool
-	// written receives the result of writing the request in the background. It is nil if the request was written before
-	// the response was read.
-	written chan error
-}
-
-// Open sends req to address and returns once the response headers were read. Cancelling ctx closes the connection at
-// once, also during later reads. Errors are of type *Error.
-func (c *Client) Open(ctx context.Context, address string, req *fasthttp.Request, fresh bool) (*Stream, error) {
-	conn, err := c.send(ctx, address, req, fresh)
-	if err != nil {
-		return nil, err
-	}
-	resp := &fasthttp.Response{StreamBody: true}
-	conn.framing.allow(0)
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	if err := resp.Read(conn.reader); err != nil {
-		stop()
-		_ = conn.Close()
-		if ctx.Err() != nil {
-			c.closeSilent(ctx, address, conn)
-			err = context.Cause(ctx)
-		}
-		return nil, &Error{Address: address, Written: true, Err: err}
-	}
-	return &Stream{
-		Response: resp,
-		client:   c,
-		address:  address,
-		conn:     conn,
-		stop:     stop,
-		body:     resp.BodyStream(),
-	}, nil
-}
-
-// Read implements io.Reader. It returns io.EOF only after a complete body, as delimited by the headers.
-func (s *Stream) Read(p []byte) (int, error) {
-	if s.body == nil {
-		s.ended = true
-		return 0, io.EOF
-	}
-	n, err := s.body.Read(p)
-	if n > 0 {
-		s.conn.framing.allow(0)
-	}
-	if errors.Is(err, io.EOF) {
-		s.ended = true
-	}
-	return n, err
-}
-
-// Close returns the connection to the pool if the whole body was read and the whole request was written. Otherwise it
-// closes the connection.
-func (s *Stream) Close() {
-	active := s.stop()
-	if active && s.ended && s.requestWritten() {
-		_ = s.Response.CloseBodyStream()
-		s.client.release(s.address, s.conn, s.Response)
-		return
-	}
-	_ = s.conn.Close()
-}
-
-// requestWritten reports whether the whole request was written. A server may respond before it has read a long body. The
-// connection must not be reused then, because the rest of that body would precede the next request.
-func (s *Stream) requestWritten() bool {
-	if s.written == nil {
-		return true
-	}
-	select {
-	case err := <-s.written:
-		return err == nil
-	default:
-		return false
-	}
-}
--- a/pkg/httpcall/raw.go
+++ b/pkg/httpcall/raw.go
@@ -44,28 +44,17 @@
 	if req.Connected != nil {
 		req.Connected(conn.Conn)
 	}
-	conn.framing.allow(0)
-	conn.framing.received = false
-	resp := &fasthttp.Response{StreamBody: true, SkipBody: req.NoResponseBody}
+	resp := &fasthttp.Response{SkipBody: req.NoResponseBody}
 	s := &Stream{Response: resp, Reused: !conn.reuseUntil.IsZero(), client: c, address: address, conn: conn}
 	s.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	conn.framing.received = false
 	err = s.writeRaw(req.Head, req.Body)
 	if err == nil {
-		err = s.Response.Read(conn.reader)
+		err = s.readHead()
 	}
 	if err != nil {
-		s.stop()
-		_ = conn.Close()
-		failed := &Error{Address: address, Written: true, Reused: s.Reused, Err: err}
-		if ctx.Err() != nil {
-			c.closeSilent(ctx, address, conn)
-			failed.Err = context.Cause(ctx)
-		} else {
-			failed.Unanswered = !conn.framing.received && isClosedByServer(err)
-		}
-		return nil, failed
+		return nil, s.fail(ctx, err)
 	}
-	s.body = s.Response.BodyStream()
 	return s, nil
 }
 
--- /dev/null
+++ b/pkg/httpcall/stream.go
@@ -0,0 +1,144 @@
+package httpcall
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Stream is a response whose body is read incrementally. Close must be called.
+type Stream struct {
+	// Response contains the status and headers. Its body must not be used; use Read.
+	Response *fasthttp.Response
+	// Reused is set if the connection carried other requests before. The response may then be a late duplicate of an
+	// earlier one.
+	Reused bool
+
+	client  *Client
+	address string
+	conn    *persistConn
+	// stop cancels the closing of the connection with the context. It reports whether the context was still active.
+	stop func() bool
+	body io.Reader
+	// ended is set once the body was read to the end.
+	ended bool
+	// written receives the result of writing the request in the background. It is nil if the request was written before
+	// the response was read.
+	written chan error
+}
+
+// Open sends req to address and returns once the response headers were read. Cancelling ctx closes the connection at
+// once, also during later reads. Errors are of type *Error.
+func (c *Client) Open(ctx context.Context, address string, req *fasthttp.Request, fresh bool) (*Stream, error) {
+	return c.call(ctx, address, req, &fasthttp.Response{}, fresh)
+}
+
+// call is like Open, and reads the head of the response into resp.
+func (c *Client) call(
+	ctx context.Context, address string, req *fasthttp.Request, resp *fasthttp.Response, fresh bool,
+) (*Stream, error) {
+	conn, err := c.send(ctx, address, req, fresh)
+	if err != nil {
+		return nil, err
+	}
+	s := &Stream{Response: resp, Reused: !conn.reuseUntil.IsZero(), client: c, address: address, conn: conn}
+	s.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	if err := s.readHead(); err != nil {
+		return nil, s.fail(ctx, err)
+	}
+	return s, nil
+}
+
+// readHead reads the head of the response. All responses pass it.
+func (s *Stream) readHead() error {
+	s.conn.framing.allow()
+	s.conn.framing.received = false
+	s.Response.StreamBody = true
+	if err := s.Response.Read(s.conn.reader); err != nil {
+		return err
+	}
+	s.body = s.Response.BodyStream()
+	return nil
+}
+
+// fail closes the connection of a call whose request was written, wholly or in part, and that failed with err before the head
+// of its response was read. It returns the error of the call.
+func (s *Stream) fail(ctx context.Context, err error) error {
+	s.stop()
+	_ = s.conn.Close()
+	failed := &Error{Address: s.address, Written: true, Reused: s.Reused, Err: err}
+	if ctx.Err() != nil {
+		s.client.closeSilent(ctx, s.address, s.conn)
+		failed.Err = context.Cause(ctx)
+		return failed
+	}
+	failed.Unanswered = !s.conn.framing.received && isClosedByServer(err)
+	return failed
+}
+
+// Read implements io.Reader. It returns io.EOF only after a complete body, as delimited by the headers.
+func (s *Stream) Read(p []byte) (int, error) {
+	if s.body == nil {
+		s.ended = true
+		return 0, io.EOF
+	}
+	n, err := s.body.Read(p)
+	if n > 0 {
+		s.conn.framing.allow()
+	}
+	if errors.Is(err, io.EOF) {
+		s.ended = true
+	}
+	return n, err
+}
+
+// maxPresizedBodyBytes limits the memory that is taken for a body on the word of its headers.
+const maxPresizedBodyBytes = 64 << 10
+
+// readAll reads the whole body, of at most limit bytes unless limit is zero.
+func (s *Stream) readAll(limit int) ([]byte, error) {
+	var body bytes.Buffer
+	if length := s.Response.Header.ContentLength(); length > 0 && !s.Response.SkipBody {
+		body.Grow(min(length, maxPresizedBodyBytes) + bytes.MinRead)
+	}
+	reader := io.Reader(s)
+	if limit > 0 {
+		reader = io.LimitReader(s, int64(limit)+1)
+	}
+	if _, err := body.ReadFrom(reader); err != nil {
+		return nil, err
+	}
+	if limit > 0 && body.Len() > limit {
+		return nil, fasthttp.ErrBodyTooLarge
+	}
+	return body.Bytes(), nil
+}
+
+// Close returns the connection to the pool if the whole body was read and the whole request was written. Otherwise it
+// closes the connection.
+func (s *Stream) Close() {
+	active := s.stop()
+	if active && s.ended && s.requestWritten() {
+		_ = s.Response.CloseBodyStream()
+		s.client.release(s.address, s.conn, s.Response)
+		return
+	}
+	_ = s.conn.Close()
+}
+
+// requestWritten reports whether the whole request was written. A server may respond before it has read a long body. The
+// connection must not be reused then, because the rest of that body would precede the next request.
+func (s *Stream) requestWritten() bool {
+	if s.written == nil {
+		return true
+	}
+	select {
+	case err := <-s.written:
+		return err == nil
+	default:
+		return false
+	}
+}
