Take no status outside 100 to 599 for an answer

Cause: fasthttp takes any three digits for a status, and its StatusCode is 200 where the status is 0. Nothing else looked at the status line. HTTP/2.0 and HTTP/0.9, an empty line before the status line, and control bytes in the reason passed as well. Change: readHead, through which all responses pass, checks the status line by RFC 9112, 4 and RFC 9110, 15 before fasthttp parses it, interim heads included. Why it works: what follows the check sees only heads whose status is that of an answer, so the failure is that of a connection: 502, never sent again unless the route allows it, and the connection is closed. Handled already: an early end within the status line.

--- a/pkg/httpcall/framing.go
+++ b/pkg/httpcall/framing.go
@@ -1,7 +1,6 @@
 package httpcall
 
 import (
-	"errors"
 	"net"
 )
 
@@ -11,7 +10,7 @@
 const maxFramingBytes = 64 << 10
 
 // errTooMuchFraming means that a server sent maxFramingBytes without any byte of a body.
-var errTooMuchFraming = errors.New("httpcall: the response has too many bytes that are no body")
+var errTooMuchFraming = &ResponseError{Detail: "too many bytes that are no body"}
 
 // framingLimiter reads from a connection and limits the bytes that bring no part of a body.
 type framingLimiter struct {
--- /dev/null
+++ b/pkg/httpcall/head.go
@@ -0,0 +1,159 @@
+package httpcall
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/valyala/fasthttp"
+)
+
+// The parser of fasthttp accepts heads that RFC 9112 does not allow, so readHead checks the bytes of a head before it parses them.
+
+// ResponseError reports that a server sent something that is not a whole response in the sense of RFC 9112. The server has run
+// to send it, so it need not have ended. The request may have run.
+type ResponseError struct {
+	// Detail says what is wrong.
+	Detail string
+	// Err is the cause, or nil.
+	Err error
+}
+
+// Error implements error.
+func (e *ResponseError) Error() string {
+	if e.Err != nil {
+		return fmt.Sprintf("broken response: %s: %v", e.Detail, e.Err)
+	}
+	return "broken response: " + e.Detail
+}
+
+// Unwrap returns the cause, or nil.
+func (e *ResponseError) Unwrap() error {
+	return e.Err
+}
+
+// maxQuotedBytes limits the bytes of a response that an error quotes.
+const maxQuotedBytes = 60
+
+// brokenResponse returns a ResponseError that quotes the bytes that are wrong.
+func brokenResponse(what string, b []byte) *ResponseError {
+	return &ResponseError{Detail: fmt.Sprintf("%s %q", what, b[:min(len(b), maxQuotedBytes)])}
+}
+
+// Status codes of RFC 9110, section 15.
+const (
+	minStatus      = 100
+	minFinalStatus = 200
+	maxStatus      = 599
+)
+
+// head is what readHead learns of a head before it parses it.
+type head struct {
+	status int
+}
+
+// headBegin is what every head begins with.
+const headBegin = "HTTP/1."
+
+// readHead reads the heads of a response up to that with the final status, and parses them into resp. Errors that are not of
+// type *ResponseError are those of the connection.
+func readHead(r *bufio.Reader, resp *fasthttp.Response) (head, error) {
+	for {
+		h, err := awaitHead(r)
+		if err != nil {
+			return h, err
+		}
+		if err := resp.Header.Read(r); err != nil {
+			return h, &ResponseError{Detail: "head", Err: err}
+		}
+		if h.status >= minFinalStatus {
+			return h, nil
+		}
+	}
+}
+
+// awaitHead waits until r has buffered a whole head, and checks it.
+func awaitHead(r *bufio.Reader) (head, error) {
+	for wanted := 1; ; wanted = r.Buffered() + 1 {
+		_, readErr := r.Peek(wanted)
+		// What is buffered can be peeked without an error.
+		buffered, _ := r.Peek(r.Buffered())
+		h, whole, err := parseHead(buffered)
+		switch {
+		case err != nil:
+			return h, err
+		case whole:
+			return h, nil
+		case errors.Is(readErr, bufio.ErrBufferFull):
+			return h, brokenResponse("head is too long:", buffered)
+		case errors.Is(readErr, io.EOF) && len(buffered) > 0:
+			return h, io.ErrUnexpectedEOF
+		case readErr != nil:
+			return h, readErr
+		}
+	}
+}
+
+// parseHead checks the head at the begin of b. It reports whether the head is there as a whole.
+func parseHead(b []byte) (h head, whole bool, err error) {
+	line, rest, found := cutLine(b)
+	if !found {
+		if n := min(len(b), len(headBegin)); string(b[:n]) != headBegin[:n] {
+			return h, false, brokenResponse("no status line:", b)
+		}
+		return h, false, nil
+	}
+	if err := h.parseStatusLine(line); err != nil {
+		return h, false, err
+	}
+	return h, bytes.HasPrefix(rest, []byte("\r\n")) || bytes.Contains(rest, []byte("\r\n\r\n")), nil
+}
+
+// cutLine returns the first line of b without the line feed, and what follows. It reports whether b has a whole line.
+func cutLine(b []byte) (line, rest []byte, found bool) {
+	return bytes.Cut(b, []byte("\n"))
+}
+
+// parseStatusLine parses a line of the form HTTP-version SP status-code [SP reason-phrase] CR.
+func (h *head) parseStatusLine(line []byte) error {
+	text, terminated := bytes.CutSuffix(line, []byte("\r"))
+	version, rest, found := bytes.Cut(text, []byte(" "))
+	code, reason, _ := bytes.Cut(rest, []byte(" "))
+	minor, isHTTP := bytes.CutPrefix(version, []byte(headBegin))
+	switch {
+	case !terminated, !found, !isHTTP, !areDigits(minor, 1):
+		return brokenResponse("no status line:", line)
+	case !areDigits(code, 3):
+		return brokenResponse("no status code:", line)
+	case !isFieldText(reason):
+		return brokenResponse("reason phrase:", line)
+	}
+	h.status = int(code[0]-'0')*100 + int(code[1]-'0')*10 + int(code[2]-'0')
+	if h.status < minStatus || h.status > maxStatus || h.status == fasthttp.StatusSwitchingProtocols {
+		// No request asks for another protocol.
+		return brokenResponse("no status of an answer:", line)
+	}
+	return nil
+}
+
+// areDigits reports whether b consists of count decimal digits.
+func areDigits(b []byte, count int) bool {
+	for _, c := range b {
+		if c < '0' || c > '9' {
+			return false
+		}
+	}
+	return len(b) == count
+}
+
+// isFieldText reports whether b has only bytes that values of fields and reason phrases may have: no control bytes but tabs.
+func isFieldText(b []byte) bool {
+	for _, c := range b {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
--- a/pkg/httpcall/stream.go
+++ b/pkg/httpcall/stream.go
@@ -56,14 +56,26 @@
 func (s *Stream) readHead() error {
 	s.conn.framing.allow()
 	s.conn.framing.received = false
+	if _, err := readHead(s.conn.reader, s.Response); err != nil {
+		return err
+	}
+	if s.hasNoBody() {
+		return nil
+	}
 	s.Response.StreamBody = true
-	if err := s.Response.Read(s.conn.reader); err != nil {
+	if err := s.Response.ReadBody(s.conn.reader, 0); err != nil {
 		return err
 	}
 	s.body = s.Response.BodyStream()
 	return nil
 }
 
+// hasNoBody reports whether the response has no body whatever its headers say, see RFC 9112, section 6.3.
+func (s *Stream) hasNoBody() bool {
+	status := s.Response.StatusCode()
+	return s.Response.SkipBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+}
+
 // fail closes the connection of a call whose request was written, wholly or in part, and that failed with err before the head
 // of its response was read. It returns the error of the call.
 func (s *Stream) fail(ctx context.Context, err error) error {
