Take no answer for whole whose connection failed under the upload

What callers saw: a worker answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. Cause: such a body ends with its connection, and the kernel tells of a reset once, to whoever reads or writes first. The goroutine that wrote the request was told (ECONNRESET), and the reader then saw the end of the connection. What the write had met was looked at only when the connection went back to the pool. At the end of a connection that ends a body, Stream.Read stops the write and takes its result: a failed write makes the response incomplete (RFC 9112, 8), a write that was only stopped does not. The connection of a body without a length never goes back to the pool. Why it works: a reset that the reader did not see was taken by a write that has returned with it before the reader saw the end, so its result is there; a write that still waits had seen no failure, and is ended by a deadline in the past. Ruled out: waiting for the upload, which a server that does not read would hold until the deadline; the state of the socket, which not every system tells. Limit: a server that closes both halves with the upload unread may end the write with a failure, too, and then counts as broken off.

--- a/pkg/httpcall/raw.go
+++ b/pkg/httpcall/raw.go
@@ -11,10 +11,6 @@
 	"github.com/valyala/fasthttp"
 )
 
-// maxInlineBodyBytes is the size of the largest body that is written before the response is read. A longer body is
-// written concurrently, because a server may respond before it has read all of it.
-const maxInlineBodyBytes = 4 << 10
-
 // RawRequest is a request in wire format.
 type RawRequest struct {
 	// Head is the request line and headers with the empty line after them. Body is the encoded body.
@@ -48,7 +44,7 @@
 	s := &Stream{Response: resp, Reused: !conn.reuseUntil.IsZero(), client: c, address: address, conn: conn}
 	s.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	conn.framing.received = false
-	err = s.writeRaw(req.Head, req.Body)
+	err = s.upload.start(conn.Conn, req.Head, req.Body)
 	if err == nil {
 		err = s.readHead()
 	}
@@ -62,19 +58,3 @@
 func isClosedByServer(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
-
-// writeRaw writes a request. If the body is longer than maxInlineBodyBytes, writing continues in the background and its
-// result is sent to s.written.
-func (s *Stream) writeRaw(head, body []byte) error {
-	buffers := net.Buffers{head, body}
-	if len(body) <= maxInlineBodyBytes {
-		_, err := buffers.WriteTo(s.conn.Conn)
-		return err
-	}
-	s.written = make(chan error, 1)
-	go func() {
-		_, err := buffers.WriteTo(s.conn.Conn)
-		s.written <- err
-	}()
-	return nil
-}
--- a/pkg/httpcall/stream.go
+++ b/pkg/httpcall/stream.go
@@ -24,10 +24,8 @@
 	stop func() bool
 	body io.Reader
 	// ended is set once the body was read to the end.
-	ended bool
-	// written receives the result of writing the request in the background. It is nil if the request was written before
-	// the response was read.
-	written chan error
+	ended  bool
+	upload upload
 }
 
 // Open sends req to address and returns once the response headers were read. Cancelling ctx closes the connection at
@@ -101,12 +99,52 @@
 	if n > 0 {
 		s.conn.framing.allow()
 	}
-	if errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
+		if failed := s.judgeEnd(); failed != nil {
+			return n, failed
+		}
 		s.ended = true
+	case err != nil:
+		err = s.judgeFailure(err)
 	}
 	return n, err
 }
 
+// endsWithConnection reports whether only the end of the connection tells the end of the body.
+func (s *Stream) endsWithConnection() bool {
+	return s.body != nil && s.Response.Header.ContentLength() < 0 && !s.isChunked()
+}
+
+// isChunked reports whether the body is sent in chunks.
+func (s *Stream) isChunked() bool {
+	return s.Response.Header.ContentLength() == chunkedLength
+}
+
+// chunkedLength is what fasthttp returns for the length of a body in chunks.
+const chunkedLength = -1
+
+// judgeEnd returns why the end of the body is not that of the response, or nil.
+func (s *Stream) judgeEnd() error {
+	if !s.endsWithConnection() {
+		return nil
+	}
+	if failed := s.upload.stop(s.conn.Conn); failed != nil {
+		// RFC 9112, section 8: such a response is complete unless the connection failed.
+		return &ResponseError{Detail: "its connection failed while the request was being written", Err: failed}
+	}
+	return nil
+}
+
+// judgeFailure returns the error of a read that failed within the body. A server whose connection fails before it was sent the
+// whole request has answered what it did not read, so the request is not at fault.
+func (s *Stream) judgeFailure(err error) error {
+	if s.upload.isComplete() || !isClosedByServer(err) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		return err
+	}
+	return &ResponseError{Detail: "cut while the request was being written", Err: err}
+}
+
 // maxPresizedBodyBytes limits the memory that is taken for a body on the word of its headers.
 const maxPresizedBodyBytes = 64 << 10
 
@@ -130,27 +168,14 @@
 }
 
 // Close returns the connection to the pool if the whole body was read and the whole request was written. Otherwise it
-// closes the connection.
+// closes the connection. A server may respond before it has read a long body, and the rest of that body would precede the next
+// request.
 func (s *Stream) Close() {
 	active := s.stop()
-	if active && s.ended && s.requestWritten() {
+	if active && s.ended && !s.endsWithConnection() && s.upload.isComplete() {
 		_ = s.Response.CloseBodyStream()
 		s.client.release(s.address, s.conn, s.Response)
 		return
 	}
 	_ = s.conn.Close()
 }
-
-// requestWritten reports whether the whole request was written. A server may respond before it has read a long body. The
-// connection must not be reused then, because the rest of that body would precede the next request.
-func (s *Stream) requestWritten() bool {
-	if s.written == nil {
-		return true
-	}
-	select {
-	case err := <-s.written:
-		return err == nil
-	default:
-		return false
-	}
-}
