Take no head for an answer whose fields break the protocol

What callers saw: a worker in trouble sent a head in which the name of a field held a blank. A blank before a name made the line a part of the signature. Cause: fasthttp accepts blanks in names, trims those before the colon and joins lines that begin with one. Change: parseHead checks every line of a head, of interim ones too: names are tokens, values have no control bytes, lines end in CR LF and do not go on with a blank (RFC 9110, 5.5 and 5.6.2; RFC 9112, 2.2, 5.1 and 5.2). Why it works: it stands before the parser, in readHead, which every response passes; a line that fails ends the response at once, also where the rest of the head never comes. Judged by RFC 9112: a gateway may strip a blank before the colon or join folded lines instead; both say that the sender is in trouble, so neither is passed on.

--- a/pkg/httpcall/head.go
+++ b/pkg/httpcall/head.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/valyala/fasthttp"
 )
@@ -96,7 +97,7 @@
 	}
 }
 
-// parseHead checks the head at the begin of b. It reports whether the head is there as a whole.
+// parseHead checks the head at the begin of b, line by line. It reports whether the head is there as a whole.
 func parseHead(b []byte) (h head, whole bool, err error) {
 	line, rest, found := cutLine(b)
 	if !found {
@@ -108,14 +109,45 @@
 	if err := h.parseStatusLine(line); err != nil {
 		return h, false, err
 	}
-	return h, bytes.HasPrefix(rest, []byte("\r\n")) || bytes.Contains(rest, []byte("\r\n\r\n")), nil
+	for {
+		if line, rest, found = cutLine(rest); !found {
+			return h, false, nil
+		}
+		if isLastLine(line) {
+			return h, true, nil
+		}
+		if err := checkFieldLine(line); err != nil {
+			return h, false, err
+		}
+	}
 }
 
-// cutLine returns the first line of b without the line feed, and what follows. It reports whether b has a whole line.
+// cutLine returns the first line of b without its line feed, and what follows. It reports whether b has a whole line.
 func cutLine(b []byte) (line, rest []byte, found bool) {
 	return bytes.Cut(b, []byte("\n"))
 }
 
+// isLastLine reports whether a line ends a head, or the trailers of a body.
+func isLastLine(line []byte) bool {
+	return string(line) == "\r"
+}
+
+// checkFieldLine checks a line of the form field-name ":" field-value CR. A line that begins with a blank
+// would go on with the field before it. RFC 9112, section 5.2, lets a gateway refuse such a response.
+func checkFieldLine(line []byte) error {
+	text, terminated := bytes.CutSuffix(line, []byte("\r"))
+	name, value, found := bytes.Cut(text, []byte(":"))
+	switch {
+	case !terminated:
+		return brokenResponse("line without a carriage return:", line)
+	case !found || !isToken(name):
+		return brokenResponse("name of a field:", line)
+	case !isFieldText(value):
+		return brokenResponse("value of a field:", line)
+	}
+	return nil
+}
+
 // parseStatusLine parses a line of the form HTTP-version SP status-code [SP reason-phrase] CR.
 func (h *head) parseStatusLine(line []byte) error {
 	text, terminated := bytes.CutSuffix(line, []byte("\r"))
@@ -148,6 +180,25 @@
 	return len(b) == count
 }
 
+// isToken reports whether b is a token in the sense of RFC 9110, section 5.6.2.
+func isToken(b []byte) bool {
+	for _, c := range b {
+		if !isTokenByte(c) {
+			return false
+		}
+	}
+	return len(b) > 0
+}
+
+// isTokenByte reports whether tokens may contain c.
+func isTokenByte(c byte) bool {
+	switch {
+	case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9':
+		return true
+	}
+	return strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
+}
+
 // isFieldText reports whether b has only bytes that values of fields and reason phrases may have: no control bytes but tabs.
 func isFieldText(b []byte) bool {
 	for _, c := range b {
