Take no body whose head frames it in two ways

A 204 that declared a body left its connection in the pool, where that body would begin the next answer. Cause: fasthttp lets the encoding win over the length, ignores the encoding where the version is not 1.1, and reads no body of a 204. Change: checkFraming refuses both (RFC 9112, 6.1 and 6.3), and the connection of a 204 that declares a body is closed. Why it works: the body's end is known from one field, or the answer is refused. Handled already: two, negative, signed, empty and too large lengths, other and repeated encodings.

--- a/pkg/httpcall/head.go
+++ b/pkg/httpcall/head.go
@@ -52,7 +52,11 @@
 
 // head is what readHead learns of a head before it parses it.
 type head struct {
+	// minor is the minor version of HTTP/1.
+	minor  int
 	status int
+	// lengths and encodings are the numbers of fields that frame the body.
+	lengths, encodings int
 }
 
 // headBegin is what every head begins with.
@@ -114,11 +118,13 @@
 			return h, false, nil
 		}
 		if isLastLine(line) {
-			return h, true, nil
+			return h, true, h.checkFraming()
 		}
-		if err := checkFieldLine(line); err != nil {
+		name, err := parseFieldLine(line)
+		if err != nil {
 			return h, false, err
 		}
+		h.countField(name)
 	}
 }
 
@@ -132,18 +138,45 @@
 	return string(line) == "\r"
 }
 
-// checkFieldLine checks a line of the form field-name ":" field-value CR. A line that begins with a blank
+// parseFieldLine checks a line of the form field-name ":" field-value CR, and returns the name. A line that begins with a blank
 // would go on with the field before it. RFC 9112, section 5.2, lets a gateway refuse such a response.
-func checkFieldLine(line []byte) error {
+func parseFieldLine(line []byte) (name []byte, err error) {
 	text, terminated := bytes.CutSuffix(line, []byte("\r"))
 	name, value, found := bytes.Cut(text, []byte(":"))
 	switch {
 	case !terminated:
-		return brokenResponse("line without a carriage return:", line)
+		return nil, brokenResponse("line without a carriage return:", line)
 	case !found || !isToken(name):
-		return brokenResponse("name of a field:", line)
+		return nil, brokenResponse("name of a field:", line)
 	case !isFieldText(value):
-		return brokenResponse("value of a field:", line)
+		return nil, brokenResponse("value of a field:", line)
+	}
+	return name, nil
+}
+
+// countField counts a field that frames the body.
+func (h *head) countField(name []byte) {
+	switch {
+	case isField(name, fasthttp.HeaderContentLength):
+		h.lengths++
+	case isField(name, fasthttp.HeaderTransferEncoding):
+		h.encodings++
+	}
+}
+
+// isField reports whether a name is that of a field.
+func isField(name []byte, field string) bool {
+	return len(name) == len(field) && strings.EqualFold(string(name), field)
+}
+
+// checkFraming checks that the fields frame the body in one way, see RFC 9112, sections 6.1 and 6.3. That each of them is there
+// once and has a valid value is left to the parser of fasthttp.
+func (h *head) checkFraming() error {
+	switch {
+	case h.encodings > 0 && h.lengths > 0:
+		return &ResponseError{Detail: "both a length and a transfer encoding"}
+	case h.encodings > 0 && h.minor != 1:
+		return &ResponseError{Detail: fmt.Sprintf("transfer encoding in version 1.%d", h.minor)}
 	}
 	return nil
 }
@@ -162,6 +195,7 @@
 	case !isFieldText(reason):
 		return brokenResponse("reason phrase:", line)
 	}
+	h.minor = int(minor[0] - '0')
 	h.status = int(code[0]-'0')*100 + int(code[1]-'0')*10 + int(code[2]-'0')
 	if h.status < minStatus || h.status > maxStatus || h.status == fasthttp.StatusSwitchingProtocols {
 		// No request asks for another protocol.
--- a/pkg/httpcall/stream.go
+++ b/pkg/httpcall/stream.go
@@ -116,6 +116,14 @@
 	return s.body != nil && s.Response.Header.ContentLength() < 0 && !s.isChunked()
 }
 
+// endsAtKnownByte reports whether it is certain where the next response begins. A server may send a body although its status
+// has none.
+func (s *Stream) endsAtKnownByte() bool {
+	length := s.Response.Header.ContentLength()
+	noContent := s.Response.StatusCode() == fasthttp.StatusNoContent
+	return !s.endsWithConnection() && !(noContent && (length > 0 || s.isChunked()))
+}
+
 // isChunked reports whether the body is sent in chunks.
 func (s *Stream) isChunked() bool {
 	return s.Response.Header.ContentLength() == chunkedLength
@@ -172,7 +180,7 @@
 // request.
 func (s *Stream) Close() {
 	active := s.stop()
-	if active && s.ended && !s.endsWithConnection() && s.upload.isComplete() {
+	if active && s.ended && s.endsAtKnownByte() && s.upload.isComplete() {
 		_ = s.Response.CloseBodyStream()
 		s.client.release(s.address, s.conn, s.Response)
 		return
