Take no end for that of an answer unless its framing tells it

Trailers were merged into the head: a stream without events took its fields from them, and whole answers of the store, too. Cause: fasthttp's reader of bodies reads trailers with its parser of heads. An error of the body without one of the connection is a ResponseError, since the bytes that came are at fault; so is a cut before the whole request was written. Why it works: the end is told by the framing alone, and one place says which. Ruled out: keeping fasthttp's reader and checking behind it, since it takes the trailers from the connection before anything else sees them.

--- a/pkg/httpcall/framing.go
+++ b/pkg/httpcall/framing.go
@@ -17,8 +17,8 @@
 	conn net.Conn
 	// left is the number of bytes that may still be read.
 	left int
-	// received is set once a byte arrived.
-	received bool
+	// received is set once a byte arrived, and failed once the connection ended or failed.
+	received, failed bool
 }
 
 // allow limits the bytes that may be read from now on to maxFramingBytes.
@@ -34,5 +34,6 @@
 	n, err := f.conn.Read(p[:min(len(p), f.left)])
 	f.left -= n
 	f.received = f.received || n > 0
+	f.failed = f.failed || err != nil
 	return n, err
 }
--- a/pkg/httpcall/stream.go
+++ b/pkg/httpcall/stream.go
@@ -57,23 +57,10 @@
 	if _, err := readHead(s.conn.reader, s.Response); err != nil {
 		return err
 	}
-	if s.hasNoBody() {
-		return nil
-	}
-	s.Response.StreamBody = true
-	if err := s.Response.ReadBody(s.conn.reader, 0); err != nil {
-		return err
-	}
-	s.body = s.Response.BodyStream()
+	s.body = newBody(s.conn.reader, s.Response)
 	return nil
 }
 
-// hasNoBody reports whether the response has no body whatever its headers say, see RFC 9112, section 6.3.
-func (s *Stream) hasNoBody() bool {
-	status := s.Response.StatusCode()
-	return s.Response.SkipBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
-}
-
 // fail closes the connection of a call whose request was written, wholly or in part, and that failed with err before the head
 // of its response was read. It returns the error of the call.
 func (s *Stream) fail(ctx context.Context, err error) error {
@@ -91,8 +78,7 @@
 
 // Read implements io.Reader. It returns io.EOF only after a complete body, as delimited by the headers.
 func (s *Stream) Read(p []byte) (int, error) {
-	if s.body == nil {
-		s.ended = true
+	if s.ended {
 		return 0, io.EOF
 	}
 	n, err := s.body.Read(p)
@@ -101,56 +87,50 @@
 	}
 	switch {
 	case errors.Is(err, io.EOF):
-		if failed := s.judgeEnd(); failed != nil {
-			return n, failed
-		}
-		s.ended = true
+		err = s.judgeEnd()
+		s.ended = errors.Is(err, io.EOF)
 	case err != nil:
 		err = s.judgeFailure(err)
 	}
 	return n, err
 }
 
-// endsWithConnection reports whether only the end of the connection tells the end of the body.
-func (s *Stream) endsWithConnection() bool {
-	return s.body != nil && s.Response.Header.ContentLength() < 0 && !s.isChunked()
-}
-
 // endsAtKnownByte reports whether it is certain where the next response begins. A server may send a body although its status
 // has none.
 func (s *Stream) endsAtKnownByte() bool {
-	length := s.Response.Header.ContentLength()
-	noContent := s.Response.StatusCode() == fasthttp.StatusNoContent
-	return !s.endsWithConnection() && !(noContent && (length > 0 || s.isChunked()))
-}
-
-// isChunked reports whether the body is sent in chunks.
-func (s *Stream) isChunked() bool {
-	return s.Response.Header.ContentLength() == chunkedLength
+	if s.Response.StatusCode() == fasthttp.StatusNoContent {
+		length := s.Response.Header.ContentLength()
+		return length <= 0 && length != chunkedLength
+	}
+	return framingOf(s.Response) != byConnection
 }
 
-// chunkedLength is what fasthttp returns for the length of a body in chunks.
-const chunkedLength = -1
-
-// judgeEnd returns why the end of the body is not that of the response, or nil.
+// judgeEnd returns io.EOF if the end of the body is that of the response, or else why it is not.
 func (s *Stream) judgeEnd() error {
-	if !s.endsWithConnection() {
-		return nil
+	if framingOf(s.Response) != byConnection {
+		return io.EOF
 	}
 	if failed := s.upload.stop(s.conn.Conn); failed != nil {
 		// RFC 9112, section 8: such a response is complete unless the connection failed.
-		return &ResponseError{Detail: "its connection failed while the request was being written", Err: failed}
+		return s.judgeFailure(failed)
 	}
-	return nil
+	return io.EOF
 }
 
-// judgeFailure returns the error of a read that failed within the body. A server whose connection fails before it was sent the
-// whole request has answered what it did not read, so the request is not at fault.
+// judgeFailure returns the error of a response that failed with err within the body. Without a failure of the connection, the
+// bytes that came are at fault. A server that ends the connection before it was sent the whole request has answered what it did
+// not read, so the request is not at fault.
 func (s *Stream) judgeFailure(err error) error {
-	if s.upload.isComplete() || !isClosedByServer(err) && !errors.Is(err, io.ErrUnexpectedEOF) {
+	var broken *ResponseError
+	switch {
+	case errors.As(err, &broken):
 		return err
+	case !s.conn.framing.failed:
+		return &ResponseError{Detail: "body", Err: err}
+	case !s.upload.isComplete() && (isClosedByServer(err) || errors.Is(err, io.ErrUnexpectedEOF)):
+		return &ResponseError{Detail: "cut while the request was being written", Err: err}
 	}
-	return &ResponseError{Detail: "cut while the request was being written", Err: err}
+	return err
 }
 
 // maxPresizedBodyBytes limits the memory that is taken for a body on the word of its headers.
@@ -181,7 +161,6 @@
 func (s *Stream) Close() {
 	active := s.stop()
 	if active && s.ended && s.endsAtKnownByte() && s.upload.isComplete() {
-		_ = s.Response.CloseBodyStream()
 		s.client.release(s.address, s.conn, s.Response)
 		return
 	}
