Blame no request for an answer that is none

What callers saw, on: after three engines had answered a request with bytes that are no answer, a malformed chunk or the answer to another request, the request and all others with a part of its prompt got 503 with the code crashes_endpoints, though no engine had ended. Cause: such an answer had the outcome of a connection that ended early (Broken), which counts as a crash of the endpoint under the request. Change: place.Malformed, an outcome of its own, for a ResponseError, an answer that is too long and one to another request. For the placement it is what Broken is: three in a row take the endpoint out. It accuses nothing, starts no check of the path, and counts as a bad answer in a roll-out. Why it works: an endpoint that wrote bytes has run to write them, so they show trouble of the endpoint and no end of it; a crash breaks the connection.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -106,6 +106,7 @@
 	place.Answered:    "answered",
 	place.Failed:      "failed",
 	place.Broken:      "broken",
+	place.Malformed:   "malformed",
 	place.Unreachable: "unreachable",
 	place.Full:        "full",
 	place.Neutral:     "neutral",
@@ -179,6 +180,8 @@
 	case errors.Is(err, errNoAnswerMemory):
 		// The endpoint and the request are not at fault.
 		res.outcome = place.Neutral
+	case isMalformed(err):
+		res.outcome = place.Malformed
 	}
 	if cause := context.Cause(ctx); cause != nil {
 		res.err = cause
@@ -190,6 +193,12 @@
 	return res
 }
 
+// isMalformed reports whether an endpoint answered with something that is not a whole answer, or that has no end.
+func isMalformed(err error) bool {
+	var broken *httpcall.ResponseError
+	return errors.As(err, &broken) || errors.Is(err, fasthttp.ErrBodyTooLarge)
+}
+
 // errMismatchedAnswer means that an endpoint's answer is unsigned or belongs to another request.
 var errMismatchedAnswer = errors.New("gateway: the answer does not belong to the request")
 
@@ -205,7 +214,7 @@
 	anonymous := answer.ID == ""
 	foreign := !anonymous && answer.ID != r.call.ID
 	if foreign || anonymous && (success || stream.Reused) || success && !answer.Signed {
-		return attemptResult{outcome: place.Broken, err: errMismatchedAnswer}
+		return attemptResult{outcome: place.Malformed, err: errMismatchedAnswer}
 	}
 	t.limit = answer.Limit
 	g.metrics.count("answers_limit_" + answer.Limit.Kind.String() + "_total")
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -104,7 +104,8 @@
 
 // recordCrashEvidence records what the end of an attempt, which began at the given time, shows about crashes: a broken
 // attempt counts as a crash, a clean run clears the request, and an attempt that was given up, or whose connection was
-// reset at the endpoint's limit, counts if the endpoint turns out to have ended. The caller holds the lock.
+// reset at the endpoint's limit, counts if the endpoint turns out to have ended. A malformed answer shows nothing about the
+// request. The caller holds the lock.
 func (g *Gateway) recordCrashEvidence(r *request, t *target, res attemptResult, began, now time.Time) {
 	g.endProbes(r)
 	if res.notRun {
--- a/pkg/gateway/endedstarts.go
+++ b/pkg/gateway/endedstarts.go
@@ -1,11 +1,8 @@
 package gateway
 
 import (
-	"errors"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/corneldeal/corneldeal/pkg/fleet"
 	"github.com/corneldeal/corneldeal/pkg/gossip"
 	"github.com/corneldeal/corneldeal/pkg/place"
@@ -23,10 +20,9 @@
 func mayHaveEnded(res attemptResult) bool {
 	switch res.outcome {
 	case place.Broken, place.Unreachable, place.ConnectionRefused:
-	default:
-		return false
+		return true
 	}
-	return !errors.Is(res.err, errMismatchedAnswer) && !errors.Is(res.err, fasthttp.ErrBodyTooLarge)
+	return false
 }
 
 // recordEnded records that this VM saw that the process of an endpoint has ended, and tells the peers. The caller holds the
--- a/pkg/gateway/rolloutplace.go
+++ b/pkg/gateway/rolloutplace.go
@@ -190,7 +190,7 @@
 	switch res.outcome {
 	case place.Answered:
 		g.countRolloutAnswer(r, t, false)
-	case place.Failed, place.Broken, place.Unreachable, place.TimedOut:
+	case place.Failed, place.Broken, place.Malformed, place.Unreachable, place.TimedOut:
 		g.countRolloutAnswer(r, t, true)
 	case place.Neutral:
 		// A caller that left may have done so because the first token was late.
--- a/pkg/place/outcome.go
+++ b/pkg/place/outcome.go
@@ -15,7 +15,7 @@
 	Answered Outcome = iota
 	// Failed is an answer in which the endpoint reports a failure of its own.
 	Failed
-	// Broken is a connection that ended early, or a malformed answer.
+	// Broken is a connection that ended early. The endpoint may have ended.
 	Broken
 	// Unreachable means that no connection could be made.
 	Unreachable
@@ -25,6 +25,8 @@
 	Neutral
 	// TimedOut means that this VM gave up waiting for the endpoint.
 	TimedOut
+	// Malformed is an answer that breaks the protocol or belongs to another request. The endpoint is in trouble, but it runs.
+	Malformed
 	// ConnectionRefused means that the endpoint reset a new connection, most likely because it had as many as it accepts.
 	// Unlike Full it does not prove that the endpoint works.
 	ConnectionRefused
@@ -118,7 +120,7 @@
 		s.ejections = 0
 	case Failed:
 		s.recordResult(1, now)
-	case Broken, TimedOut:
+	case Broken, TimedOut, Malformed:
 		s.recordResult(1, now)
 		s.consecutiveBroken++
 		p.cache.forgetSent(x.source)
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -203,7 +203,7 @@
 func TestLoadsReturnToZero(t *testing.T) {
 	p := New()
 	list := engines(1)
-	for i, outcome := range []Outcome{Answered, Failed, Broken, Unreachable, Full, Neutral, TimedOut} {
+	for i, outcome := range []Outcome{Answered, Failed, Broken, Unreachable, Full, Neutral, TimedOut, Malformed, ConnectionRefused} {
 		r := prompt(uint64(i+1), 2)
 		c := p.Place(r, list, facts, start)
 		p.RecordSend(r, c, start)
