Keep what is known of a cache when its events are answered broken

What happened, on: one answer to the question for cache events that was malformed, or whose body could not be decoded, discarded all that was known of the source and what had been sent there, and the next call began from zero. Cause: recordWatchFailure made no difference between no answer and a broken one. Change: a ResponseError leaves the contents and the number of the next event; a log line with malformed=true tells the first of a series. No answer still means that nothing is known. Why it works: the next sound answer goes on from the same event, says itself whether events are missing, and names another epoch after a restart.

--- a/pkg/gateway/cachewatch.go
+++ b/pkg/gateway/cachewatch.go
@@ -110,13 +110,17 @@
 	failing          bool
 }
 
-// recordWatchFailure discards the known contents of a source whose events cannot be read. The next call starts anew.
+// recordWatchFailure discards the known contents of a source that does not answer. The next call starts anew. A malformed answer
+// tells nothing about the contents, so what is known stays, and the next call asks for the same events.
 func (g *Gateway) recordWatchFailure(w *cacheWatch, err error) {
 	g.metrics.count("cache_watch_errors_total")
 	if !w.failing {
-		g.log.warn(partCache).Str("source", w.address).Err(err).Msg("cache events lost")
+		g.log.warn(partCache).Str("source", w.address).Bool("malformed", isMalformed(err)).Err(err).Msg("cache events lost")
 	}
 	w.failing = true
+	if isMalformed(err) {
+		return
+	}
 	w.nextEvent = 0
 	g.mu.Lock()
 	defer g.mu.Unlock()
