--- a/pkg/engine/stream_test.go
+++ b/pkg/engine/stream_test.go
@@ -38,3 +38,29 @@
 		})
 	}
 }
+
+// Guards against a broken answer of an engine that is taken for its stream, its state or the result of an order, or that proves
+// that the engine refused.
+func TestBrokenAnswersAreNoAnswers(t *testing.T) {
+	for name, response := range cutserver.BrokenResponses(`{"incarnation":"i"}`) {
+		t.Run(name, func(t *testing.T) {
+			pool := httpcall.NewClient()
+			defer pool.Close()
+			client, address := New(pool), cutserver.Start(t, response, 100, 0)
+			stream, err := client.Chat(context.Background(), "e", address, ChatRequest{AttemptID: "a", Version: "v"})
+			if err == nil {
+				defer stream.Close()
+				_, err = stream.Next()
+			}
+			if failed := (*StreamError)(nil); !errors.As(err, &failed) || failed.Failure != FailureInterrupted {
+				t.Errorf("stream: error %v", err)
+			}
+			if state, err := client.State(context.Background(), address); err == nil {
+				t.Errorf("state %+v", state)
+			}
+			if err := client.Order(context.Background(), address, Order{}); err == nil || IsRejected(err) {
+				t.Errorf("order: error %v", err)
+			}
+		})
+	}
+}
--- a/pkg/peerforward/peerforward_test.go
+++ b/pkg/peerforward/peerforward_test.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/corneldeal/corneldeal/pkg/httpcall"
+	"github.com/corneldeal/corneldeal/pkg/httpcall/cutserver"
 	"github.com/corneldeal/corneldeal/pkg/reach"
 )
 
@@ -28,6 +29,8 @@
 	refusals  chan reach.Reason
 	malformed chan error
 	got       chan Request
+	// sendBufferBytes is the size of the buffer of a connection to the endpoint, or zero for that of the system.
+	sendBufferBytes int
 }
 
 func (s *fakeSender) Reserve(vm string, _ netip.Addr, _ int) (func(), reach.Reason) {
@@ -44,10 +47,17 @@
 		return nil, Refusal{Reason: reason, Referral: "vm-9"}, nil
 	default:
 	}
-	stream, err := s.client.OpenRaw(ctx, s.address, httpcall.RawRequest{Head: r.Head, Body: r.Body, Fresh: true})
+	stream, err := s.client.OpenRaw(ctx, s.address, httpcall.RawRequest{Head: r.Head, Body: r.Body, Fresh: true, Connected: s.connected})
 	return stream, Refusal{}, err
 }
 
+// connected limits the buffer of a new connection.
+func (s *fakeSender) connected(c net.Conn) {
+	if s.sendBufferBytes > 0 {
+		_ = c.(*net.TCPConn).SetWriteBuffer(s.sendBufferBytes)
+	}
+}
+
 func (s *fakeSender) ReportMalformed(_ netip.Addr, err error) { s.malformed <- err }
 
 // startEndpoint accepts connections and runs serve on each after it has read a request's head. It returns its address.
@@ -143,6 +153,38 @@
 	}
 }
 
+// Guards against a broken answer that a peer passes on as one, as a refusal or as a request that was not sent.
+func TestBrokenAnswersDoNotPass(t *testing.T) {
+	for name, response := range cutserver.BrokenResponses("words") {
+		t.Run(name, func(t *testing.T) {
+			_, address := startPeer(t, cutserver.Start(t, response, 100, 0))
+			reply, stream, body, err := forward(t, address, testRequest)
+			if reply.Outcome == NotSent || reply.Outcome == Answered && err == nil {
+				t.Errorf("%+v, status %d, body %q, %v", reply, stream.Response.StatusCode(), body, err)
+			}
+		})
+	}
+}
+
+// Guards against a part of an answer that passes for the whole since the endpoint reset the connection while the peer was still
+// sending the request.
+func TestAnswerThatIsResetDuringTheUploadDoesNotPass(t *testing.T) {
+	const tries = 20
+	r := testRequest
+	r.Body = make([]byte, MaxRequestBytes-len(r.Head))
+	for i := range tries {
+		s, address := startPeer(t, startEndpoint(t, func(c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Left: 1\r\n\r\nwords")
+			time.Sleep(20 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}))
+		s.sendBufferBytes = 4 << 10
+		if reply, _, body, err := forward(t, address, r); err == nil || reply.Outcome != Answered {
+			t.Errorf("try %d: %+v, body %q, %v", i, reply, body, err)
+		}
+	}
+}
+
 // Guards against a request that counts as sent although the peer refused it or cannot forward, and against strangers.
 func TestRefusalsProveThatNothingWasSent(t *testing.T) {
 	s, address := startPeer(t, "127.0.0.1:1")
--- a/pkg/service/client_test.go
+++ b/pkg/service/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 
@@ -32,3 +33,18 @@
 		}
 	}
 }
+
+// Guards against a broken answer that counts as done, or that proves that the service did not run the call.
+func TestBrokenAnswerIsNoSuccess(t *testing.T) {
+	for name, response := range cutserver.BrokenResponses("words") {
+		t.Run(name, func(t *testing.T) {
+			client := httpcall.NewClient()
+			defer client.Close()
+			call := Request{AttemptID: "a", Method: fasthttp.MethodPost, URI: "/charge"}
+			got, err := New(client).Call(context.Background(), "s", cutserver.Start(t, response, 100, 0), call)
+			if failed := (*Error)(nil); !errors.As(err, &failed) || failed.Failure != FailureUnknown {
+				t.Errorf("status %d, body %q, error %v", got.Status, got.Body, err)
+			}
+		})
+	}
+}
