--- a/pkg/httpcall/httpcall.go
+++ b/pkg/httpcall/httpcall.go
@@ -234,13 +234,18 @@
 	if err != nil {
 		return nil, &Error{Address: address, Unanswered: isClosedByServer(err), Err: err}
 	}
+	return newPersistConn(raw), nil
+}
+
+// newPersistConn returns a connection with empty buffers.
+func newPersistConn(raw net.Conn) *persistConn {
 	framing := &framingLimiter{conn: raw}
 	return &persistConn{
 		Conn:    raw,
 		reader:  bufio.NewReaderSize(framing, readBufferBytes),
 		writer:  bufio.NewWriterSize(raw, writeBufferBytes),
 		framing: framing,
-	}, nil
+	}
 }
 
 // probedConnIdleTime is the time for which the connection of a probe may be used for a call.
