Believe no refusal that breaks the protocol

What happened, on: a 503 that says the request was not run, and whose body is a malformed chunk, had unsafe requests and streams sent to a second endpoint. Half a head before a reset under an upload blamed the request. Cause: a refusal was taken without its body, whatever was wrong with it; a failure within the head was never judged by whether the request had been sent. Evidence: TestBrokenAnswersAreRetriedWhereThatIsAllowed (ran twice on unsafe and streaming routes), TestBrokenAnswersAccuseNoRequest (503 for sound requests). Change: ResponseError tells whether the bytes that came are sound and the rest was cut off. A refusal that was cut off is believed as before, since its head says so; one that breaks the protocol is a malformed answer. readHead judges failures as reads of the body do. Why it works: nothing that an endpoint says counts unless all of it that came is an answer.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -220,7 +220,7 @@
 	g.metrics.count("answers_limit_" + answer.Limit.Kind.String() + "_total")
 	g.applyAnswerHeaders(t, answer)
 	if answer.NotRun {
-		return g.handleEndpointRefusal(t, stream, answer)
+		return g.handleEndpointRefusal(ctx, t, stream, answer)
 	}
 	if promisesNotRun(status) && !r.route.Idempotent() {
 		return attemptResult{outcome: place.Failed, err: errUnprovenRefusal}
@@ -289,10 +289,15 @@
 }
 
 // handleEndpointRefusal returns the result of an attempt that the endpoint states it did not run.
-func (g *Gateway) handleEndpointRefusal(t *target, stream *httpcall.Stream, answer Answer) attemptResult {
+func (g *Gateway) handleEndpointRefusal(ctx context.Context, t *target, stream *httpcall.Stream, answer Answer) attemptResult {
 	_, size, err := g.bufferAnswer(stream)
 	defer g.answerMemory.release(size)
-	if err != nil {
+	var broken *httpcall.ResponseError
+	switch {
+	case errors.As(err, &broken) && !broken.Cut:
+		// An endpoint that breaks the protocol in its refusal is not believed.
+		return g.classifyFailure(ctx, err)
+	case err != nil:
 		// The refusal is valid without its body; the connection is closed with the stream.
 		g.metrics.count("refusals_truncated_total")
 	}
--- a/pkg/httpcall/head.go
+++ b/pkg/httpcall/head.go
@@ -18,6 +18,8 @@
 type ResponseError struct {
 	// Detail says what is wrong.
 	Detail string
+	// Cut is set if the bytes that came are sound and the server ended the connection before the rest.
+	Cut bool
 	// Err is the cause, or nil.
 	Err error
 }
--- a/pkg/httpcall/stream.go
+++ b/pkg/httpcall/stream.go
@@ -55,6 +55,9 @@
 	s.conn.framing.allow()
 	s.conn.framing.received = false
 	if _, err := readHead(s.conn.reader, s.Response); err != nil {
+		if s.conn.framing.received {
+			err = s.judgeFailure(err)
+		}
 		return err
 	}
 	s.body = newBody(s.conn.reader, s.Response)
@@ -117,8 +120,8 @@
 	return io.EOF
 }
 
-// judgeFailure returns the error of a response that failed with err within the body. Without a failure of the connection, the
-// bytes that came are at fault. A server that ends the connection before it was sent the whole request has answered what it did
+// judgeFailure returns the error of a response that failed with err after its first byte. Without a failure of the connection,
+// the bytes that came are at fault. A server that ends the connection before it was sent the whole request has answered what it did
 // not read, so the request is not at fault.
 func (s *Stream) judgeFailure(err error) error {
 	var broken *ResponseError
@@ -128,7 +131,7 @@
 	case !s.conn.framing.failed:
 		return &ResponseError{Detail: "body", Err: err}
 	case !s.upload.isComplete() && (isClosedByServer(err) || errors.Is(err, io.ErrUnexpectedEOF)):
-		return &ResponseError{Detail: "cut while the request was being written", Err: err}
+		return &ResponseError{Detail: "cut while the request was being written", Cut: true, Err: err}
 	}
 	return err
 }
