--- a/pkg/httpcall/fuzz_test.go
+++ b/pkg/httpcall/fuzz_test.go
@@ -111,7 +111,7 @@
 )
 
 // Guards against bytes of a server that pass for a whole response and are none, whatever they are and however their connection
-// ends. net/http, which reads heads more strictly than fasthttp, has to read the same.
+// ends. net/http, a second reader, has to read the same.
 func FuzzResponse(f *testing.F) {
 	for _, seed := range []struct {
 		text string
