Name the steps of reading a head

Cause: a read of the whole change as a newcomer: two functions had the name readHead, streams were made in two places, and a result was used by nobody. Result: pkg/httpcall passes, the linter finds nothing.

--- a/pkg/httpcall/head.go
+++ b/pkg/httpcall/head.go
@@ -11,7 +11,7 @@
 	"github.com/valyala/fasthttp"
 )
 
-// The parser of fasthttp accepts heads that RFC 9112 does not allow, so readHead checks the bytes of a head before it parses them.
+// The parser of fasthttp accepts heads that RFC 9112 does not allow, so the bytes of a head are checked before it parses them.
 
 // ResponseError reports that a server sent something that is not a whole response in the sense of RFC 9112. The server has run
 // to send it, so it need not have ended. The request may have run.
@@ -52,7 +52,7 @@
 	maxStatus      = 599
 )
 
-// head is what readHead learns of a head before it parses it.
+// head is what the check of a head learns of it.
 type head struct {
 	// minor is the minor version of HTTP/1.
 	minor  int
@@ -64,19 +64,19 @@
 // headBegin is what every head begins with.
 const headBegin = "HTTP/1."
 
-// readHead reads the heads of a response up to that with the final status, and parses them into resp. Errors that are not of
+// readFinalHead reads the heads of a response up to that with the final status, which it parses into h. Errors that are not of
 // type *ResponseError are those of the connection.
-func readHead(r *bufio.Reader, resp *fasthttp.Response) (head, error) {
+func readFinalHead(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
 	for {
-		h, err := awaitHead(r)
+		checked, err := awaitHead(r)
 		if err != nil {
-			return h, err
+			return err
 		}
-		if err := resp.Header.Read(r); err != nil {
-			return h, &ResponseError{Detail: "head", Err: err}
+		if err := h.Read(r); err != nil {
+			return &ResponseError{Detail: "head", Err: err}
 		}
-		if h.status >= minFinalStatus {
-			return h, nil
+		if checked.status >= minFinalStatus {
+			return nil
 		}
 	}
 }
@@ -103,7 +103,7 @@
 	}
 }
 
-// parseHead checks the head at the begin of b, line by line. It reports whether the head is there as a whole.
+// parseHead checks the head at the beginning of b, line by line. It reports whether the head is there as a whole.
 func parseHead(b []byte) (h head, whole bool, err error) {
 	line, rest, found := cutLine(b)
 	if !found {
--- a/pkg/httpcall/raw.go
+++ b/pkg/httpcall/raw.go
@@ -40,10 +40,7 @@
 	if req.Connected != nil {
 		req.Connected(conn.Conn)
 	}
-	resp := &fasthttp.Response{SkipBody: req.NoResponseBody}
-	s := &Stream{Response: resp, Reused: !conn.reuseUntil.IsZero(), client: c, address: address, conn: conn}
-	s.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
-	conn.framing.received = false
+	s := c.newStream(ctx, address, conn, &fasthttp.Response{SkipBody: req.NoResponseBody})
 	err = s.upload.start(conn.Conn, req.Head, req.Body)
 	if err == nil {
 		err = s.readHead()
--- a/pkg/httpcall/stream.go
+++ b/pkg/httpcall/stream.go
@@ -24,7 +24,8 @@
 	stop func() bool
 	body io.Reader
 	// ended is set once the body was read to the end.
-	ended  bool
+	ended bool
+	// upload is the write of the request.
 	upload upload
 }
 
@@ -42,19 +43,30 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Stream{Response: resp, Reused: !conn.reuseUntil.IsZero(), client: c, address: address, conn: conn}
-	s.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	s := c.newStream(ctx, address, conn, resp)
 	if err := s.readHead(); err != nil {
 		return nil, s.fail(ctx, err)
 	}
 	return s, nil
 }
 
+// newStream returns the stream of a call on a connection, which is closed with ctx. The head is to be read into resp.
+func (c *Client) newStream(ctx context.Context, address string, conn *persistConn, resp *fasthttp.Response) *Stream {
+	conn.framing.received = false
+	return &Stream{
+		Response: resp,
+		Reused:   !conn.reuseUntil.IsZero(),
+		client:   c,
+		address:  address,
+		conn:     conn,
+		stop:     context.AfterFunc(ctx, func() { _ = conn.Close() }),
+	}
+}
+
 // readHead reads the head of the response. All responses pass it.
 func (s *Stream) readHead() error {
 	s.conn.framing.allow()
-	s.conn.framing.received = false
-	if _, err := readHead(s.conn.reader, s.Response); err != nil {
+	if err := readFinalHead(s.conn.reader, &s.Response.Header); err != nil {
 		if s.conn.framing.received {
 			err = s.judgeFailure(err)
 		}
@@ -121,8 +133,8 @@
 }
 
 // judgeFailure returns the error of a response that failed with err after its first byte. Without a failure of the connection,
-// the bytes that came are at fault. A server that ends the connection before it was sent the whole request has answered what it did
-// not read, so the request is not at fault.
+// the bytes that came are at fault. A server that ends the connection before it was sent the whole request has answered what it
+// did not read, so the request is not at fault.
 func (s *Stream) judgeFailure(err error) error {
 	var broken *ResponseError
 	switch {
