--- a/pkg/peerforward/peerforward_test.go
+++ b/pkg/peerforward/peerforward_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,7 +31,7 @@
 	malformed chan error
 	got       chan Request
 	// sendBufferBytes is the size of the buffer of a connection to the endpoint, or zero for that of the system.
-	sendBufferBytes int
+	sendBufferBytes atomic.Int64
 }
 
 func (s *fakeSender) Reserve(vm string, _ netip.Addr, _ int) (func(), reach.Reason) {
@@ -53,8 +54,8 @@
 
 // connected limits the buffer of a new connection.
 func (s *fakeSender) connected(c net.Conn) {
-	if s.sendBufferBytes > 0 {
-		_ = c.(*net.TCPConn).SetWriteBuffer(s.sendBufferBytes)
+	if size := s.sendBufferBytes.Load(); size > 0 {
+		_ = c.(*net.TCPConn).SetWriteBuffer(int(size))
 	}
 }
 
@@ -178,7 +179,7 @@
 			time.Sleep(20 * time.Millisecond)
 			_ = c.(*net.TCPConn).SetLinger(0)
 		}))
-		s.sendBufferBytes = 4 << 10
+		s.sendBufferBytes.Store(4 << 10)
 		if reply, _, body, err := forward(t, address, r); err == nil || reply.Outcome != Answered {
 			t.Errorf("try %d: %+v, body %q, %v", i, reply, body, err)
 		}
