--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -199,6 +199,24 @@
 	}
 }
 
+// Guards against an endpoint in trouble that keeps getting requests because it answers, though with nothing that is an answer.
+func TestMalformedAnswersTakeAnEndpointOut(t *testing.T) {
+	p := New()
+	list := engines(2)
+	for i := range ejectAfter {
+		r := prompt(uint64(i+1), 2)
+		c := p.Place(r, list[:1], facts, start)
+		p.RecordSend(r, c, start)
+		p.RecordOutcome(r.ID, Malformed, start)
+		if out := p.stateOf(list[0]).ejectUntil.After(start); out != (i+1 == ejectAfter) {
+			t.Errorf("out of use %v after %d malformed answers", out, i+1)
+		}
+	}
+	if got := p.Place(prompt(100, 2), list, facts, start); got.Endpoint != list[1] {
+		t.Error("the endpoint in trouble is chosen")
+	}
+}
+
 // Guards against leaked loads: every load that was added is taken off, whatever the outcome.
 func TestLoadsReturnToZero(t *testing.T) {
 	p := New()
