Name all streams while a missing record says nothing

Cause: a stream that no record names began at the baseline of its service. After a restore that cannot be believed for 30 s, since records may be lost, so Lookup refuses such streams. But MustRecord went on leaving streams at the baseline's version out of the record, those that began after the restore as well, and those that VMs still had in memory.

Fix: while a service has no baseline, or a provisional one, the record of each VM names its streams at all versions, and a VM that learns of a restore writes all that it has under way. The new baseline is the former one where that version still serves. Nothing is believed on less: what no record and no proven baseline tells is refused as before. The record that replaces one of another version must be stored before an event in any case (Begin now says which records are needed).

LookupAny no longer refuses for records of the same version.

--- a/pkg/affinity/affinity.go
+++ b/pkg/affinity/affinity.go
@@ -4,7 +4,8 @@
 // at any VM, also when no VM that saw it begin runs any more. So the platform's store holds, for each process, the streams
 // that it has under way at another version than the baseline of their service. A stream's record is stored before its first
 // event is passed on; hence a stream that no record names began at the baseline. While a service has one version, nothing
-// is written. The package does no I/O; the time is passed in.
+// is written. A restore of the store loses records, so for a while after it a missing record says nothing, and the processes
+// record the streams at all versions. The package does no I/O; the time is passed in.
 package affinity
 
 import (
@@ -40,8 +41,9 @@
 // ownStream is a stream that this process has under way.
 type ownStream struct {
 	origin Origin
-	// recorded is set if the record of this process must name the stream.
-	recorded bool
+	// recorded is set if the record of this process names the stream, and needed if no event may be passed on before the
+	// store holds that record: without it the stream would be taken to have begun elsewhere.
+	recorded, needed bool
 	// expiresAt is the time from which no caller can take the stream up any more.
 	expiresAt time.Time
 }
@@ -57,6 +59,8 @@
 	stored    map[StreamID]storedOrigin
 	baselines map[string]*baselineState
 	versions  map[string]*versionsInService
+	// formerBaselines are the versions, by service, of the baselines before the last restore of the store.
+	formerBaselines map[string]string
 	// restoredAt is when the store was last restored, or zero.
 	restoredAt time.Time
 }
@@ -65,10 +69,12 @@
 func NewTable() *Table {
 	return &Table{
 		streams: map[StreamID]ownStream{}, baselines: map[string]*baselineState{}, versions: map[string]*versionsInService{},
+		formerBaselines: map[string]string{},
 	}
 }
 
-// MustRecord reports whether the record of this process must name a stream that begins at an origin.
+// MustRecord reports whether the record of this process must name a stream that begins at an origin. Otherwise the stream
+// would be taken to have begun at the baseline.
 func (t *Table) MustRecord(o Origin) bool {
 	b := t.baselines[o.Service]
 	return b == nil || b.suspended || b.Software != o.Software
@@ -79,22 +85,26 @@
 	return t.recorded >= MaxRecordedStreams
 }
 
-// Begin records that a stream is sent to an origin. It returns the revision that must be durable before an event is passed
-// on, or zero if none has to be. Always is set if the record must name the stream wherever it begins.
-func (t *Table) Begin(id StreamID, o Origin, always bool, expiresAt time.Time) (revision int64) {
+// Begin records that a stream is sent to an origin. It returns the revision of the record that names the stream, or zero if
+// none does. Needed is set if the revision must be durable before an event is passed on. Always is set if the record must name
+// the stream wherever it begins.
+func (t *Table) Begin(id StreamID, o Origin, always bool, expiresAt time.Time) (revision int64, needed bool) {
 	old, known := t.streams[id]
-	s := ownStream{origin: o, expiresAt: expiresAt, recorded: always || t.MustRecord(o) || known && old.recorded}
+	// The store may hold a record that names another origin, at which the stream was tried before.
+	replaces := known && old.recorded && (old.origin != o || old.needed)
+	s := ownStream{origin: o, expiresAt: expiresAt, needed: always || t.MustRecord(o) || replaces}
+	s.recorded = s.needed || known && old.recorded || t.shouldName(o.Service)
 	t.streams[id] = s
 	if s.recorded && !old.recorded {
 		t.recorded++
 	}
 	if !s.recorded {
-		return 0
+		return 0, false
 	}
 	if !known || old.origin != o || !old.recorded {
 		t.revision++
 	}
-	return t.revision
+	return t.revision, s.needed
 }
 
 // End records that a stream was passed on to its end, so that nobody takes it up.
@@ -150,20 +160,24 @@
 }
 
 // LookupAny returns the origin of a stream that its caller does not identify. It is known if no record names a stream of
-// the service.
+// the service at another version than that of unnamed ones.
 func (t *Table) LookupAny(service string, now time.Time) (o Origin, known bool) {
+	software, known := t.unnamedOrigin(service, now)
+	if !known {
+		return Origin{}, false
+	}
+	o = Origin{Service: service, Software: software}
 	for _, s := range t.streams {
-		if s.recorded && s.origin.Service == service {
+		if s.recorded && s.origin.Service == service && s.origin != o {
 			return Origin{}, false
 		}
 	}
 	for _, s := range t.stored {
-		if s.origin.Service == service {
+		if s.origin.Service == service && s.origin != o {
 			return Origin{}, false
 		}
 	}
-	software, known := t.unnamedOrigin(service, now)
-	return Origin{Service: service, Software: software}, known
+	return o, true
 }
 
 // Lookup returns the origin of a stream on a route to a service, from this process, the records of the others as listed
--- a/pkg/affinity/baseline.go
+++ b/pkg/affinity/baseline.go
@@ -73,12 +73,21 @@
 }
 
 // StoreRestored drops all baselines, since they may have been lost and others written, and has the record of this process
-// written again.
+// written with all streams that it has under way.
 func (t *Table) StoreRestored(now time.Time) {
 	t.restoredAt = now
+	for service, b := range t.baselines {
+		t.formerBaselines[service] = b.Software
+	}
 	clear(t.baselines)
-	if t.recorded > 0 {
-		t.revision++
+	t.nameAll()
+}
+
+// SetFormerBaseline records the version of a baseline that was written before a restore of the store. One that this process
+// knew itself before the restore is newer.
+func (t *Table) SetFormerBaseline(service, software string) {
+	if _, known := t.formerBaselines[service]; !known {
+		t.formerBaselines[service] = software
 	}
 }
 
@@ -142,8 +151,8 @@
 
 // unnamedOrigin returns the version at which streams of a service began that no record names.
 func (t *Table) unnamedOrigin(service string, now time.Time) (version string, known bool) {
-	if b := t.baselines[service]; b != nil && !b.Provisional {
-		return b.Software, true
+	if t.absenceTells(service) {
+		return t.baselines[service].Software, true
 	}
 	return t.onlyVersion(service, now)
 }
@@ -202,13 +211,19 @@
 }
 
 // Proposal returns the baseline to write for a service after the stored ones were read, or false if there is none to write.
-// Candidate is a version that is in service. Lossless is set if no stream can have begun whose record was lost.
-func (t *Table) Proposal(service, candidate string, lossless bool, now time.Time) (b Baseline, write bool) {
+// Versions are those in service, the most suitable one first. Lossless is set if no stream can have begun whose record was
+// lost.
+func (t *Table) Proposal(service string, versions []string, lossless bool, now time.Time) (b Baseline, write bool) {
 	known := t.baselines[service]
-	if !t.needsWrite(known, now) {
+	if len(versions) == 0 || !t.needsWrite(known, now) {
 		return Baseline{}, false
 	}
+	candidate := versions[0]
 	if known == nil {
+		// A process that has not heard of a restore yet still begins streams without a record at the former baseline.
+		if former := t.formerBaselines[service]; slices.Contains(versions, former) {
+			candidate = former
+		}
 		return Baseline{Software: candidate, Provisional: !lossless}, true
 	}
 	if now.Sub(known.servedAt) >= ChangeAfter {
--- a/pkg/gateway/baselines.go
+++ b/pkg/gateway/baselines.go
@@ -30,6 +30,7 @@
 	}
 	if b.Era != r.Position.Era {
 		// It is from before a restore of the store, which may have lost a later one.
+		g.origins.SetFormerBaseline(service, b.Software)
 		return
 	}
 	g.setBaseline(service, b)
@@ -164,11 +165,7 @@
 	g.mu.Lock()
 	versions := softwareVersions(g.endpoints.Usable(service))
 	lossless := g.settings.FirstStart && !g.storeRestored
-	var b affinity.Baseline
-	write := len(versions) > 0
-	if write {
-		b, write = g.origins.Proposal(service, versions[0], lossless, g.now())
-	}
+	b, write := g.origins.Proposal(service, versions, lossless, g.now())
 	g.mu.Unlock()
 	if !write {
 		return end
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -42,6 +42,8 @@
 	firstTokenAt time.Time
 	// originRevision is the revision of the stream origins that must be in the store before an event is passed on, or zero.
 	originRevision int64
+	// originNeeded is set if no event may be passed on without that record.
+	originNeeded bool
 	// slots is the number of requests that the endpoint runs at the same time.
 	slots int
 	// reused is set if the request was sent on a connection that had carried another one.
--- a/pkg/gateway/origin.go
+++ b/pkg/gateway/origin.go
@@ -23,13 +23,23 @@
 	// maxOriginWait is the time for which the first event of a stream waits for the record of its origin before another
 	// endpoint may take the stream over.
 	maxOriginWait = time.Second
-	// originUnknownRetryAfter is the Retry-After of a stream whose origin is not known since the store does not answer.
+	// maxNamingWait is the time for which the first event of a stream waits for a record that it can do without.
+	maxNamingWait = 200 * time.Millisecond
+	// maxOriginSearch is the time for which a stream that is taken up again waits, after a restore of the store, until the VM
+	// that began it has named it, and originSearchInterval is the interval between two listings meanwhile.
+	maxOriginSearch      = time.Second
+	originSearchInterval = 100 * time.Millisecond
+	// originUnknownRetryAfter is the Retry-After of a stream whose origin is not known since the store does not answer, or
+	// since other VMs may not have named their streams yet.
 	originUnknownRetryAfter = time.Second
 )
 
 // errOriginNotRecorded means that the store did not take the record of a stream's origin, so no event may be passed on.
 var errOriginNotRecorded = errors.New("gateway: the origin of the stream is not recorded")
 
+// errOriginNotNamed means that no record names a stream yet, although a VM that runs may have begun it.
+var errOriginNotNamed = errors.New("gateway: no record names the stream yet")
+
 // isResumable reports whether the request is for a stream that may go on at another endpoint.
 func (r *request) isResumable() bool {
 	return r.route.Kind == traffic.Streaming && r.route.Resumable
@@ -84,29 +94,35 @@
 	}
 	// On a route to several services, the one that began a stream cannot be inferred.
 	always := len(r.route.Targets) > 1
-	revision := g.origins.Begin(affinity.IDOf(r.streamAttempt()), *originOf(t), always, expiresAt)
+	revision, needed := g.origins.Begin(affinity.IDOf(r.streamAttempt()), *originOf(t), always, expiresAt)
 	if revision == 0 {
 		return
 	}
 	signal(g.originRequests)
 	if r.origin == nil && !g.beginsUntracked(t.service.Name) {
-		t.originRevision = revision
+		t.originRevision, t.originNeeded = revision, needed
 	}
 }
 
-// awaitOriginRecord waits until the store holds the record of a new stream's origin. It fails at the end of the context, or from
-// maxOriginWait on once another endpoint takes the stream over without a record.
+// awaitOriginRecord waits until the store holds the record of a new stream's origin, or for maxNamingWait at most if the stream
+// can do without. It fails at the end of the context, or from maxOriginWait on once another endpoint takes the stream over
+// without a record.
 func (g *Gateway) awaitOriginRecord(ctx context.Context, r *request, t *target) error {
 	if t.originRevision == 0 {
 		return nil
 	}
-	check := time.NewTimer(maxOriginWait)
+	wait := maxOriginWait
+	if !t.originNeeded {
+		wait = maxNamingWait
+	}
+	check := time.NewTimer(wait)
 	defer check.Stop()
 	for {
 		g.mu.Lock()
 		durable, written := g.origins.IsDurable(t.originRevision), g.originSync.written
+		doesWithout := !t.originNeeded && !g.canRecordOrigins()
 		g.mu.Unlock()
-		if durable {
+		if durable || doesWithout {
 			t.originRevision = 0
 			return nil
 		}
@@ -116,6 +132,10 @@
 			return context.Cause(ctx)
 		case <-written:
 		case <-check.C:
+			if !t.originNeeded {
+				t.originRevision = 0
+				return nil
+			}
 			if g.mayBeginUnrecorded(r, t) {
 				g.metrics.count("stream_origins_not_recorded_total")
 				return errOriginNotRecorded
@@ -187,22 +207,39 @@
 	if known {
 		return o, originOwn, nil
 	}
-	if err := g.refreshOrigins(r.arrived); err != nil {
-		return affinity.Origin{}, originUnknown, err
-	}
 	services := r.route.TargetOrder(r.call.ID)
 	if len(services) == 0 {
 		return affinity.Origin{}, originUnknown, nil
 	}
+	searchUntil := r.arrived.Add(min(maxOriginSearch, r.deadline.Sub(r.arrived)/4))
+	for listedAfter := r.arrived; ; listedAfter = g.now() {
+		if err := g.refreshOrigins(listedAfter); err != nil {
+			return affinity.Origin{}, originUnknown, err
+		}
+		o, known, soon := g.searchListedOrigin(r, id, services)
+		if known {
+			return o, originListed, nil
+		}
+		if !soon {
+			return affinity.Origin{}, originUnknown, nil
+		}
+		if g.now().After(searchUntil) || !g.sleep(originSearchInterval) {
+			return affinity.Origin{}, originUnknown, errOriginNotNamed
+		}
+	}
+}
+
+// searchListedOrigin returns the origin of a stream by the records that were listed last. Soon is set if it is not known, but
+// another VM may be about to name the stream.
+func (g *Gateway) searchListedOrigin(r *request, id affinity.StreamID, services []string) (o affinity.Origin, known, soon bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
 	g.observeSoftware(services[0], now)
-	o, known = g.lookUpListedOrigin(r, id, services)
-	if !known {
-		return affinity.Origin{}, originUnknown, nil
+	if o, known = g.lookUpListedOrigin(r, id, services); known {
+		return o, true, false
 	}
-	return o, originListed, nil
+	return affinity.Origin{}, false, r.call.Resumes != "" && g.origins.MayBeNamedSoon(services[0], now)
 }
 
 // lookUpListedOrigin returns the origin of a stream by the records that were listed last. The caller holds the lock.
