Keep the origin of a stream for 10 s after its end

What callers saw: no user has reported it. Where two software versions serve and the end of a stream is lost on the way, a caller that takes the stream up at another VM got the rest from the other version, as 200 (ORDER).

Cause: a VM dropped a stream from its table as it had written the end to the connection, so that its next record did not name it, and a stream that no record names counts as one of the baseline's version.

Fix: End shortens the time for which a stream is kept to 10 s, which is longer than callers wait for a silent stream at the targets of the deployments that are in force. Records of streams at other versions than the baseline grow by 19 bytes for each stream that ended in the last 10 s.

--- a/pkg/affinity/affinity.go
+++ b/pkg/affinity/affinity.go
@@ -107,26 +107,31 @@
 	return t.revision, s.needed
 }
 
-// End records that a stream was passed on to its end, so that nobody takes it up.
-func (t *Table) End(id StreamID) {
-	if s, known := t.streams[id]; known {
-		t.remove(id, s)
-	}
-}
+// endedRetention is the time for which a stream is kept after its end was passed on. The end may be lost on the way to the
+// caller, who then notices the silence and takes the stream up.
+const endedRetention = 10 * time.Second
 
-// remove removes a stream of this process.
-func (t *Table) remove(id StreamID, s ownStream) {
-	delete(t.streams, id)
-	if s.recorded {
-		t.recorded--
+// End records that a stream was passed on to its end.
+func (t *Table) End(id StreamID, now time.Time) {
+	s, known := t.streams[id]
+	if !known {
+		return
+	}
+	if end := now.Add(endedRetention); end.Before(s.expiresAt) {
+		s.expiresAt = end
+		t.streams[id] = s
 	}
 }
 
 // Expire removes the streams that no caller can take up any more.
 func (t *Table) Expire(now time.Time) {
 	for id, s := range t.streams {
-		if now.After(s.expiresAt) {
-			t.remove(id, s)
+		if !now.After(s.expiresAt) {
+			continue
+		}
+		delete(t.streams, id)
+		if s.recorded {
+			t.recorded--
 		}
 	}
 }
--- a/pkg/gateway/origin.go
+++ b/pkg/gateway/origin.go
@@ -161,7 +161,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.origins.End(affinity.IDOf(r.streamAttempt()))
+	g.origins.End(affinity.IDOf(r.streamAttempt()), g.now())
 }
 
 // lookUpOrigin finds out where a stream began that the caller takes up again. It returns a refusal if that is not known,
