Tell suspect parts apart by requests that hold one of them

Cause: parts that come together are accused in the same crashes, and their number alone decided: at five, both were refused for good. Probes were sent with whichever request came first; crashing requests come more often than sound ones that pause, so each probe held both suspects and was another crash of both.

Fix: a request that holds a refused part but not the other parts that explain its crashes as well tells them apart: an answer clears the part, a crash is one that the others cannot explain. Such a request is sent in a turn, whatever the number of crashes; turns are given out by one VM, one for a part at a time. One crash in a turn may be a coincidence, so from five crashes on a part is explained only by one with two more.

Why it works: what a probe holds now decides whether it is sent, so its outcome always changes the suspects. Late crashes are counted for each part; two of them end the probes, but for one by a request without other suspects, so at most three requests with the guilty part reach endpoints later than 3 s after its fifth crash, over all VMs.

On the wire: the relay has a new call, TakeTurn. A build that does not know it counts as a VM that does not answer, and the next one is asked; nothing else changes for it.

The simulation now lets requests wait for turns as the gateway does.

--- a/pkg/crashguard/clone.go
+++ b/pkg/crashguard/clone.go
@@ -16,5 +16,8 @@
 	}
 	c.suspectParts, c.refusedParts = maps.Clone(t.suspectParts), maps.Clone(t.refusedParts)
 	c.changedParts = slices.Clone(t.changedParts)
+	c.rivalParts = maps.Clone(t.rivalParts)
+	// findRivals replaces this map as a whole.
+	c.rivalsByEndpoint = t.rivalsByEndpoint
 	return &c
 }
--- a/pkg/crashguard/parts.go
+++ b/pkg/crashguard/parts.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"time"
 )
 
 // A crash accuses every part of every request that the endpoint had not answered, but only one of them can be its cause.
@@ -12,14 +11,10 @@
 // with more crashes than another part do not count against the other one.
 
 const (
-	// endpointsToRefuseForGood is the number of endpoints that a part may crash before no request with it is sent any
-	// more. Between endpointsToRefuse and this number, single requests are sent as probes.
+	// endpointsToRefuseForGood is the number of endpoints that a part may crash before requests with it are sent no more, but
+	// for those that tell it from other suspects. Between endpointsToRefuse and this number, single requests are sent as
+	// probes.
 	endpointsToRefuseForGood = 5
-	// firstProbeDelay and nextProbeDelay are the times after the last crash under a part until a request with it may be
-	// sent as a probe, if the part has endpointsToRefuse crashes and if it has more. The first lets an innocent part
-	// return soon. After the second, all VMs have long heard of the crash of the first probe.
-	firstProbeDelay = 5 * time.Second
-	nextProbeDelay  = 20 * time.Second
 )
 
 // refreshRefusedParts determines which parts are refused, if crashes of parts have changed.
@@ -30,13 +25,19 @@
 	t.partsChanged = false
 	before := t.refusedParts
 	t.refusedParts = map[uint64]bool{}
+	t.findRivals()
 	// mostCrashes is the largest number of crashes of a refused part under which an endpoint ended, by endpoint.
 	mostCrashes := map[string]int{}
 	for _, fingerprint := range t.partsByCrashCount() {
 		r := t.requests[fingerprint]
 		count, unexplained := r.countedCrashes(), 0
+		needed := count + 1
+		if count >= endpointsToRefuseForGood {
+			// One endpoint may have ended for another reason while it ran a probe.
+			needed += maxCoincidences
+		}
 		for endpoint, cleared := range r.cleared {
-			if !cleared && mostCrashes[endpoint] <= count {
+			if !cleared && mostCrashes[endpoint] < needed {
 				unexplained++
 			}
 		}
@@ -79,29 +80,3 @@
 	slices.Sort(changed)
 	return changed
 }
-
-// WidespreadProbeAt returns when a single request with a refused part may be sent as a probe, if most requests have the part.
-// Such a part rides along in nearly every crash, so their number says little of it, and nobody is served while it is
-// refused.
-func (t *Tally) WidespreadProbeAt(part uint64) time.Time {
-	r := t.requests[part]
-	if r == nil {
-		return time.Time{}
-	}
-	return r.crashedAt.Add(firstProbeDelay)
-}
-
-// ProbeAt returns when a single request with a refused part may be sent as a probe. It reports false if none may.
-func (t *Tally) ProbeAt(part uint64) (at time.Time, allowed bool) {
-	r := t.requests[part]
-	if r == nil || !t.IsRefused(part) {
-		return time.Time{}, false
-	}
-	switch count := r.countedCrashes(); {
-	case count >= endpointsToRefuseForGood:
-		return time.Time{}, false
-	case count > endpointsToRefuse:
-		return r.crashedAt.Add(nextProbeDelay), true
-	}
-	return r.crashedAt.Add(firstProbeDelay), true
-}
--- a/pkg/crashguard/tally.go
+++ b/pkg/crashguard/tally.go
@@ -51,6 +51,10 @@
 	usedAt time.Time
 	// crashedAt is when this VM learned of the last crash that counted.
 	crashedAt time.Time
+	// refusedForGoodAt is when this VM learned of the crash that made endpointsToRefuseForGood, and lateCrashes is the number
+	// of those that it learned of later than lateAfter after it.
+	refusedForGoodAt time.Time
+	lateCrashes      int
 }
 
 // countedCrashes returns the number of crashes that were not cleared.
@@ -72,6 +76,7 @@
 	if at.After(r.crashedAt) {
 		r.crashedAt = at
 	}
+	r.countLate(at)
 }
 
 // hasTooMany reports whether the request crashed too many endpoints.
@@ -94,6 +99,10 @@
 	checksum, refusedRequestsChecksum uint64
 	// suspectParts are the parts with enough crashes to be refused, and refusedParts those that are.
 	suspectParts, refusedParts map[uint64]bool
+	// rivalParts are the parts with enough crashes to explain crashes under others, and rivalsByEndpoint those of them that were
+	// accused of the crash of an endpoint.
+	rivalParts       map[uint64]bool
+	rivalsByEndpoint map[string][]uint64
 	// partsChanged is set if refusedParts has to be determined anew, and changedParts are the parts whose refusal began or
 	// ended since TakeChangedParts was called.
 	partsChanged bool
@@ -108,6 +117,7 @@
 func NewTally() *Tally {
 	return &Tally{
 		requests: map[uint64]*requestCrashes{}, suspectParts: map[uint64]bool{}, refusedParts: map[uint64]bool{},
+		rivalParts: map[uint64]bool{},
 	}
 }
 
@@ -139,7 +149,9 @@
 	r.cleared[c.Endpoint] = c.Cleared
 	r.dropExcessEndpoints()
 	t.addToChecksums(c.Fingerprint, r)
-	if !c.Cleared {
+	if c.Cleared {
+		r.forgetLate()
+	} else {
 		r.learn(c.LearnedAt, now)
 	}
 	t.updateSuspectPart(c.Fingerprint, r)
@@ -158,22 +170,29 @@
 	}
 }
 
-// updateSuspectPart updates the parts that may be refused after the crashes of a request have changed; r is nil if it was
-// removed.
+// updateSuspectPart updates the parts that may be refused, or may explain crashes under others, after the crashes of a request
+// have changed; r is nil if it was removed.
 func (t *Tally) updateSuspectPart(fingerprint uint64, r *requestCrashes) {
 	if !IsPart(fingerprint) {
 		return
 	}
 	suspect := r != nil && r.hasTooMany()
-	if !suspect && !t.suspectParts[fingerprint] {
+	rival := r != nil && r.countedCrashes() >= crashesToExplain
+	if !rival && !t.rivalParts[fingerprint] {
 		return
 	}
 	t.partsChanged = true
-	if suspect {
-		t.suspectParts[fingerprint] = true
+	setMember(t.suspectParts, fingerprint, suspect)
+	setMember(t.rivalParts, fingerprint, rival)
+}
+
+// setMember adds an element to a set, or removes it.
+func setMember(set map[uint64]bool, element uint64, member bool) {
+	if member {
+		set[element] = true
 		return
 	}
-	delete(t.suspectParts, fingerprint)
+	delete(set, element)
 }
 
 // removeFromChecksums removes a request from the checksums before it changes.
--- a/pkg/gateway/crash_simulation_test.go
+++ b/pkg/gateway/crash_simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/bits"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,6 +28,10 @@
 	// endsAt is when the engine has answered, or crashes if guilty is not zero.
 	endsAt time.Time
 	guilty uint64
+	// count counts the request if it is sound.
+	count *soundCount
+	// waitsUntil is the end of its wait for a turn, and asksAt when it asks for one again.
+	waitsUntil, asksAt time.Time
 }
 
 // soundCount counts sound requests: all, those that are refused, and those that are broken off by crashes.
@@ -77,6 +82,8 @@
 	// startedAt are the times of the last starts of VMs that restarted or joined.
 	startedAt map[*simVM]time.Time
 	sound     soundCount
+	// waiting are the requests that wait for a turn, in the order of their arrival.
+	waiting []*simRequest
 	// stored are the refusals that are kept in the platform's store.
 	stored map[string][]byte
 }
@@ -109,6 +116,7 @@
 		for _, part := range s.guiltyParts {
 			s.arrive(s.guiltyRate/float64(len(s.guiltyParts)), func() { s.send(part) })
 		}
+		s.stepWaiting()
 		for _, e := range s.engines {
 			s.stepEngine(e)
 		}
@@ -158,25 +166,84 @@
 	for i := range s.oddParts + 1 {
 		chain = append(chain, place.Part{ID: s.nextID<<16 + uint64(i)})
 	}
+	s.arriveAt(vm, chain, guilty, &s.sound)
+}
+
+// arriveAt has a request arrive at a VM, a sound one if guilty is zero. It is counted unless it is guilty.
+func (s *crashSimulation) arriveAt(vm *simVM, chain []place.Part, guilty uint64, count *soundCount) {
 	r := &request{id: s.nextID, call: Call{Chain: chain}}
 	r.fingerprints = append([]uint64{s.nextID}, partFingerprints(chain)...)
-	_, refuse := vm.gateway.crashSuspicion(r, s.now)
+	x := &simRequest{vm: vm, request: r, guilty: guilty, count: count, waitsUntil: s.now.Add(maxTurnWait)}
 	if guilty == 0 {
-		s.sound.sent++
-		if refuse {
-			s.sound.refused++
+		count.sent++
+	}
+	if s.waits(x) {
+		s.waiting = append(s.waiting, x)
+		return
+	}
+	s.dispatch(x)
+}
+
+// waits reports whether a request waits for a turn. It asks for one if it is due.
+func (s *crashSimulation) waits(x *simRequest) bool {
+	g := x.vm.gateway
+	at, needed := g.turnNeeded(x.request, s.now)
+	if !needed || at.After(x.waitsUntil) || !s.now.Before(x.waitsUntil) {
+		return false
+	}
+	if s.now.Before(at) || s.now.Before(x.asksAt) {
+		return true
+	}
+	granted, after := s.askForTurn(g, partsOf(x.request.fingerprints))
+	x.request.hasTurn, x.asksAt = granted, s.now.Add(after)
+	return !granted
+}
+
+// askForTurn asks the VMs that give out turns for one.
+func (s *crashSimulation) askForTurn(g *Gateway, parts []uint64) (granted bool, after time.Duration) {
+	for _, giver := range g.turnGivers(s.now) {
+		for _, vm := range s.vms {
+			if vm.gateway.settings.VM == giver.vm && !vm.down {
+				return vm.gateway.giveTurn(parts, s.now)
+			}
+		}
+	}
+	return g.giveTurn(parts, s.now)
+}
+
+// stepWaiting sends or refuses the requests that wait no more.
+func (s *crashSimulation) stepWaiting() {
+	waiting := s.waiting
+	s.waiting = nil
+	for _, x := range waiting {
+		if x.vm.down {
+			continue
+		}
+		if !s.waits(x) {
+			s.dispatch(x)
+			continue
 		}
+		s.waiting = append(s.waiting, x)
+	}
+}
+
+// dispatch sends a request to an engine, or refuses it.
+func (s *crashSimulation) dispatch(x *simRequest) {
+	vm, r := x.vm, x.request
+	_, refuse := vm.gateway.crashSuspicion(r, s.now)
+	if x.guilty == 0 && refuse {
+		x.count.refused++
 	}
 	e := s.idlestEngine()
 	if refuse || e == nil {
 		return
 	}
-	x := &simRequest{vm: vm, request: r, sentAt: s.now, guilty: guilty, target: &target{choice: place.Choice{Endpoint: e.endpoint}}}
+	x.sentAt, x.target = s.now, &target{choice: place.Choice{Endpoint: e.endpoint}}
 	x.endsAt = s.now.Add(100*time.Millisecond + time.Duration(s.rng.IntN(1000))*time.Millisecond)
-	if guilty != 0 {
+	if x.guilty != 0 {
 		x.endsAt = s.now.Add(100*time.Millisecond + time.Duration(s.rng.IntN(200))*time.Millisecond)
 		if s.now.Sub(s.startedAt[vm]) >= simStabilityWindow {
-			s.sends[guilty] = append(s.sends[guilty], s.now)
+			s.sends[x.guilty] = append(s.sends[x.guilty], s.now)
 		}
 	}
 	vm.gateway.startProbes(r, x.target)
@@ -220,7 +287,7 @@
 	s.crashes[cause.guilty] = append(s.crashes[cause.guilty], s.now)
 	for _, x := range e.running {
 		if x.guilty == 0 {
-			s.sound.broken++
+			x.count.broken++
 		}
 		s.finish(x, place.Broken)
 	}
@@ -258,6 +325,7 @@
 			}
 		}
 	}
+	s.waiting = slices.DeleteFunc(s.waiting, func(x *simRequest) bool { return x.vm == vm })
 }
 
 // requireStopped fails unless each guilty part was sent rarely enough after its fifth crash.
@@ -275,13 +343,7 @@
 			// It may have been refused for the crashes of another one.
 			continue
 		}
-		bound, late := crashes[min(len(crashes), crashesBeforeLimit)-1].Add(limit), 0
-		for _, at := range s.sends[part] {
-			if len(crashes) >= crashesBeforeLimit && at.After(bound) {
-				late++
-			}
-		}
-		if late > lateSendsAllowed {
+		if late := s.lateSends(part, limit); late > lateSendsAllowed {
 			s.t.Errorf("part %x: %d of %d sends, with %d crashes, later than %v after its fifth crash, want at most %d",
 				part, late, len(s.sends[part]), len(crashes), limit, lateSendsAllowed)
 		}
@@ -291,6 +353,21 @@
 	}
 }
 
+// lateSends returns the number of requests with a guilty part that were sent later than a time after its fifth crash.
+func (s *crashSimulation) lateSends(part uint64, limit time.Duration) int {
+	crashes := s.crashes[part]
+	if len(crashes) < crashesBeforeLimit {
+		return 0
+	}
+	bound, late := crashes[crashesBeforeLimit-1].Add(limit), 0
+	for _, at := range s.sends[part] {
+		if at.After(bound) {
+			late++
+		}
+	}
+	return late
+}
+
 // requireNoneRefusedForGood fails if a sound request is refused once all VMs may send probes of parts with four crashes,
 // the most that parts which are not refused for good have.
 func (s *crashSimulation) requireNoneRefusedForGood() {
--- a/pkg/gateway/crashparts.go
+++ b/pkg/gateway/crashparts.go
@@ -97,36 +97,37 @@
 	return g.cleanRuns
 }
 
-// probeTime returns when this VM may send a request with a refused part as a probe, and whether it may at all. One VM may
-// begin, and twice as many may with each step, in an order that is the same on all of them: so few send one at the same
-// time, and a rare part does not wait until a request with it comes to one VM of hundreds. The caller holds the lock.
-func (g *Gateway) probeTime(part uint64, now time.Time) (at time.Time, allowed bool) {
-	at, allowed = g.crashes.ProbeAt(part)
-	if g.partTraffic.isWidespread(part) {
-		at, allowed = g.crashes.WidespreadProbeAt(part), true
-	}
-	if !allowed {
-		return time.Time{}, false
-	}
-	step := probeStep
+// probeStep returns the time within which the outcome of a probe reaches the other VMs. The caller holds the lock.
+func (g *Gateway) probeStep() time.Duration {
 	if g.isLargeSystem() {
-		step = probeStepLarge
+		return probeStepLarge
 	}
+	return probeStep
+}
+
+// freeProbeTime returns when this VM may send a request with a refused part as a probe without a turn. One VM may begin, and
+// twice as many may with each step, in an order that is the same on all of them: so few send one at the same time, and a rare
+// part does not wait until a request with it comes to one VM of hundreds. The caller holds the lock.
+func (g *Gateway) freeProbeTime(part uint64, first, now time.Time) time.Time {
 	rank := rendezvous.Rank(part, g.settings.VM, g.livePeers(now))
-	return at.Add(time.Duration(bits.Len(uint(rank))) * step), true
+	return first.Add(time.Duration(bits.Len(uint(rank))) * g.probeStep())
 }
 
 // mayProbe reports whether a request may be sent now as the probe of a refused part, and if not, when one may be sent. The
 // time is zero if none may. The caller holds the lock.
-func (g *Gateway) mayProbe(r *request, part uint64, now time.Time) (probe bool, at time.Time) {
-	at, allowed := g.probeTime(part, now)
-	if !allowed {
-		return false, time.Time{}
-	}
-	if sender, running := g.partProbes[part]; running && sender != r.id {
-		return false, now.Add(probeTimeEstimate)
+func (g *Gateway) mayProbe(r *request, prompt crashguard.Prompt, part uint64, now time.Time) (probe bool, at time.Time) {
+	p := g.probeOf(prompt, part)
+	switch p.Kind {
+	case crashguard.TurnProbe:
+		return r.hasTurn, latest(p.At, now.Add(probeTimeEstimate))
+	case crashguard.FreeProbe:
+		if sender, running := g.partProbes[part]; running && sender != r.id {
+			return false, now.Add(probeTimeEstimate)
+		}
+		at = g.freeProbeTime(part, p.At, now)
+		return !now.Before(at) && !g.mixesSuspects(r), at
 	}
-	return !now.Before(at), at
+	return false, time.Time{}
 }
 
 // startProbes records that a request is the probe of the refused parts in its prompt. The caller holds the lock.
@@ -138,7 +139,7 @@
 		g.partProbes[fingerprint] = r.id
 		g.metrics.count("crash_probes_total")
 		g.log.info(partCrash).Str("request", r.call.ID).Str("fingerprint", formatFingerprint(fingerprint)).
-			Str("endpoint", t.choice.Endpoint.ID).Int("endpoints", g.crashes.CrashCount(fingerprint)).
+			Str("endpoint", t.choice.Endpoint.ID).Int("endpoints", g.crashes.CrashCount(fingerprint)).Bool("turn", r.hasTurn).
 			Msg("request with a refused part sent as a probe")
 	}
 }
@@ -189,7 +190,11 @@
 // the time after which its caller may come back. The caller holds the lock.
 func (g *Gateway) crashSuspicion(r *request, now time.Time) (after time.Duration, refuse bool) {
 	g.countRefusedParts(r, now)
-	mixed := g.mixesSuspects(r)
+	r.probe = false
+	var prompt crashguard.Prompt
+	if slices.ContainsFunc(r.fingerprints, g.crashes.IsRefused) {
+		prompt = g.crashes.Prompt(r.fingerprints)
+	}
 	for _, fingerprint := range r.fingerprints {
 		// ShouldRefuse is called for every fingerprint because the call also keeps it from expiring.
 		if !g.crashes.ShouldRefuse(fingerprint, now) {
@@ -197,8 +202,8 @@
 		}
 		wait := crashRetryAfter
 		if crashguard.IsPart(fingerprint) {
-			probe, at := g.mayProbe(r, fingerprint, now)
-			if probe && !mixed {
+			probe, at := g.mayProbe(r, prompt, fingerprint, now)
+			if probe {
 				r.probe = true
 				continue
 			}
--- a/pkg/gateway/crashrefusals_test.go
+++ b/pkg/gateway/crashrefusals_test.go
@@ -93,8 +93,8 @@
 	g.restoreCrashRefusal(Record{
 		Key: crashRefusalPrefix + formatFingerprint(part), Value: fmt.Appendf(nil, `{"unix_ms":%d,"endpoints":["a/1","b/1","c/1"]}`, written),
 	})
-	at, allowed := g.crashes.ProbeAt(part)
-	if !g.crashes.IsRefused(part) || !allowed || at.After(g.now()) {
-		t.Errorf("refused %v, the first probe is allowed %v in %v", g.crashes.IsRefused(part), allowed, at.Sub(g.now()))
+	probe := g.crashes.ProbeOf(part, g.crashes.Prompt([]uint64{part}), false)
+	if !g.crashes.IsRefused(part) || probe.Kind != crashguard.FreeProbe || probe.At.After(g.now()) {
+		t.Errorf("refused %v, the first probe is of kind %v in %v", g.crashes.IsRefused(part), probe.Kind, probe.At.Sub(g.now()))
 	}
 }
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -140,6 +140,7 @@
 
 // chooseEndpoint selects the endpoint for the next attempt under the configuration in force now.
 func (g *Gateway) chooseEndpoint(r *request) (*target, *refusal.Error) {
+	g.awaitProbeTurn(r)
 	if refused := g.authorize(r); refused != nil {
 		return nil, refused
 	}
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -67,6 +67,9 @@
 	// probe is set if the request is sent although a part of its prompt is refused, to learn whether the part crashes
 	// endpoints.
 	probe bool
+	// hasTurn is set if the request may be sent until turnUntil as a probe that needs a turn.
+	hasTurn   bool
+	turnUntil time.Time
 	// atLimit is the number of endpoints that the last placement left out because of their rate limits.
 	atLimit int
 	// expectedDuration is the duration predicted by the last placement.
--- a/pkg/gossip/transport.go
+++ b/pkg/gossip/transport.go
@@ -141,6 +141,11 @@
 	return r.client(address).Probe(ctx, req)
 }
 
+// TakeTurn asks the peer at address (IP:port) for a turn in which a request with refused parts may be sent.
+func (r *RelayClients) TakeTurn(ctx context.Context, address string, req *TurnRequest) (*TurnResponse, error) {
+	return r.client(address).TakeTurn(ctx, req)
+}
+
 // client returns the client of the peer at address.
 func (r *RelayClients) client(address string) Relay {
 	r.mu.Lock()
