Date late crashes by the send of their request

Cause: a crash was late if a VM observed it later than 3 s after the fifth. Crashes that show late would use up the turns of a part, so that a sound one is told apart no more.

Fix: what counts is when the request was sent, as in the rule about such requests; an attempt without an answer keeps that time.

--- a/pkg/crashguard/probe.go
+++ b/pkg/crashguard/probe.go
@@ -16,8 +16,8 @@
 	// return soon. After the second, all VMs have long heard of the crash of the first probe.
 	firstProbeDelay = 5 * time.Second
 	nextProbeDelay  = 20 * time.Second
-	// lateAfter is the time after the crash that makes endpointsToRefuseForGood from which crashes under a part are late: by
-	// then all VMs refuse it, so each is that of a probe.
+	// lateAfter is the time after the crash that makes endpointsToRefuseForGood from which requests with the part are late: by
+	// then all VMs refuse it, so each is a probe.
 	lateAfter = 3 * time.Second
 	// maxLateCrashes is the number of late crashes from which no probe of a part is sent, but for one by a request without
 	// other suspects, which settles the matter.
@@ -128,8 +128,8 @@
 	}
 }
 
-// LateCrashes returns the number of crashes under a part that a VM observed later than lateAfter after the one that made
-// endpointsToRefuseForGood.
+// LateCrashes returns the number of crashes under requests with a part that a VM sent later than lateAfter after the crash that
+// made endpointsToRefuseForGood.
 func (t *Tally) LateCrashes(part uint64) int {
 	r := t.requests[part]
 	if r == nil {
@@ -138,10 +138,10 @@
 	return r.lateCrashes
 }
 
-// countLate counts a crash if it is late. Only the VMs that observe it can tell; the others hear of the number. Two VMs that
-// observe one crash count the same.
-func (r *requestCrashes) countLate(c Crash, now time.Time) {
-	if c.Observed && !r.refusedForGoodAt.IsZero() && now.Sub(r.refusedForGoodAt) > lateAfter {
+// countLate counts a crash if it is late. Only the VM that sent the request can tell; the others hear of the number. Two VMs
+// with requests at the endpoint count the same.
+func (r *requestCrashes) countLate(c Crash) {
+	if !r.refusedForGoodAt.IsZero() && c.SentAt.After(r.refusedForGoodAt.Add(lateAfter)) {
 		r.lateCrashes++
 	}
 	r.lateCrashes = max(r.lateCrashes, c.Late)
--- a/pkg/crashguard/probe_test.go
+++ b/pkg/crashguard/probe_test.go
@@ -90,7 +90,7 @@
 		}
 		late++
 		for _, part := range prompt {
-			tally.Record(Crash{Fingerprint: part, Endpoint: "late" + strconv.Itoa(round), Observed: true}, now)
+			tally.Record(Crash{Fingerprint: part, Endpoint: "late" + strconv.Itoa(round), SentAt: now}, now)
 		}
 	}
 	if late > maxLateCrashes+1 {
@@ -98,6 +98,22 @@
 	}
 }
 
+// Guards against a sound part that is told apart no more since crashes showed late, by the list of endpoints: only requests that
+// were sent late count.
+func TestCrashesThatShowLateAreNotLate(t *testing.T) {
+	now := time.Unix(1000, 0)
+	shared, guilty := PartFingerprint(1), PartFingerprint(2)
+	tally := NewTally()
+	for i := range 3 * endpointsToRefuseForGood {
+		for _, part := range []uint64{shared, guilty} {
+			tally.Record(Crash{Fingerprint: part, Endpoint: strconv.Itoa(i), SentAt: now}, now.Add(time.Duration(i)*time.Second))
+		}
+	}
+	if tally.LateCrashes(shared) > 0 || tally.ProbeOf(shared, tally.Prompt([]uint64{shared}), false).Kind != TurnProbe {
+		t.Errorf("%d late crashes, or the part is not told apart any more", tally.LateCrashes(shared))
+	}
+}
+
 // Guards against two requests that are sent at the same time to find out about one part.
 func TestTurnsOfAPartFollowEachOther(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/pkg/crashguard/tally.go
+++ b/pkg/crashguard/tally.go
@@ -41,8 +41,8 @@
 	UsedAt time.Time
 	// LearnedAt is when a VM learned of the crash. Zero stands for the current time.
 	LearnedAt time.Time
-	// Observed is set if this VM observed the crash itself, just now.
-	Observed bool
+	// SentAt is when the request was sent, if this VM observed the crash itself, or zero.
+	SentAt time.Time
 	// Late is the number of late crashes of the request that another VM knows of, see Tally.LateCrashes.
 	Late int
 }
@@ -56,7 +56,7 @@
 	// crashedAt is when this VM learned of the last crash that counted.
 	crashedAt time.Time
 	// refusedForGoodAt is when this VM learned of the crash that made endpointsToRefuseForGood, and lateCrashes is the number
-	// of those that a VM observed later than lateAfter after it.
+	// of those under requests that a VM sent later than lateAfter after it.
 	refusedForGoodAt time.Time
 	lateCrashes      int
 }
@@ -161,7 +161,7 @@
 		r.forgetLate()
 	} else {
 		r.learn(c.LearnedAt, now)
-		r.countLate(c, now)
+		r.countLate(c)
 	}
 	t.updateSuspectPart(c.Fingerprint, r)
 	_, kept := r.cleared[c.Endpoint]
--- a/pkg/crashguard/unanswered.go
+++ b/pkg/crashguard/unanswered.go
@@ -52,7 +52,7 @@
 	for endpoint, attempts := range u.attempts {
 		if hasEnded(endpoint) {
 			for _, a := range attempts {
-				out = append(out, Crash{Fingerprint: a.fingerprint, Endpoint: endpoint.Name()})
+				out = append(out, Crash{Fingerprint: a.fingerprint, Endpoint: endpoint.Name(), SentAt: a.began})
 			}
 			delete(u.attempts, endpoint)
 			continue
--- a/pkg/crashguard/unanswered_test.go
+++ b/pkg/crashguard/unanswered_test.go
@@ -22,7 +22,7 @@
 	}
 	u.RecordAnswer(silent, at(1))
 	crashes := u.TakeCrashes(ended, at(5))
-	if len(crashes) != 1 || crashes[0] != (Crash{Fingerprint: 7, Endpoint: "a/1"}) {
+	if len(crashes) != 1 || crashes[0] != (Crash{Fingerprint: 7, Endpoint: "a/1", SentAt: at(0)}) {
 		t.Fatalf("crashes %v, want only that of request 7, which began before the answered attempt", crashes)
 	}
 	if again := u.TakeCrashes(ended, at(6)); len(again) != 0 {
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -123,7 +123,7 @@
 		}
 	case place.Broken:
 		for _, fingerprint := range g.accusedBy(r, t) {
-			g.recordOwnCrash(crashguard.Crash{Fingerprint: fingerprint, Endpoint: endpoint.Name()}, now)
+			g.recordOwnCrash(crashguard.Crash{Fingerprint: fingerprint, Endpoint: endpoint.Name(), SentAt: began}, now)
 		}
 	case place.TimedOut, place.Neutral, place.ConnectionRefused:
 		for _, fingerprint := range g.accusedBy(r, t) {
@@ -148,7 +148,6 @@
 		g.metrics.count("crash_parts_excused_total")
 		return
 	}
-	c.Observed = true
 	c.Cleared = !crashguard.IsPart(c.Fingerprint) && g.cleanRuns.Contains(c.Fingerprint, now)
 	if !g.addCrash(c, g.settings.VM, now) {
 		return
