Ask once for a turn, and wait without looking again and again

What callers saw: nothing yet.

Cause suspected: where endpoints crash in waves a part of many prompts may be refused, and every request with it waited for a turn: it looked at the suspects every 25 ms under the lock, and asked another VM by itself.

Fix: a VM asks once for all its requests with a part and remembers until when the answer holds; waiting requests wake when the refused parts change, when they may ask again, or when their caller leaves. A stream that waits for its name ends its wait with its caller, too. The simulation asks in the same way.

--- a/pkg/crashguard/probe.go
+++ b/pkg/crashguard/probe.go
@@ -158,8 +158,8 @@
 // hear of it.
 const TurnDuration = 2 * time.Second
 
-// ProbeTurns gives out the turns in which requests with refused parts are sent. One VM does so for all. It is not safe for
-// concurrent use.
+// ProbeTurns gives out the turns in which requests with refused parts are sent. One VM does so for all; the others keep in one
+// when they may ask again. It is not safe for concurrent use.
 type ProbeTurns struct {
 	heldUntil map[uint64]time.Time
 }
@@ -169,6 +169,13 @@
 	return &ProbeTurns{heldUntil: map[uint64]time.Time{}}
 }
 
+// Hold has a turn of each of the parts held until the given time.
+func (p *ProbeTurns) Hold(parts []uint64, until time.Time) {
+	for _, part := range parts {
+		p.heldUntil[part] = until
+	}
+}
+
 // Take takes a turn for a request with refused parts, unless one is held for one of the parts. Otherwise it returns the time
 // after which the turn may be taken.
 func (p *ProbeTurns) Take(refused []uint64, now time.Time) (taken bool, after time.Duration) {
@@ -185,8 +192,6 @@
 	if after > 0 {
 		return false, after
 	}
-	for _, part := range refused {
-		p.heldUntil[part] = now.Add(TurnDuration)
-	}
+	p.Hold(refused, now.Add(TurnDuration))
 	return true, 0
 }
--- a/pkg/gateway/crash_simulation_test.go
+++ b/pkg/gateway/crash_simulation_test.go
@@ -30,8 +30,8 @@
 	guilty uint64
 	// count counts the request if it is sound.
 	count *soundCount
-	// waitsUntil is the end of its wait for a turn, and asksAt when it asks for one again.
-	waitsUntil, asksAt time.Time
+	// waitsUntil is the end of its wait for a turn.
+	waitsUntil time.Time
 }
 
 // soundCount counts sound requests: all, those that are refused, and those that are broken off by crashes.
@@ -191,11 +191,14 @@
 	if !needed || at.After(x.waitsUntil) || !s.now.Before(x.waitsUntil) {
 		return false
 	}
-	if s.now.Before(at) || s.now.Before(x.asksAt) {
+	if s.now.Before(at) || g.reserveAsk(x.request, s.now) > 0 {
 		return true
 	}
 	granted, after := s.askForTurn(g, partsOf(x.request.fingerprints))
-	x.request.hasTurn, x.asksAt = granted, s.now.Add(after)
+	x.request.hasTurn = granted
+	if !granted {
+		g.deferAsk(x.request, s.now.Add(after))
+	}
 	return !granted
 }
 
--- a/pkg/gateway/crashparts.go
+++ b/pkg/gateway/crashparts.go
@@ -174,7 +174,12 @@
 // scheduleChangedParts schedules the writes of the records of parts whose refusal began or ended. Own is the fingerprint
 // of a crash that this VM observed, or zero. The caller holds the lock.
 func (g *Gateway) scheduleChangedParts(own uint64, now time.Time) {
-	for _, part := range g.crashes.TakeChangedParts() {
+	changed := g.crashes.TakeChangedParts()
+	if len(changed) > 0 {
+		close(g.partsChanged)
+		g.partsChanged = make(chan struct{})
+	}
+	for _, part := range changed {
 		refused := g.crashes.IsRefused(part)
 		g.log.info(partCrash).Str("fingerprint", formatFingerprint(part)).Bool("refused", refused).
 			Int("endpoints", g.crashes.CrashCount(part)).Msg("refusal of a part changed")
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -128,8 +128,10 @@
 	// partProbes are the ids of the running requests that were sent as probes of refused parts, by the parts' fingerprints.
 	partProbes  map[uint64]uint64
 	partTraffic partTraffic
-	// probeTurns are the turns that this VM gives out, if it is the one to do so.
-	probeTurns *crashguard.ProbeTurns
+	// probeTurns are the turns that this VM gives out, if it is the one to do so. turnAsks are those that it asked for.
+	probeTurns, turnAsks *crashguard.ProbeTurns
+	// partsChanged is closed, and then replaced, when parts are refused or no longer refused.
+	partsChanged chan struct{}
 	// accusationTurn is the turn of the parts that the last crash under a long prompt accused. It begins at the random
 	// number boot: with the same beginning on all VMs, their first crashes would all accuse the same parts.
 	accusationTurn uint64
@@ -258,6 +260,8 @@
 		cleanParts:         crashguard.NewCleanRuns(cleanPartValidity),
 		partProbes:         map[uint64]uint64{},
 		probeTurns:         crashguard.NewProbeTurns(),
+		turnAsks:           crashguard.NewProbeTurns(),
+		partsChanged:       make(chan struct{}),
 		accusationTurn:     boot,
 		partTraffic:        partTraffic{withPart: map[uint64]int{}},
 		crashSync:          newCrashSync(),
--- a/pkg/gateway/origin.go
+++ b/pkg/gateway/origin.go
@@ -223,7 +223,7 @@
 		if !soon {
 			return affinity.Origin{}, originUnknown, nil
 		}
-		if g.now().After(searchUntil) || !g.sleep(originSearchInterval) {
+		if g.now().After(searchUntil) || !g.awaitChange(r, nil, originSearchInterval) {
 			return affinity.Origin{}, originUnknown, errOriginNotNamed
 		}
 	}
--- a/pkg/gateway/probeturns.go
+++ b/pkg/gateway/probeturns.go
@@ -16,16 +16,15 @@
 const (
 	// maxTurnWait is the time for which a request waits for its turn, or until the run of another one clears its parts.
 	maxTurnWait = time.Second
-	// turnPollInterval is the interval at which a waiting request looks whether its parts are cleared.
-	turnPollInterval = 25 * time.Millisecond
 	// maxTurnGivers is the number of VMs that are asked for one turn.
 	maxTurnGivers = 3
-	// turnTimeout limits one such call.
-	turnTimeout = 250 * time.Millisecond
+	// turnTimeout limits one such call, and minAskInterval is the least time between two for the same part.
+	turnTimeout    = 250 * time.Millisecond
+	minAskInterval = 50 * time.Millisecond
 )
 
-// awaitProbeTurn waits until a request that may be sent only in a turn has one, or needs none any more. After maxTurnWait it
-// returns without one, and the request is refused.
+// awaitProbeTurn waits until a request that may be sent only in a turn has one, or needs none any more. After maxTurnWait, or once
+// its caller has left, it returns without one, and the request is refused.
 func (g *Gateway) awaitProbeTurn(r *request) {
 	now := g.now()
 	r.hasTurn = r.hasTurn && r.possibleRuns == 0 && now.Before(r.turnUntil)
@@ -33,29 +32,51 @@
 		return
 	}
 	until := now.Add(min(maxTurnWait, r.deadline.Sub(now)/4))
-	askAt := now
 	for {
 		g.mu.Lock()
 		at, needed := g.turnNeeded(r, now)
+		if needed && !at.After(now) {
+			at = now.Add(g.reserveAsk(r, now))
+		}
+		changed := g.partsChanged
 		g.mu.Unlock()
-		if !needed || at.After(until) {
+		switch {
+		case !needed || at.After(until):
 			return
-		}
-		if !now.Before(at) && !now.Before(askAt) {
-			granted, after := g.takeTurn(r)
-			if granted {
+		case !at.After(now):
+			if g.takeTurn(r) {
 				r.hasTurn, r.turnUntil = true, now.Add(crashguard.TurnDuration)
 				return
 			}
-			askAt = now.Add(after)
-		}
-		if now.Add(turnPollInterval).After(until) || r.exchange.Context().Err() != nil || !g.sleep(turnPollInterval) {
+		case !g.awaitChange(r, changed, at.Sub(now)):
 			return
 		}
 		now = g.now()
 	}
 }
 
+// reserveAsk returns the time after which a VM may ask for the turn of a request, or zero if it may now; its other requests with
+// the same parts then wait for the answer. So a VM asks once for all of them. The caller holds the lock.
+func (g *Gateway) reserveAsk(r *request, now time.Time) time.Duration {
+	_, after := g.turnAsks.Take(g.crashes.Prompt(r.fingerprints).Refused, now)
+	return after
+}
+
+// awaitChange waits for a time, or until the refused parts change. It reports false if nobody waits for the request any more.
+func (g *Gateway) awaitChange(r *request, changed <-chan struct{}, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-r.exchange.Context().Done():
+		return false
+	case <-g.ctx.Done():
+		return false
+	}
+	return true
+}
+
 // turnNeeded returns whether a request could be sent if it had a turn, and from when on. The caller holds the lock.
 func (g *Gateway) turnNeeded(r *request, now time.Time) (at time.Time, needed bool) {
 	if !slices.ContainsFunc(r.fingerprints, g.crashes.IsRefused) {
@@ -96,14 +117,30 @@
 	return p
 }
 
-// takeTurn asks for a turn. If none is granted, it returns the time after which one may be.
-func (g *Gateway) takeTurn(r *request) (granted bool, after time.Duration) {
+// takeTurn asks for a turn. If none is granted, it records when this VM may ask again.
+func (g *Gateway) takeTurn(r *request) (granted bool) {
 	g.mu.Lock()
 	givers := g.turnGivers(g.now())
 	g.mu.Unlock()
+	granted, after := g.askForTurn(r, givers)
+	if !granted {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.deferAsk(r, g.now().Add(max(after, minAskInterval)))
+	}
+	return granted
+}
+
+// deferAsk records when this VM may ask again for a turn of a request's parts. The caller holds the lock.
+func (g *Gateway) deferAsk(r *request, until time.Time) {
+	g.turnAsks.Hold(g.crashes.Prompt(r.fingerprints).Refused, until)
+}
+
+// askForTurn asks VMs for a turn until one answers. If none is granted, it returns the time after which one may be.
+func (g *Gateway) askForTurn(r *request, givers []turnGiver) (granted bool, after time.Duration) {
 	parts := partsOf(r.fingerprints)
 	for _, giver := range givers {
-		granted, after, err := g.askForTurn(giver, parts)
+		granted, after, err := g.ask(giver, parts)
 		if err == nil {
 			return granted, after
 		}
@@ -143,8 +180,8 @@
 	return out
 }
 
-// askForTurn asks a VM, which may be this one, for a turn.
-func (g *Gateway) askForTurn(giver turnGiver, parts []uint64) (granted bool, after time.Duration, err error) {
+// ask asks a VM, which may be this one, for a turn.
+func (g *Gateway) ask(giver turnGiver, parts []uint64) (granted bool, after time.Duration, err error) {
 	if giver.address == "" {
 		granted, after = g.giveTurnNow(parts)
 		return granted, after, nil
