Let requests wait while another one tells their parts apart

Cause: a VM that may not ask for a turn now took the time until it may ask again, up to 2 s, for the time of its turn. That is longer than a request may wait, so it did not wait at all, although the run of the first one clears its parts within that time.

Fix: the time until the next question and the time from which a turn may be given are kept apart; a request waits for up to 1 s for either, or for a change of the refused parts.

--- a/pkg/gateway/probeturns.go
+++ b/pkg/gateway/probeturns.go
@@ -35,20 +35,21 @@
 	for {
 		g.mu.Lock()
 		at, needed := g.turnNeeded(r, now)
-		if needed && !at.After(now) {
-			at = now.Add(g.reserveAsk(r, now))
+		wait := at.Sub(now)
+		if needed && wait <= 0 {
+			wait = g.reserveAsk(r, now)
 		}
 		changed := g.partsChanged
 		g.mu.Unlock()
 		switch {
-		case !needed || at.After(until):
+		case !needed || at.After(until) || !now.Before(until):
 			return
-		case !at.After(now):
+		case wait <= 0:
 			if g.takeTurn(r) {
 				r.hasTurn, r.turnUntil = true, now.Add(crashguard.TurnDuration)
 				return
 			}
-		case !g.awaitChange(r, changed, at.Sub(now)):
+		case !g.awaitChange(r, changed, min(wait, until.Sub(now))):
 			return
 		}
 		now = g.now()
