--- a/pkg/gateway/digest.go
+++ b/pkg/gateway/digest.go
@@ -69,6 +69,7 @@
 	g.activity.Record(g.started, now)
 	g.checkFreshness(now)
 	g.logSharing(now)
+	g.logCurrency(now)
 	g.showWork(now)
 	for s, st := range g.streams {
 		st.dropTombstones()
--- a/pkg/gateway/records.go
+++ b/pkg/gateway/records.go
@@ -122,7 +122,8 @@
 	g.configAppliedAt = g.now()
 	g.metrics.count("configurations_total")
 	g.log.info(partConfig).Int64("version", c.Version).Int64("era", at.Era).Int64("offset", at.Offset).Int("routes", len(c.Routes)).
-		Int("workspaces", len(c.Workspaces)).Msg("configuration in force")
+		Int("workspaces", len(c.Workspaces)).Dur("verified_age_ms", g.streams[OperatorStream].verifiedAge(g.now())).
+		Msg("configuration in force")
 }
 
 // applyEndpointRecord applies a registration, heartbeat or removal of an endpoint. The caller holds the lock.
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -67,6 +67,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.applyState(vm, req, resp, g.now())
+	if len(resp.GetOperator()) > 0 {
+		g.log.info(partPeer).Str("peer", vm).Int("operator_records", len(resp.GetOperator())).Dur("took_ms", g.now().Sub(asked)).
+			Msg("state of a peer applied")
+	}
 	// The answer was made after the question, so this is not later than what it proves.
 	g.applyPeerProof(OperatorStream, resp.GetOperatorEra(), resp.OperatorVerifiedAgeMs, asked)
 	g.applyPeerProof(EndpointStream, resp.GetEndpointEra(), resp.EndpointVerifiedAgeMs, asked)
