Send no request of a peer that the newer configuration forbids

Callers of a VM that is cut off from endpoints saw requests run by a service to which a newer configuration no longer led, sent by a VM that had that configuration in force: the peer that sends on did not look at the version under which the request was decided. Requests now tell it, and a peer with a newer one looks the route up again and refuses what it does not lead to that service, as not sent. Older builds neither tell nor read the header.

--- a/pkg/gateway/forwarded.go
+++ b/pkg/gateway/forwarded.go
@@ -1,10 +1,15 @@
 package gateway
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/corneldeal/corneldeal/pkg/fleet"
 	"github.com/corneldeal/corneldeal/pkg/gossip"
 	"github.com/corneldeal/corneldeal/pkg/httpcall"
@@ -101,6 +106,9 @@
 	if e == nil || e.StartTimeMs != r.StartTimeMs || g.endpoints.HasEnded(e, now) || g.placer.WaitsUntil(e).After(now) {
 		return nil, peerforward.Refusal{Reason: reach.PeerLacksEndpoint}
 	}
+	if g.forbidsForwarded(r, e.Service) {
+		return nil, peerforward.Refusal{Reason: reach.PeerForbids}
+	}
 	usable := len(g.endpoints.Usable(e.Service))
 	if g.paths.RouteTo(e, usable) != reach.Direct {
 		return nil, g.unreachedRefusal(e, usable, now)
@@ -108,6 +116,23 @@
 	return e, peerforward.Refusal{}
 }
 
+// forbidsForwarded reports whether a peer decided on a request under an older configuration than this VM's, which does not lead
+// it to the service.
+func (g *Gateway) forbidsForwarded(r peerforward.Request, service string) bool {
+	c := g.config.Load()
+	if c == nil || r.ConfigVersion <= 0 || r.ConfigVersion >= c.Version {
+		return false
+	}
+	var h fasthttp.RequestHeader
+	if err := h.Read(bufio.NewReader(bytes.NewReader(r.Head))); err != nil {
+		g.log.warn(partPeer).Str("peer", r.VM).Err(err).Msg("head of a peer's request is unreadable")
+		return true
+	}
+	path, _, _ := bytes.Cut(h.RequestURI(), []byte("?"))
+	route := c.Match(string(h.Host()), string(path))
+	return route == nil || !slices.Contains(route.TargetOrder(""), service)
+}
+
 // refuseUnreached returns the refusal of a peer's request to an endpoint that this VM does not reach either.
 func (g *Gateway) refuseUnreached(e *fleet.Endpoint) peerforward.Refusal {
 	g.mu.Lock()
--- a/pkg/gateway/throughpeer.go
+++ b/pkg/gateway/throughpeer.go
@@ -83,7 +83,7 @@
 	address := g.peerAddress(peer.Address)
 	call := peerforward.Request{
 		VM: g.settings.VM, Endpoint: e.ID, StartTimeMs: e.StartTimeMs, Idempotent: req.Idempotent, Fresh: req.Fresh,
-		Timeout: r.deadline.Sub(steady.Now()), Head: req.Head, Body: req.Body,
+		ConfigVersion: r.configVersion, Timeout: r.deadline.Sub(steady.Now()), Head: req.Head, Body: req.Body,
 	}.Encode(address)
 	call.ConnectTimeout = connectTimeout
 	end := g.forwarders.Begin(peer.VM)
--- a/pkg/peerforward/message.go
+++ b/pkg/peerforward/message.go
@@ -29,6 +29,7 @@
 	headerTimeout    = "Forward-Timeout-Ms"
 	headerIdempotent = "Forward-Idempotent"
 	headerFresh      = "Forward-Fresh"
+	headerConfig     = "Forward-Config"
 	headerOutcome    = "Forward-Outcome"
 	headerReason     = "Forward-Reason"
 	headerReferral   = "Forward-Referral"
@@ -45,6 +46,9 @@
 	Idempotent bool
 	// Fresh requires a new connection to the endpoint.
 	Fresh bool
+	// ConfigVersion is the version of the configuration that allows the request, or zero if a VM that runs an older build does
+	// not tell it.
+	ConfigVersion int64
 	// Timeout is the time until the request's deadline.
 	Timeout time.Duration
 	// Head and Body are the request as the endpoint is to read it.
@@ -77,6 +81,7 @@
 		{headerVM, r.VM}, {headerEndpoint, r.Endpoint}, {headerStart, strconv.FormatInt(r.StartTimeMs, 10)},
 		{headerHeadLength, strconv.Itoa(len(r.Head))}, {headerTimeout, strconv.FormatInt(max(r.Timeout.Milliseconds(), 1), 10)},
 		{headerIdempotent, strconv.FormatBool(r.Idempotent)}, {headerFresh, strconv.FormatBool(r.Fresh)},
+		{headerConfig, strconv.FormatInt(r.ConfigVersion, 10)},
 		{fasthttp.HeaderContentLength, strconv.Itoa(len(r.Head) + len(r.Body))},
 	} {
 		head = fmt.Appendf(head, "%s: %s\r\n", h.name, h.value)
--- a/pkg/peerforward/server.go
+++ b/pkg/peerforward/server.go
@@ -1,6 +1,7 @@
 package peerforward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -111,7 +112,9 @@
 	headLength, lengthErr := strconv.Atoi(h.Get(headerHeadLength))
 	idempotent, idempotentErr := strconv.ParseBool(h.Get(headerIdempotent))
 	fresh, freshErr := strconv.ParseBool(h.Get(headerFresh))
-	if errors.Join(startErr, timeoutErr, lengthErr, idempotentErr, freshErr) != nil ||
+	// VMs that run an older build do not tell their configuration.
+	configVersion, configErr := strconv.ParseInt(cmp.Or(h.Get(headerConfig), "0"), 10, 64)
+	if errors.Join(startErr, timeoutErr, lengthErr, idempotentErr, freshErr, configErr) != nil ||
 		headLength <= 0 || headLength > size || timeoutMs <= 0 || h.Get(headerEndpoint) == "" {
 		return Request{}, errMalformed
 	}
@@ -123,7 +126,8 @@
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return Request{
-		VM: h.Get(headerVM), Endpoint: h.Get(headerEndpoint), StartTimeMs: start, Idempotent: idempotent, Fresh: fresh,
+		ConfigVersion: configVersion,
+		VM:            h.Get(headerVM), Endpoint: h.Get(headerEndpoint), StartTimeMs: start, Idempotent: idempotent, Fresh: fresh,
 		Timeout: time.Duration(timeoutMs) * time.Millisecond, Head: data[:headLength], Body: data[headLength:],
 	}, nil
 }
--- a/pkg/reach/peers.go
+++ b/pkg/reach/peers.go
@@ -24,6 +24,8 @@
 	PeerLacksEndpoint Reason = "no_endpoint"
 	// PeerUnreachable means that the peer did not answer, or does not know how to.
 	PeerUnreachable Reason = "unreachable"
+	// PeerForbids means that the peer's configuration is newer and does not lead the request to the endpoint's service.
+	PeerForbids Reason = "newer_configuration"
 	// PeerDistrusts means that the peer does not know this VM.
 	PeerDistrusts Reason = "unknown_vm"
 )
