Deny nothing for good while a newer configuration may exist

A VM whose last proof is older than configuration_ms answered 401 and 404 as its configuration says, although the route or key may have been added since. It answers 503 with Retry-After instead, since the request has not run and another VM may know. A VM that starts says that it is ready once it has verified its copy or the store has failed it: it takes the configuration of a peer, which may be behind.

--- a/pkg/gateway/admin.go
+++ b/pkg/gateway/admin.go
@@ -17,7 +17,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.streams[EndpointStream].synced
+	return g.streams[EndpointStream].synced && g.triedToVerify()
 }
 
 // serveAdmin answers the readiness probe, the metrics page and explanations of decisions.
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -159,11 +159,11 @@
 	path, _, _ := bytes.Cut(r.exchange.Request.Header.RequestURI(), []byte("?"))
 	route := c.Match(string(r.exchange.Request.Header.Host()), string(path))
 	if route == nil {
-		return refusal.New(fasthttp.StatusNotFound, refusal.CodeNoRoute, "no route matches")
+		return g.denial(refusal.New(fasthttp.StatusNotFound, refusal.CodeNoRoute, "no route matches"))
 	}
 	workspace := c.WorkspaceByKey(r.call.Key)
 	if workspace == nil && c.RequiresKey() && !route.Public {
-		return refusal.New(fasthttp.StatusUnauthorized, refusal.CodeUnauthorized, "the key is not known")
+		return g.denial(refusal.New(fasthttp.StatusUnauthorized, refusal.CodeUnauthorized, "the key is not known"))
 	}
 	r.grant = grant{route: route, workspace: workspace}
 	return nil
--- a/pkg/refusal/refusal.go
+++ b/pkg/refusal/refusal.go
@@ -52,6 +52,8 @@
 	CodeEndpointLimit    Code = "endpoints_at_limit"
 	// CodeOriginUnknown refuses to go on with a stream of which it is not known which software version began it.
 	CodeOriginUnknown Code = "stream_origin_unknown"
+	// CodeConfigUncertain refuses what the configuration in force does not allow while a newer one may exist.
+	CodeConfigUncertain Code = "configuration_uncertain"
 	// CodeAnswerNotKept refuses a repeat of a finished request whose answer was not stored.
 	CodeAnswerNotKept Code = "answer_not_kept"
 )
