Bound the time to a configuration in force under a loss, in large systems

Callers saw requests handled under an older configuration, in systems with hubs only. A VM that does not read the store rested on few others, and each step left no time for the loss of one:

- Two VMs a data centre were hubs whatever their links.
So when the wide VMs were away, digests, answers to peers and reads of the store waited in the queue of a narrow hub.
Now there are as many hubs as their links require (gossip.HubCount).
- A VM that saw others ahead asked one when a digest arrived 0.3 to 0.6 s later.
Now it asks by its own clock within 0.2 s, and another one each 0.25 s while it gets no answer (configsync.CatchUp).
Hubs tell new records at once.
- Without a proof a VM asked the store after 1.8 to 2.1 s, looked at that with its own digests only, and waited 1.2 s for the answer.
Now the proof comes from a hub, the VM looks each 0.1 s, asks after 1.3 to 1.6 s and repeats after 0.4 s.
A VM that leaves the reading to others no longer waits because a call of its own failed before.
- The two readers of endpoints are of different data centres and have wide links.

--- a/pkg/gateway/broadcast.go
+++ b/pkg/gateway/broadcast.go
@@ -75,9 +75,25 @@
 	return g.digestCount
 }
 
-// sendCollectedDigests sends, at every hubBatchInterval, the batches of digests that this VM collects as a hub.
+// awaitHubBatch waits until the next batch of a hub is due: after hubBatchInterval, or sooner if there are new operator records
+// to tell. It reports false if the process is ending.
+func (g *Gateway) awaitHubBatch() bool {
+	if !g.sleep(minHubBatchInterval) {
+		return false
+	}
+	select {
+	case <-g.ctx.Done():
+		return false
+	case <-g.newsRequests:
+	case <-time.After(hubBatchInterval - minHubBatchInterval):
+	}
+	return true
+}
+
+// sendCollectedDigests sends, at every hubBatchInterval and soon after new operator records, the batches of digests that this VM
+// collects as a hub.
 func (g *Gateway) sendCollectedDigests() {
-	for g.sleep(hubBatchInterval) {
+	for g.awaitHubBatch() {
 		now := g.now()
 		g.mu.Lock()
 		out := g.hubBatches(g.nextDigestSequence, now)
--- a/pkg/gateway/currency.go
+++ b/pkg/gateway/currency.go
@@ -2,6 +2,37 @@
 
 import "time"
 
+// currencyCheckInterval is the interval at which a VM checks whether it may lack operator records.
+const currencyCheckInterval = 100 * time.Millisecond
+
+// keepCurrent asks peers for operator records that they hold and this VM lacks, and makes it ask the store when no proof of its
+// copies has arrived for too long. It depends on no digest that arrives, since the VMs that send them may be what was lost.
+func (g *Gateway) keepCurrent() {
+	for g.sleep(currencyCheckInterval) {
+		if p := g.checkCurrency(g.now()); p != nil {
+			go g.fetchState(p.vm, p.address)
+		}
+	}
+}
+
+// checkCurrency ends the waits of reads that have to be repeated. It returns the peer to ask for operator records now, or nil.
+func (g *Gateway) checkCurrency(now time.Time) *peerState {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.checkFreshness(now)
+	if !g.catchUp.Due(now) {
+		return nil
+	}
+	p := g.peerAhead(OperatorStream, now)
+	if p == nil {
+		return nil
+	}
+	// The store would have answered this VM's own read with the records that the peer has.
+	g.streams[OperatorStream].endWait(errAnswerLost)
+	g.catchUp.Asked(p.vm, now)
+	return p
+}
+
 // knowsNewestConfig reports whether the configuration in force can't have been replaced for longer than the time within which
 // a configuration has to be in force. The caller holds the lock.
 func (g *Gateway) knowsNewestConfig(now time.Time) bool {
--- a/pkg/gateway/digest.go
+++ b/pkg/gateway/digest.go
@@ -67,7 +67,6 @@
 	}
 	g.placer.SetLoading(loading)
 	g.activity.Record(g.started, now)
-	g.checkFreshness(now)
 	g.logSharing(now)
 	g.logCurrency(now)
 	g.showWork(now)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/corneldeal/corneldeal/pkg/admit"
 	"github.com/corneldeal/corneldeal/pkg/affinity"
 	"github.com/corneldeal/corneldeal/pkg/brittle"
+	"github.com/corneldeal/corneldeal/pkg/configsync"
 	"github.com/corneldeal/corneldeal/pkg/crashguard"
 	"github.com/corneldeal/corneldeal/pkg/digestage"
 	"github.com/corneldeal/corneldeal/pkg/drain"
@@ -89,6 +90,8 @@
 	standstill standstill.Detector
 	// digestRequests asks for a digest before the regular interval ends.
 	digestRequests chan struct{}
+	// newsRequests asks a hub for a batch before the regular interval ends, since there are new operator records.
+	newsRequests chan struct{}
 	// rewriteRequests asks registerVM to write again what a restore of the store may have lost.
 	rewriteRequests chan struct{}
 	// originRequests asks recordOrigins to write the streams of this process to the store.
@@ -160,6 +163,8 @@
 	formerVMs int
 	// collectedDigests are the digests that this VM, as a hub, forwards with its next batch.
 	collectedDigests map[string]*gossip.Digest
+	// digestSize is the mean size of the digests of peers.
+	digestSize gossip.MeanSize
 	// digestsForHub are digests received directly from VMs that were not live before. They are forwarded to this VM's hub.
 	digestsForHub map[string]*gossip.Digest
 	streams       map[Stream]*streamState
@@ -181,11 +186,10 @@
 	loadDurationEstimate loadDurationEstimate
 	// configAppliedAt is when the configuration in force was applied.
 	configAppliedAt time.Time
-	// behindSince is the start of the present wait before a peer with newer operator records is asked for them. It is zero
-	// while no peer has newer ones.
-	behindSince time.Time
-	origins     *affinity.Table
-	originSync  originSync
+	// catchUp decides when a peer is asked for operator records.
+	catchUp    configsync.CatchUp
+	origins    *affinity.Table
+	originSync originSync
 	// storeEra is the newest era of the store that this VM knows of, or unknownEra, and storeEraSince is when this VM heard
 	// of it first. storeRestored reports whether it saw an earlier one.
 	storeEra      int64
@@ -230,6 +234,7 @@
 		connections:       newConnectionLimits(s.VM, client),
 		relayClients:      gossip.NewRelayClients(),
 		digestRequests:    make(chan struct{}, 1),
+		newsRequests:      make(chan struct{}, 1),
 		rewriteRequests:   make(chan struct{}, 1),
 		originRequests:    make(chan struct{}, 1),
 		registrationTried: make(chan struct{}),
@@ -366,6 +371,7 @@
 	go g.maintainBaselines()
 	go g.sendDigests()
 	go g.sendCollectedDigests()
+	go g.keepCurrent()
 	go g.receiveDigests()
 	go g.runOrders()
 	go g.runRollouts()
--- a/pkg/gateway/hub.go
+++ b/pkg/gateway/hub.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"net/netip"
 	"slices"
 	"strings"
@@ -19,11 +20,10 @@
 const (
 	// largeSystemVMs is the number of known VMs from which digests are sent through hubs.
 	largeSystemVMs = 24
-	// hubsPerDataCentre is the number of hubs between which a VM alternates, so that the loss of one only halves the rate
-	// at which its digests are forwarded.
-	hubsPerDataCentre = 2
 	// hubBatchInterval is the time for which a hub collects digests.
 	hubBatchInterval = 300 * time.Millisecond
+	// minHubBatchInterval is the shortest interval between two batches.
+	minHubBatchInterval = 25 * time.Millisecond
 	// hubSilenceLimit is the age of a hub's last digest at which another hub is chosen. A hub sends a digest with each
 	// batch.
 	hubSilenceLimit = 900 * time.Millisecond
@@ -97,12 +97,18 @@
 	return netip.AddrPortFrom(vm.ip, uint16(g.settings.PeerPort))
 }
 
-// hubsOf returns the hubs that this VM chooses for a data centre, best first. This VM may be one of its own hubs. The
-// caller holds the lock.
+// hubsOf returns the hubs that this VM chooses for a data centre, best first: as many as their links require. This VM may be
+// one of its own hubs. The caller holds the lock.
 func (g *Gateway) hubsOf(dataCentre string, now time.Time) []string {
-	return g.widestLinks(dataCentre, hubsPerDataCentre, func(name string, vm *knownVM) bool {
-		return g.mayBeHub(name, vm, now)
-	})
+	able := g.widestLinks(dataCentre, math.MaxInt, func(name string, vm *knownVM) bool { return g.mayBeHub(name, vm, now) })
+	links := make([]float64, 0, len(able))
+	for _, name := range able {
+		links = append(links, g.linkMbpsOf(name))
+	}
+	load := gossip.SpreadLoad{
+		VMs: 1 + len(g.vms) - g.formerVMs, Interval: maxDigestIntervalLarge, Receivers: len(able), DigestBytes: g.digestSize.Bytes(),
+	}
+	return able[:gossip.HubCount(links, load)]
 }
 
 // widestLinks returns up to count VMs of a data centre with the widest links: of the eligible ones, and of this VM
@@ -117,9 +123,7 @@
 	if dataCentre == g.settings.DataCentre && !g.leaving.Load() {
 		names = append(names, g.settings.VM)
 	}
-	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(g.linkMbpsOf(b), g.linkMbpsOf(a)), cmp.Compare(a, b))
-	})
+	slices.SortFunc(names, g.compareLinks)
 	return names[:min(len(names), count)]
 }
 
@@ -137,7 +141,42 @@
 	if name == g.settings.VM {
 		return g.settings.LinkMbps
 	}
-	return g.vms[name].linkMbps
+	if vm := g.vms[name]; vm != nil {
+		return vm.linkMbps
+	}
+	return 0
+}
+
+// storeReaders returns up to count of the VMs that reach the store and are live enough to be hubs, those with the widest links
+// first and from different data centres as far as there are others. All VMs that know the same peers return the same. This VM
+// counts as one that reaches the store. The caller holds the lock.
+func (g *Gateway) storeReaders(count int, now time.Time) []string {
+	dataCentres := map[string]string{g.settings.VM: g.settings.DataCentre}
+	names := []string{g.settings.VM}
+	for name, p := range g.peers {
+		if p.reachesStore(now) && now.Sub(p.lastSeen) < hubSilenceLimit {
+			dataCentres[name] = p.dataCentre
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, g.compareLinks)
+	var first, others []string
+	taken := map[string]bool{}
+	for _, name := range names {
+		if taken[dataCentres[name]] {
+			others = append(others, name)
+			continue
+		}
+		taken[dataCentres[name]] = true
+		first = append(first, name)
+	}
+	all := append(first, others...)
+	return all[:min(len(all), count)]
+}
+
+// compareLinks orders VMs by the width of their links, widest first, then by name.
+func (g *Gateway) compareLinks(a, b string) int {
+	return cmp.Or(cmp.Compare(g.linkMbpsOf(b), g.linkMbpsOf(a)), cmp.Compare(a, b))
 }
 
 // isHub reports whether this VM chooses itself as a hub. The caller holds the lock.
--- a/pkg/gateway/hub_test.go
+++ b/pkg/gateway/hub_test.go
@@ -112,11 +112,11 @@
 	g := newTestGateway(84)
 	now := steady.Now()
 	batch := &gossip.Batch{Digests: []*gossip.Digest{{Vm: "far", Boot: 1, Sequence: 2, DataCentre: "z1", Address: "10.0.9.9"}}}
-	if out, _ := g.applyBatch(proto.CloneOf(batch), now); out != nil {
+	if out := g.applyBatch(proto.CloneOf(batch), now); out != nil {
 		t.Error("a batch for this VM was forwarded")
 	}
 	batch.Spread = gossip.Spread_SPREAD_DATA_CENTRE
-	out, _ := g.applyBatch(batch, now)
+	out := g.applyBatch(batch, now)
 	if len(out) != 1 || out[0].batch.GetSpread() != gossip.Spread_SPREAD_NONE || len(out[0].recipients) != 21 {
 		t.Fatalf("forwarded as %v", out)
 	}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -103,24 +103,27 @@
 // receiveDigests applies the batches of peers and forwards those that are to be forwarded, until the socket is closed.
 func (g *Gateway) receiveDigests() {
 	for {
-		b, dropped, err := g.gossipSocket.Receive()
+		b, size, dropped, err := g.gossipSocket.Receive()
 		if dropped > 0 {
 			g.metrics.counters.Add("digests_unreadable_total", int64(dropped))
 		}
 		if err != nil {
 			return
 		}
-		forward, source := g.applyBatch(b, g.now())
-		g.sendBatches(forward)
-		if source != nil {
-			go g.fetchState(source.vm, source.address)
-		}
+		g.recordDigestSize(size, len(b.GetDigests()))
+		g.sendBatches(g.applyBatch(b, g.now()))
 	}
 }
 
-// applyBatch applies a batch. It returns the batches to forward, and the peer to ask for operator records that this VM
-// lacks or nil.
-func (g *Gateway) applyBatch(b *gossip.Batch, now time.Time) (forward []outgoingBatch, source *peerState) {
+// recordDigestSize records the size of a datagram with that many digests.
+func (g *Gateway) recordDigestSize(bytes, digests int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.digestSize.Observe(bytes, digests)
+}
+
+// applyBatch applies a batch and returns the batches to forward.
+func (g *Gateway) applyBatch(b *gossip.Batch, now time.Time) (forward []outgoingBatch) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.activity.Record(g.started, now)
@@ -130,8 +133,8 @@
 			continue
 		}
 		back := g.applyDigest(d, now)
-		if ahead := g.peerToFetchFrom(g.peers[d.GetVm()], now); ahead != nil {
-			source = ahead
+		if !g.catchUp.IsBehind() && g.isAhead(g.peers[d.GetVm()], OperatorStream) {
+			g.catchUp.Behind(!g.operatorReadByOthers(now), g.randomUpTo, now)
 		}
 		if b.GetSpread() == gossip.Spread_SPREAD_ALL {
 			g.collectedDigests[d.GetVm()] = d
@@ -141,9 +144,9 @@
 		}
 	}
 	if b.GetSpread() != gossip.Spread_SPREAD_DATA_CENTRE {
-		return nil, source
+		return nil
 	}
-	return []outgoingBatch{{batch: &gossip.Batch{Digests: b.GetDigests()}, recipients: g.localVMs(now)}}, source
+	return []outgoingBatch{{batch: &gossip.Batch{Digests: b.GetDigests()}, recipients: g.localVMs(now)}}
 }
 
 // applyDigest applies the digest of a peer. It reports whether the peer was not live before. The caller holds the lock.
@@ -280,44 +283,3 @@
 		}
 	}
 }
-
-// peerToFetchFrom returns the peer to ask for operator records now that a digest of p has arrived, or nil. A peer is
-// asked if others have held records for a while that this VM lacks. The caller holds the lock.
-func (g *Gateway) peerToFetchFrom(p *peerState, now time.Time) *peerState {
-	if !g.shouldFetchFrom(p, now) {
-		return nil
-	}
-	// The store would have answered this VM's own read with the records that the peer has.
-	g.streams[OperatorStream].endWait(errAnswerLost)
-	if ahead := g.peerAhead(OperatorStream, now); ahead != nil {
-		return ahead
-	}
-	return p
-}
-
-// shouldFetchFrom reports whether records are to be requested now: the peer is ahead, peers have been ahead for
-// maxPeerLag, and none was asked within it. All peers receive a new record at about the same time, so asking each of
-// them would saturate the links of a large system. The caller holds the lock.
-func (g *Gateway) shouldFetchFrom(p *peerState, now time.Time) bool {
-	if !g.isAhead(p, OperatorStream) {
-		return false
-	}
-	if g.behindSince.IsZero() {
-		g.behindSince = g.nextLagStart(now)
-		return false
-	}
-	if now.Sub(g.behindSince) < maxPeerLag {
-		return false
-	}
-	g.behindSince = g.nextLagStart(now)
-	return true
-}
-
-// nextLagStart returns when the wait of maxPeerLag begins. In a large system it is random, so that peers that were
-// served first can answer the others. The caller holds the lock.
-func (g *Gateway) nextLagStart(now time.Time) time.Time {
-	if !g.isLargeSystem() {
-		return now
-	}
-	return now.Add(g.randomUpTo(maxPeerLag))
-}
--- a/pkg/gateway/records.go
+++ b/pkg/gateway/records.go
@@ -21,7 +21,7 @@
 	}
 	st := g.streams[s]
 	if s == OperatorStream && next.After(st.next) {
-		g.behindSince = time.Time{}
+		g.catchUp.Applied()
 	}
 	st.advance(next)
 	st.readAt = g.now()
@@ -94,6 +94,7 @@
 		g.applyWeights(change.Weights)
 	}
 	g.requestDigest()
+	signal(g.newsRequests)
 }
 
 // version returns the operator's version of a change. It reports false if the key of the record is unknown.
@@ -123,6 +124,7 @@
 	g.metrics.count("configurations_total")
 	g.log.info(partConfig).Int64("version", c.Version).Int64("era", at.Era).Int64("offset", at.Offset).Int("routes", len(c.Routes)).
 		Int("workspaces", len(c.Workspaces)).Dur("verified_age_ms", g.streams[OperatorStream].verifiedAge(g.now())).
+		Dur("behind_ms", g.catchUp.BehindFor(g.now())).
 		Msg("configuration in force")
 }
 
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -9,9 +9,6 @@
 	"github.com/corneldeal/corneldeal/pkg/logpos"
 )
 
-// maxPeerLag is the time for which peers may hold newer records than this VM before it asks one of them.
-const maxPeerLag = 300 * time.Millisecond
-
 // fetchDuringOutage requests records from a peer while the store fails.
 func (g *Gateway) fetchDuringOutage(s Stream) {
 	g.mu.Lock()
@@ -22,9 +19,9 @@
 	}
 }
 
-// peerAhead returns a live peer that holds newer records of a stream than this VM, or nil. Peers that reach the store
-// are preferred, then those of the same data centre; among equals the choice is random, so that VMs that start together
-// do not all ask the same one. The caller holds the lock.
+// peerAhead returns a live peer that holds newer records of a stream than this VM, or nil. Peers that were not asked lately
+// are preferred, then those that reach the store, then those of the same data centre; among equals the choice is random, so
+// that VMs that start together do not all ask the same one. The caller holds the lock.
 func (g *Gateway) peerAhead(s Stream, now time.Time) *peerState {
 	var best []*peerState
 	bestRank := 0
@@ -39,6 +36,9 @@
 		if p.reachesStore(now) {
 			rank += 2
 		}
+		if s == OperatorStream && !g.catchUp.Avoided(p.vm, now) {
+			rank += 4
+		}
 		if rank > bestRank {
 			best, bestRank = nil, rank
 		}
@@ -67,14 +67,19 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.applyState(vm, req, resp, g.now())
+	g.applyStateProofs(resp, asked)
 	if len(resp.GetOperator()) > 0 {
 		g.log.info(partPeer).Str("peer", vm).Int("operator_records", len(resp.GetOperator())).Dur("took_ms", g.now().Sub(asked)).
 			Msg("state of a peer applied")
 	}
-	// The answer was made after the question, so this is not later than what it proves.
+	return true
+}
+
+// applyStateProofs records what the store proved to a peer, by its answer to a request that was sent at the given time. The
+// answer was made after that, so this is not later than what it proves. The caller holds the lock.
+func (g *Gateway) applyStateProofs(resp *gossip.StateResponse, asked time.Time) {
 	g.applyPeerProof(OperatorStream, resp.GetOperatorEra(), resp.OperatorVerifiedAgeMs, asked)
 	g.applyPeerProof(EndpointStream, resp.GetEndpointEra(), resp.EndpointVerifiedAgeMs, asked)
-	return true
 }
 
 // stateRequest returns the request for a peer's state. The caller holds the lock.
@@ -133,6 +138,9 @@
 
 // endpointReaders returns the VMs that read the endpoint records from the store for all. The caller holds the lock.
 func (g *Gateway) endpointReaders(now time.Time) []string {
+	if g.isLargeSystem() {
+		return g.storeReaders(endpointReaderCount, now)
+	}
 	able := []string{g.settings.VM}
 	for vm, p := range g.peers {
 		if p.reachesStore(now) {
--- a/pkg/gateway/store_simulation_test.go
+++ b/pkg/gateway/store_simulation_test.go
@@ -16,7 +16,9 @@
 // simRead is a read of the operator records that is under way.
 type simRead struct {
 	started time.Time
-	wait    time.Duration
+	plannedRead
+	// next are the reads that follow if this one gets no answer.
+	next []plannedRead
 	// list is set for a listing of all records.
 	list bool
 	// lost is set if the read will get no answer, and ended if the VM has given it up.
@@ -64,7 +66,18 @@
 // simulateStore starts VMs that follow a store with one version of the configuration.
 func simulateStore(t *testing.T, count int) *storeSimulation {
 	t.Helper()
-	s := &storeSimulation{simulation: simulate(t, 0), era: 1, losesAnswers: func(int) bool { return false }}
+	return simulateStoreRepetition(t, count, 0)
+}
+
+// simulateStoreRepetition is simulateStore with other random numbers for each repetition within a test.
+func simulateStoreRepetition(t *testing.T, count, repetition int) *storeSimulation {
+	t.Helper()
+	return simulateStoreOn(simulateRepetition(t, 0, repetition), count)
+}
+
+// simulateStoreOn adds VMs that follow a store with one version of the configuration to a simulation without any.
+func simulateStoreOn(base *simulation, count int) *storeSimulation {
+	s := &storeSimulation{simulation: base, era: 1, losesAnswers: func(int) bool { return false }}
 	s.publish()
 	for range count {
 		s.start()
@@ -144,21 +157,31 @@
 		}
 	}
 	wait, read := g.nextOperatorRead(s.now)
+	g.streams[OperatorStream].leftToOthers = !read
 	if !read {
 		r.resumeAt = s.now.Add(g.jitter(readerPollInterval))
 		return
 	}
-	s.startRead(i, wait)
+	if !g.streams[OperatorStream].synced || g.isOfEarlierEra(OperatorStream) {
+		s.startListing(i)
+		return
+	}
+	s.startReads(i, g.readPlan(OperatorStream, wait))
+}
+
+// startListing sends a request for all records of a VM to the store.
+func (s *storeSimulation) startListing(i int) {
+	s.startReads(i, []plannedRead{{limit: storeTimeout}})
+	s.readers[i].read.list = true
 }
 
-// startRead sends a read of a VM to the store.
-func (s *storeSimulation) startRead(i int, wait time.Duration) {
+// startReads sends the first of the planned reads of a VM to the store.
+func (s *storeSimulation) startReads(i int, plan []plannedRead) {
 	s.calls++
 	s.record(s.vms[i], "store", nil)
-	g := s.vms[i].gateway
-	read := &simRead{started: s.now, wait: wait, list: !g.streams[OperatorStream].synced || g.isOfEarlierEra(OperatorStream)}
+	read := &simRead{started: s.now, plannedRead: plan[0], next: plan[1:]}
 	s.readers[i].read = read
-	if wait > 0 {
+	if read.wait > 0 {
 		s.vms[i].gateway.streams[OperatorStream].cancelWait = func(error) { read.ended = true }
 	}
 }
@@ -171,7 +194,7 @@
 		(!waits || !s.now.Before(read.started.Add(read.wait+simStoreDelay)))
 	read.lost = read.lost || s.losesAnswers(i)
 	switch {
-	case read.ended || !s.now.Before(read.started.Add(read.wait+storeTimeout)):
+	case read.ended || !s.now.Before(read.started.Add(read.limit)):
 		s.giveUpRead(i)
 	case answered && !read.lost:
 		s.answerRead(i)
@@ -191,7 +214,7 @@
 			s.t.Fatal(err)
 		}
 	case st.next.Era != s.era || st.next.Offset > s.end().Offset:
-		s.startRead(i, 0)
+		s.startListing(i)
 	default:
 		records := s.recordsFrom(st.next.Offset)
 		g.applyRecords(OperatorStream, records, s.end())
@@ -199,11 +222,11 @@
 	}
 }
 
-// giveUpRead ends a read without an answer: one that waited is followed by one that does not, any other one by a pause.
+// giveUpRead ends a read without an answer: the next one of the plan follows, or a pause.
 func (s *storeSimulation) giveUpRead(i int) {
 	g, r := s.vms[i].gateway, s.readers[i]
-	if r.read.wait > 0 {
-		s.startRead(i, 0)
+	if len(r.read.next) > 0 {
+		s.startReads(i, r.read.next)
 		return
 	}
 	g.recordStoreResult(OperatorStream, context.DeadlineExceeded, s.now)
@@ -225,7 +248,12 @@
 
 // timeInForce publishes a version and returns after which time it is in force on all VMs that run.
 func (s *storeSimulation) timeInForce(limit time.Duration) time.Duration {
-	version, began := s.publish(), s.now
+	return s.timeUntilInForce(s.publish(), limit)
+}
+
+// timeUntilInForce returns after which time a version is in force on all VMs that run.
+func (s *storeSimulation) timeUntilInForce(version int64, limit time.Duration) time.Duration {
+	began := s.now
 	for s.now.Sub(began) < limit {
 		s.advance(simStep)
 		behind := 0
@@ -244,7 +272,7 @@
 // preferred returns the VM that verifies the records for all.
 func (s *storeSimulation) preferred() int {
 	for i, vm := range s.vms {
-		if !vm.down && vm.gateway.isPreferredVM(s.now) {
+		if !vm.down && vm.gateway.verifiesForAll(s.now) {
 			return i
 		}
 	}
--- a/pkg/gateway/storeread.go
+++ b/pkg/gateway/storeread.go
@@ -10,7 +10,7 @@
 )
 
 // readStream reads the new records of a stream from the store, or all records if the stream is not synced, the offset is
-// not stored, or the store was restored. A read that waits and gets no answer is followed by one that does not wait.
+// not stored, or the store was restored. A read that gets no answer is repeated at once, see readPlan.
 func (g *Gateway) readStream(s Stream, wait time.Duration) error {
 	g.mu.Lock()
 	next, relist := g.streams[s].next, !g.streams[s].synced || g.isOfEarlierEra(s)
@@ -18,9 +18,11 @@
 	if relist {
 		return g.readNewest(s)
 	}
-	err := g.readRecords(s, wait)
-	if wait > 0 && isLostAnswer(err) {
-		err = g.readRecords(s, 0)
+	var err error
+	for _, r := range g.readPlan(s, wait) {
+		if err = g.readRecords(s, r); !isLostAnswer(err) {
+			break
+		}
 	}
 	if errors.Is(err, ErrRecordsExpired) {
 		g.log.info(partStore).Str("stream", s.String()).Int64("era", next.Era).Int64("from", next.Offset).
@@ -36,14 +38,35 @@
 	return err
 }
 
+// plannedRead is one read of a stream: how long the store may wait for records, and the time limit of the call.
+type plannedRead struct {
+	wait, limit time.Duration
+}
+
+// readPlan returns the reads that are sent one after another until one is answered. After a read that waits come those that do
+// not. While the store fails, there is only one in a row.
+func (g *Gateway) readPlan(s Stream, wait time.Duration) []plannedRead {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	last := plannedRead{limit: storeTimeout}
+	switch {
+	case g.streams[s].failing:
+		return []plannedRead{last}
+	case wait > 0:
+		return []plannedRead{{wait: wait, limit: wait + storeTimeout}, {limit: checkTimeout}, last}
+	}
+	return []plannedRead{{limit: checkTimeout}, last}
+}
+
 // isLostAnswer reports whether a read ended because it got no answer.
 func isLostAnswer(err error) bool {
 	return errors.Is(err, errAnswerLost) || errors.Is(err, context.DeadlineExceeded)
 }
 
-// readRecords sends one read to the store, which may wait for records, and applies the answer.
-func (g *Gateway) readRecords(s Stream, wait time.Duration) error {
-	ctx, cancel := context.WithTimeout(g.ctx, wait+storeTimeout)
+// readRecords sends one read to the store and applies the answer.
+func (g *Gateway) readRecords(s Stream, r plannedRead) error {
+	wait := r.wait
+	ctx, cancel := context.WithTimeout(g.ctx, r.limit)
 	defer cancel()
 	g.mu.Lock()
 	st := g.streams[s]
--- a/pkg/gateway/streamsync.go
+++ b/pkg/gateway/streamsync.go
@@ -19,6 +19,8 @@
 	readerPollInterval = 500 * time.Millisecond
 	// storeTimeout limits a call to the store, in addition to the time that the call may wait for records.
 	storeTimeout = 1200 * time.Millisecond
+	// checkTimeout limits the first of the reads that do not wait. It is short because a check begins late already.
+	checkTimeout = 400 * time.Millisecond
 	// minRetryDelay and maxRetryDelay limit the pause after a failed call, before it is jittered. A call that hangs as the
 	// store returns and the longest pause after it must fit into the 3 s after which every bound holds again.
 	minRetryDelay = 100 * time.Millisecond
@@ -75,6 +77,8 @@
 	provenAt  time.Time
 	// cancelWait ends the last read that waited for records. It is nil before the first.
 	cancelWait context.CancelCauseFunc
+	// leftToOthers is set while this VM leaves the reading to others. A call of its own that failed before says nothing then.
+	leftToOthers bool
 	// wake ends the pause between two reads.
 	wake chan struct{}
 }
@@ -112,7 +116,7 @@
 	for g.ctx.Err() == nil {
 		wait, read := g.nextOperatorRead(g.now())
 		if !read {
-			if !g.pause(OperatorStream, g.jitter(readerPollInterval)) {
+			if !g.leaveToOthers(OperatorStream) {
 				return
 			}
 			continue
@@ -139,7 +143,7 @@
 	switch {
 	case !st.synced || g.isOverdue(OperatorStream, now):
 		return 0, !g.awaitsPeerListing(OperatorStream, now) || !g.operatorReadByOthers(now)
-	case g.isPreferredVM(now):
+	case g.verifiesForAll(now):
 		wait = verifyReadWait
 	case g.operatorReadByOthers(now):
 		return 0, false
@@ -195,7 +199,7 @@
 	pause := minRetryDelay
 	for g.ctx.Err() == nil {
 		if g.relistFromPeer() || g.syncFromReader() {
-			if !g.pause(EndpointStream, g.jitter(readerPollInterval)) {
+			if !g.leaveToOthers(EndpointStream) {
 				return
 			}
 			continue
--- a/pkg/gateway/verify.go
+++ b/pkg/gateway/verify.go
@@ -21,8 +21,8 @@
 	// maxVerifiedAge is the age of the last proof at which a VM checks a stream itself. It leaves time for the check within
 	// the 2 s in which small deployments want a configuration in force and an endpoint out of use.
 	maxVerifiedAge = 1100 * time.Millisecond
-	// maxVerifiedAgeLarge is the same in a large system, where proofs arrive through hubs and 3 s are allowed.
-	maxVerifiedAgeLarge = 1800 * time.Millisecond
+	// maxVerifiedAgeLarge is the same in a large system, where a hub proves for all and its digests wait for the next batch.
+	maxVerifiedAgeLarge = 1300 * time.Millisecond
 	// verifiedAgeSpread is the largest random extension of both.
 	verifiedAgeSpread = 300 * time.Millisecond
 )
@@ -43,13 +43,22 @@
 // reading to others. Reads that have failed are repeated after their own pauses. The caller holds the lock.
 func (g *Gateway) checkFreshness(now time.Time) {
 	for s, st := range g.streams {
-		if st.synced && !st.failing && g.isOverdue(s, now) {
+		if st.synced && (!st.failing || st.leftToOthers) && g.isOverdue(s, now) {
 			st.endWait(errAnswerLost)
 			st.endPause()
 		}
 	}
 }
 
+// verifiesForAll reports whether this VM reads the operator records with short waits, for all. In a large system that is a hub,
+// whose digests take the shortest way to the others. The caller holds the lock.
+func (g *Gateway) verifiesForAll(now time.Time) bool {
+	if !g.isLargeSystem() {
+		return g.isPreferredVM(now)
+	}
+	return g.storeReaders(1, now)[0] == g.settings.VM
+}
+
 // recordProof records that the store itself proved the copy complete as of the given time. The caller holds the lock.
 func (st *streamState) recordProof(at time.Time) {
 	st.freshness.Verified(at)
@@ -112,6 +121,20 @@
 	signal(st.wake)
 }
 
+// leaveToOthers waits until this VM checks again whether it reads a stream itself. It reports false if the process is ending.
+func (g *Gateway) leaveToOthers(s Stream) bool {
+	g.setLeftToOthers(s, true)
+	defer g.setLeftToOthers(s, false)
+	return g.pause(s, g.jitter(readerPollInterval))
+}
+
+// setLeftToOthers sets whether this VM leaves the reading of a stream to others.
+func (g *Gateway) setLeftToOthers(s Stream, left bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.streams[s].leftToOthers = left
+}
+
 // pause waits until d has passed or endPause is called. It reports false if the process is ending.
 func (g *Gateway) pause(s Stream, d time.Duration) bool {
 	g.mu.Lock()
--- a/pkg/gossip/transport.go
+++ b/pkg/gossip/transport.go
@@ -79,13 +79,13 @@
 	return err
 }
 
-// Receive waits for the next batch and returns it, with the number of unreadable datagrams that it dropped before. It
-// returns an error only after the socket was closed.
-func (s *Socket) Receive() (b *Batch, dropped int, err error) {
+// Receive waits for the next batch and returns it with its size in bytes and the number of unreadable datagrams that it
+// dropped before. It returns an error only after the socket was closed.
+func (s *Socket) Receive() (b *Batch, size, dropped int, err error) {
 	for {
 		n, _, err := s.conn.ReadFromUDPAddrPort(s.buf)
 		if errors.Is(err, net.ErrClosed) {
-			return nil, dropped, err
+			return nil, 0, dropped, err
 		}
 		if err != nil {
 			dropped++
@@ -96,7 +96,7 @@
 			dropped++
 			continue
 		}
-		return b, dropped, nil
+		return b, n, dropped, nil
 	}
 }
 
