Be ready only after a proof that is young enough

A played roll showed VMs that started, took a peer's state with a proof of 8 to 11 s ago and were ready with it. The proof has to be younger than configuration_ms once.

--- a/pkg/gateway/admin.go
+++ b/pkg/gateway/admin.go
@@ -17,7 +17,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.streams[EndpointStream].synced && g.triedToVerify()
+	return g.streams[EndpointStream].synced && g.triedToVerify(g.now())
 }
 
 // serveAdmin answers the readiness probe, the metrics page and explanations of decisions.
--- a/pkg/gateway/denial.go
+++ b/pkg/gateway/denial.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/valyala/fasthttp"
 
 	"github.com/corneldeal/corneldeal/pkg/refusal"
@@ -8,10 +10,9 @@
 
 // triedToVerify reports whether this VM has known at some time that its configuration was the newest, or could not find out since
 // the store failed. A VM that starts takes the configuration of a peer, which may be behind. The caller holds the lock.
-func (g *Gateway) triedToVerify() bool {
-	st := g.streams[OperatorStream]
-	_, proved := st.freshness.Age(g.now())
-	return proved || st.failing || g.storeRestored
+func (g *Gateway) triedToVerify(now time.Time) bool {
+	g.configVerified = g.configVerified || g.knowsNewestConfig(now)
+	return g.configVerified || g.streams[OperatorStream].failing || g.storeRestored
 }
 
 // denial returns how a request is refused that the configuration in force does not allow. While a newer configuration may exist
--- a/pkg/gateway/denial_test.go
+++ b/pkg/gateway/denial_test.go
@@ -41,6 +41,10 @@
 	if g.ready() {
 		t.Error("ready without any proof")
 	}
+	g.streams[OperatorStream].freshness.Verified(steady.Now().Add(-time.Minute))
+	if g.ready() {
+		t.Error("ready with a proof that is a minute old")
+	}
 	g.streams[OperatorStream].failing = true
 	if !g.ready() {
 		t.Error("not ready although the store fails, so that no proof can be had")
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -200,6 +200,8 @@
 	activity      digestage.Activity
 	// lostConfigVersion is the newest version of a configuration that the store lost while a peer holds it, or zero.
 	lostConfigVersion int64
+	// configVerified is set once this VM has known that its configuration was the newest.
+	configVerified bool
 	// configOutdated is set while this VM doesn't know that its configuration is the newest, see knowsNewestConfig.
 	configOutdated bool
 	// sharingSuspended is set while workspaces share no cached material, see mayShareCache.
