--- a/pkg/gateway/baselines.go
+++ b/pkg/gateway/baselines.go
@@ -87,9 +87,9 @@
 	now := g.now()
 	g.mu.Lock()
 	peers := slices.Sorted(slices.Values(g.livePeers(now)))
-	var p *peerState
+	var p *peerID
 	if len(peers) > 0 {
-		p = g.peers[peers[g.random.IntN(len(peers))]]
+		p = g.peers[peers[g.random.IntN(len(peers))]].id()
 	}
 	g.mu.Unlock()
 	if p != nil && !g.fetchState(p.vm, p.address) {
--- a/pkg/gateway/broadcast.go
+++ b/pkg/gateway/broadcast.go
@@ -53,7 +53,7 @@
 	g.mu.Lock()
 	g.expireState(now)
 	out := g.heartbeatBatches(g.nextDigestSequence(), now)
-	crashPeer := g.peerToAskForCrashes(now)
+	crashPeer := g.peerToAskForCrashes(now).id()
 	refusals := g.refusalsToWrite(now)
 	announcements := g.announcementsToStore(now)
 	g.mu.Unlock()
--- a/pkg/gateway/currency.go
+++ b/pkg/gateway/currency.go
@@ -16,7 +16,7 @@
 }
 
 // checkCurrency ends the waits of reads that have to be repeated. It returns the peer to ask for operator records now, or nil.
-func (g *Gateway) checkCurrency(now time.Time) *peerState {
+func (g *Gateway) checkCurrency(now time.Time) *peerID {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.checkFreshness(now)
@@ -30,7 +30,7 @@
 	// The store would have answered this VM's own read with the records that the peer has.
 	g.streams[OperatorStream].endWait(errAnswerLost)
 	g.catchUp.Asked(p.vm, now)
-	return p
+	return p.id()
 }
 
 // knowsNewestConfig reports whether the configuration in force can't have been replaced for longer than the time within which
--- a/pkg/gateway/era.go
+++ b/pkg/gateway/era.go
@@ -87,7 +87,7 @@
 	now := g.now()
 	g.mu.Lock()
 	waits := g.awaitsPeerListing(EndpointStream, now) && !slices.Contains(g.endpointReaders(now), g.settings.VM)
-	p := g.peerAhead(EndpointStream, now)
+	p := g.peerAhead(EndpointStream, now).id()
 	g.mu.Unlock()
 	if waits && p != nil {
 		g.fetchState(p.vm, p.address)
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -62,6 +62,19 @@
 	refusalsDifferSince time.Time
 }
 
+// peerID is the name and the address of a VM. Unlike a peerState it may be used without the lock.
+type peerID struct {
+	vm, address string
+}
+
+// id returns the name and the address of the peer. The caller holds the lock.
+func (p *peerState) id() *peerID {
+	if p == nil {
+		return nil
+	}
+	return &peerID{vm: p.vm, address: p.address}
+}
+
 // live reports whether the peer's digests arrive and it is not stopping.
 func (p *peerState) live(now time.Time) bool {
 	return !p.leaving && now.Sub(p.lastSeen) < peerSilenceLimit
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -12,7 +12,7 @@
 // fetchDuringOutage requests records from a peer while the store fails.
 func (g *Gateway) fetchDuringOutage(s Stream) {
 	g.mu.Lock()
-	p := g.peerAhead(s, g.now())
+	p := g.peerAhead(s, g.now()).id()
 	g.mu.Unlock()
 	if p != nil {
 		g.fetchState(p.vm, p.address)
--- a/pkg/gateway/simulation_test.go
+++ b/pkg/gateway/simulation_test.go
@@ -266,11 +266,11 @@
 	}
 	vm.gateway.mu.Lock()
 	var out []outgoingBatch
-	var crashPeer *peerState
+	var crashPeer *peerID
 	if !s.now.Before(vm.nextHeartbeat) {
 		vm.gateway.expireState(s.now)
 		out = vm.gateway.heartbeatBatches(vm.gateway.nextDigestSequence(), s.now)
-		crashPeer = vm.gateway.peerToAskForCrashes(s.now)
+		crashPeer = vm.gateway.peerToAskForCrashes(s.now).id()
 		vm.lastHeartbeat = s.now
 		vm.nextHeartbeat = s.now.Add(maxDigestIntervalLarge)
 	}
@@ -293,7 +293,7 @@
 }
 
 // fetchState makes a VM request the state of a peer. Nothing happens if the peer cannot be reached.
-func (s *simulation) fetchState(vm *simVM, p *peerState) {
+func (s *simulation) fetchState(vm *simVM, p *peerID) {
 	to := s.byIP[netip.MustParseAddr(p.address)]
 	s.relays = append(s.relays, simRelay{
 		from: vm, to: to, peer: p.vm, req: vm.gateway.stateRequest(p.vm), asked: s.now, due: s.relayDue(vm, to),
--- a/pkg/gateway/store_simulation_test.go
+++ b/pkg/gateway/store_simulation_test.go
@@ -233,7 +233,7 @@
 	r.read, r.resumeAt = nil, s.now.Add(g.jitter(r.delay))
 	r.delay = min(2*r.delay, maxRetryDelay)
 	if p := g.peerAhead(OperatorStream, s.now); p != nil {
-		s.fetchState(s.vms[i], p)
+		s.fetchState(s.vms[i], p.id())
 	}
 }
 
--- a/pkg/gateway/streamsync.go
+++ b/pkg/gateway/streamsync.go
@@ -179,7 +179,7 @@
 	for wait := g.randomUpTo(maxPeerStartWait); wait > 0; wait -= peerStartPollInterval {
 		g.mu.Lock()
 		large, synced := g.isLargeSystem(), g.streams[OperatorStream].synced && g.streams[EndpointStream].synced
-		p := g.peerAhead(OperatorStream, g.now())
+		p := g.peerAhead(OperatorStream, g.now()).id()
 		g.mu.Unlock()
 		if !large || synced {
 			return
