--- a/lab/deploy/process.go
+++ b/lab/deploy/process.go
@@ -6,10 +6,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -111,14 +113,26 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// FreeAddr returns an IP:port of the loopback address on which nothing listens.
+const (
+	// firstPort and portCount are the ports that FreeAddr draws from. They lie below those that Linux gives to outgoing
+	// connections, which could take a port before the process for which it was drawn listens on it.
+	firstPort = 12_000
+	portCount = 20_000
+	// freeAddrTries is the number of ports that FreeAddr tries.
+	freeAddrTries = 100
+)
+
+// FreeAddr returns an IP:port of the loopback address on which nothing listens. The error is that of the last port that it tried.
 func FreeAddr(ip string) (string, error) {
-	ln, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return "", err
+	var err error
+	for range freeAddrTries {
+		addr := net.JoinHostPort(ip, strconv.Itoa(firstPort+rand.IntN(portCount)))
+		var ln net.Listener
+		if ln, err = net.Listen("tcp", addr); err == nil {
+			return addr, ln.Close()
+		}
 	}
-	addr := ln.Addr().String()
-	return addr, ln.Close()
+	return "", err
 }
 
 // Run runs a program to its end and returns its standard output and error.
