--- a/review/stand-3/system.go
+++ b/review/stand-3/system.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -81,6 +82,7 @@
 		"routes": []any{
 			route("booking", "/booking/", "unsafe", "orderbook", 1, false, 1500),
 			route("lookup", "/lookup/", "safe", "orderbook", 2, false, 1500),
+			route("check", "/check/", "streaming", "wordloom", 1, false, 5000),
 			route("draft", "/draft/", "streaming", "wordloom", 2, true, 15000),
 		},
 		"services": []any{
@@ -143,12 +145,27 @@
 		}
 		if ready == count {
 			s.rec.printf("%d gateways are ready", count)
-			return nil
+			return s.endFirstStart()
 		}
 	}
 	return fmt.Errorf("%w: the gateways are not ready", errCannotRun)
 }
 
+// endFirstStart changes the settings files as the platform does once the whole system has started for the first time.
+func (s *system) endFirstStart() error {
+	for _, g := range s.gateways {
+		data, err := os.ReadFile(g.settings)
+		if err != nil {
+			return err
+		}
+		data = bytes.Replace(data, []byte("first_start: true"), []byte("first_start: false"), 1)
+		if err := os.WriteFile(g.settings, data, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // start starts the process.
 func (g *gatewayProcess) start() error {
 	log, err := os.OpenFile(g.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
