review 12: other requesters use a split route, so that the case fails in every play

Change: the other requesters use a route that is split between two services, whose streams are always named. Prompts share 40 parts instead of one, in case 11 too.

--- a/review/stand-3/requester.go
+++ b/review/stand-3/requester.go
@@ -13,6 +13,9 @@
 	"time"
 )
 
+// sharedParts is the number of parts that requests share, as many as greeting-draft of the site has.
+const sharedParts = 40
+
 // newClient returns a client that opens a channel for each request.
 func newClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
@@ -31,20 +34,30 @@
 	events   int
 	complete bool
 	status   int
+	// split is set if the stream goes by the route that is split between two services.
+	split bool
+}
+
+// path returns the path of the stream's requests.
+func (s *stream) path() string {
+	if s.split {
+		return "/note/1"
+	}
+	return "/draft/1"
 }
 
 // read sends one attempt and reads its events until the channel ends.
 func (s *stream) read(c *http.Client, caller, attempt string, budget time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), budget)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+caller+"/draft/1", bytes.NewReader([]byte("prompt of "+s.id)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+caller+s.path(), bytes.NewReader([]byte("prompt of "+s.id)))
 	if err != nil {
 		return err
 	}
 	req.Host = "h.example"
 	for name, value := range map[string]string{
 		"Attempt-Id": attempt, "Key": "key-guild", "Model": "m", "Token-Counts": "640,100",
-		"Prompt-Prefix": fmt.Sprintf("c0ffee:500,%x:140", hash(s.id)), "Deadline-Milliseconds": fmt.Sprint(budget.Milliseconds()),
+		"Prompt-Prefix": fmt.Sprintf("%x:500,%x:140", 0xc0ffee00+hash(s.id)%sharedParts, hash(s.id)), "Deadline-Milliseconds": fmt.Sprint(budget.Milliseconds()),
 	} {
 		req.Header.Set(name, value)
 	}
--- a/review/stand-3/slowreader.go
+++ b/review/stand-3/slowreader.go
@@ -87,6 +87,9 @@
 			return false, err
 		}
 	}
+	if _, err := s.newWorker("i-b", "wordloom-b", "v1", streamEvents(160, 8*time.Millisecond)); err != nil {
+		return false, err
+	}
 	if err := s.startGateways(3); err != nil {
 		return false, err
 	}
@@ -115,9 +118,9 @@
 		}}
 		wg.Go(func() { s.followSlowly(st, c, zero.Add(15*time.Second)) })
 	}
-	// Other requesters begin streams at all gateways meanwhile, as on any day.
+	// Other requesters begin streams at all gateways meanwhile, on a route that is split between two services.
 	for n := 0; time.Since(zero) < resetAt; n++ {
-		st := &stream{id: fmt.Sprint("usual-", n)}
+		st := &stream{id: fmt.Sprint("usual-", n), split: true}
 		mu.Lock()
 		streams = append(streams, st)
 		mu.Unlock()
--- a/review/stand-3/system.go
+++ b/review/stand-3/system.go
@@ -77,6 +77,15 @@
 			"sticky": kind == "streaming", "resumable": resumable, "target_gap_ms": 400,
 		}
 	}
+	note := route("note", "/note/", "streaming", "", 2, true, 15000)
+	delete(note, "service")
+	note["traffic_split"] = []any{
+		map[string]any{"service": "wordloom", "weight": 90}, map[string]any{"service": "wordloom-b", "weight": 10},
+	}
+	engine := map[string]any{
+		"slots": 128, "kv_cache_tokens": 145812, "token_kv_bytes": 35136, "link_mbps": 370000.0,
+		"max_in_flight": 12, "models": []any{map[string]any{"name": "m"}},
+	}
 	return map[string]any{
 		"version": 1,
 		"routes": []any{
@@ -84,13 +93,12 @@
 			route("lookup", "/lookup/", "safe", "orderbook", 2, false, 1500),
 			route("check", "/check/", "streaming", "wordloom", 1, false, 5000),
 			route("draft", "/draft/", "streaming", "wordloom", 2, true, 15000),
+			note,
 		},
 		"services": []any{
 			map[string]any{"name": "orderbook", "health_path": "/health", "connection_limit": 100},
-			map[string]any{"name": "wordloom", "health_path": "/health", "connection_limit": 620, "engine": map[string]any{
-				"slots": 128, "kv_cache_tokens": 145812, "token_kv_bytes": 35136, "link_mbps": 370000.0,
-				"max_in_flight": 12, "models": []any{map[string]any{"name": "m"}},
-			}},
+			map[string]any{"name": "wordloom", "health_path": "/health", "connection_limit": 620, "engine": engine},
+			map[string]any{"name": "wordloom-b", "health_path": "/health", "connection_limit": 620, "engine": engine},
 		},
 		"limits": map[string]any{
 			"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
