--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -15,6 +15,7 @@
 // cases are the scripts by name. Each reports whether the rule was broken. trouble is false in the run without the disruption.
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
 	"crash-part":  playCrashPart,
+	"idle":        playIdle,
 	"software":    playSoftware,
 	"slow-reader": playSlowReader,
 }
--- a/review/stand-3/worker.go
+++ b/review/stand-3/worker.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -31,6 +32,8 @@
 	silent bool
 	stop   chan struct{}
 	runs   int
+	// streams is the number of streams that the worker writes now.
+	streams atomic.Int64
 }
 
 // newWorker starts a worker that reports to the store every heartbeat.
@@ -169,6 +172,8 @@
 // streamEvents returns a function that answers with a stream of events, each of which tells the worker's software version.
 func streamEvents(count int, pause time.Duration) func(*worker, http.ResponseWriter, *http.Request) {
 	return func(w *worker, rw http.ResponseWriter, r *http.Request) {
+		w.streams.Add(1)
+		defer w.streams.Add(-1)
 		_, _ = io.Copy(io.Discard, r.Body)
 		last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 		w.mu.Lock()
