Know where a stream began until its caller's deadline has passed

Cause: a VM forgot a stream 10 s after it had written its end to the connection. By then the bytes may lie in buffers. Its next record no longer named the stream, so it counted as one that began at the baseline.

Fix: nothing that a VM does ends the memory; a stream is named until its caller's deadline and 2 s more. Callers without one have 10 min and get 503 after that.

The same class: the provisional time of a baseline after a restore (30 s) and the change of a baseline (5 min) took no notice of longer deadlines.

--- a/pkg/affinity/affinity.go
+++ b/pkg/affinity/affinity.go
@@ -5,10 +5,15 @@
 // that it has under way at another version than the baseline of their service. A stream's record is stored before its first
 // event is passed on; hence a stream that no record names began at the baseline. While a service has one version, nothing
 // is written. A restore of the store loses records, so for a while after it a missing record says nothing, and the processes
-// record the streams at all versions. The package does no I/O; the time is passed in.
+// record the streams at all versions.
+//
+// A stream is known until its caller can no longer take it up, whatever becomes of it meanwhile: that a stream was written to
+// its end says nothing of what its caller has read. The package does no I/O; the time is passed in.
 package affinity
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -35,26 +40,38 @@
 	Software string
 }
 
-// MaxRecordedStreams limits the streams in the record of one process.
-const MaxRecordedStreams = 8192
+// UnlimitedTakeUp is the time for which a stream is known whose caller states no time within which it takes the stream up. After
+// it the origin of the stream is not known.
+const UnlimitedTakeUp = 10 * time.Minute
+
+// MaxRecordedStreams limits the streams that the records of one process name.
+const MaxRecordedStreams = 65536
 
-// ownStream is a stream that this process has under way.
+// maxStreams limits the streams that a process keeps. Of those beyond it, which no record has to name, a restore of the store
+// leaves nothing.
+const maxStreams = 2 * MaxRecordedStreams
+
+// ownStream is a stream that a caller may take up and that this process has passed on.
 type ownStream struct {
 	origin Origin
-	// recorded is set if the record of this process names the stream, and needed if no event may be passed on before the
-	// store holds that record: without it the stream would be taken to have begun elsewhere.
-	recorded, needed bool
-	// expiresAt is the time from which no caller can take the stream up any more.
+	// segment is the record of this process that names the stream, or nil. revision is the one from which it does.
+	segment  *segment
+	revision int64
+	// needed is set if no event may be passed on before the store holds that record: without it the stream would be taken to
+	// have begun elsewhere.
+	needed bool
+	// expiresAt is the time from which the caller can't take the stream up any more.
 	expiresAt time.Time
 }
 
 // Table holds the origins that one process knows. It is not safe for concurrent use.
 type Table struct {
-	streams  map[StreamID]ownStream
-	recorded int
-	// revision increases with each change that the record of this process must show before events are passed on, and
-	// durable is the newest one that the store holds.
-	revision, durable int64
+	streams map[StreamID]ownStream
+	// segments are the records of this process.
+	segments segments
+	// ownTakeUp and listedTakeUp are the longest times for which callers take streams up, by this process's streams and by the
+	// records of others, see lostRecordsPeriod.
+	ownTakeUp, listedTakeUp time.Duration
 	// stored are the streams that records of other processes name.
 	stored    map[StreamID]storedOrigin
 	baselines map[string]*baselineState
@@ -68,7 +85,7 @@
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
-		streams: map[StreamID]ownStream{}, baselines: map[string]*baselineState{}, versions: map[string]*versionsInService{},
+		streams: map[StreamID]ownStream{}, segments: newSegments(), baselines: map[string]*baselineState{}, versions: map[string]*versionsInService{},
 		formerBaselines: map[string]string{},
 	}
 }
@@ -80,45 +97,61 @@
 	return b == nil || b.suspended || b.Software != o.Software
 }
 
-// IsFull reports whether the record of this process can name no further stream.
+// IsFull reports whether the records of this process can name no further stream.
 func (t *Table) IsFull() bool {
-	return t.recorded >= MaxRecordedStreams
-}
-
-// Begin records that a stream is sent to an origin. It returns the revision of the record that names the stream, or zero if
-// none does. Needed is set if the revision must be durable before an event is passed on. Always is set if the record must name
-// the stream wherever it begins.
-func (t *Table) Begin(id StreamID, o Origin, always bool, expiresAt time.Time) (revision int64, needed bool) {
-	old, known := t.streams[id]
+	return t.segments.streams >= MaxRecordedStreams
+}
+
+// Begun is a stream that is sent to an endpoint.
+type Begun struct {
+	ID     StreamID
+	Origin Origin
+	// Always is set if the record must name the stream wherever it begins.
+	Always bool
+	// ExpiresAt is the time until which the caller may take the stream up. Unlimited is set if the caller states none, so that
+	// UnlimitedTakeUp is assumed.
+	ExpiresAt time.Time
+	Unlimited bool
+}
+
+// Begin records that a stream is sent to an origin. It returns whether its first event waits for the record that names the
+// stream, and whether no event may be passed on before the store holds that record.
+func (t *Table) Begin(b Begun, now time.Time) (waits, needed bool) {
+	if !b.Unlimited {
+		t.noteTakeUp(b.ExpiresAt.Sub(now))
+	}
+	old, known := t.streams[b.ID]
+	wasRecorded := old.segment != nil
 	// The store may hold a record that names another origin, at which the stream was tried before.
-	replaces := known && old.recorded && (old.origin != o || old.needed)
-	s := ownStream{origin: o, expiresAt: expiresAt, needed: always || t.MustRecord(o) || replaces}
-	s.recorded = s.needed || known && old.recorded || t.shouldName(o.Service)
-	t.streams[id] = s
-	if s.recorded && !old.recorded {
-		t.recorded++
+	replaces := wasRecorded && (old.origin != b.Origin || old.needed)
+	s := ownStream{origin: b.Origin, expiresAt: b.ExpiresAt, segment: old.segment, revision: old.revision}
+	s.needed = b.Always || t.MustRecord(b.Origin) || replaces
+	if known && old.expiresAt.After(b.ExpiresAt) {
+		s.expiresAt = old.expiresAt
 	}
-	if !s.recorded {
-		return 0, false
+	recorded := s.needed || wasRecorded || t.shouldName(b, now)
+	if recorded && (!wasRecorded || old.origin != b.Origin) {
+		if wasRecorded {
+			t.segments.change(old.segment)
+		}
+		s.segment, s.revision = t.segments.add(b.ID, old.segment)
 	}
-	if !known || old.origin != o || !old.recorded {
-		t.revision++
+	if s.segment != nil || known || len(t.streams) < maxStreams {
+		t.streams[b.ID] = s
 	}
-	return t.revision, s.needed
+	t.mergeSparse()
+	return s.needed || recorded && !t.absenceTells(b.Origin.Service), s.needed
 }
 
-// endedRetention is the time for which a stream is kept after its end was passed on. The end may be lost on the way to the
-// caller, who then notices the silence and takes the stream up.
-const endedRetention = 10 * time.Second
-
-// End records that a stream was passed on to its end.
-func (t *Table) End(id StreamID, now time.Time) {
-	s, known := t.streams[id]
-	if !known {
+// mergeSparse moves the streams of a closed segment with few of them to the open one.
+func (t *Table) mergeSparse() {
+	from := t.segments.takeSparse()
+	if from == nil {
 		return
 	}
-	if end := now.Add(endedRetention); end.Before(s.expiresAt) {
-		s.expiresAt = end
+	for _, id := range slices.Collect(maps.Keys(from.streams)) {
+		s := t.streams[id]
+		s.segment, s.revision = t.segments.add(id, from)
 		t.streams[id] = s
 	}
 }
@@ -130,25 +163,16 @@
 			continue
 		}
 		delete(t.streams, id)
-		if s.recorded {
-			t.recorded--
+		if s.segment != nil {
+			t.segments.remove(id, s.segment)
 		}
 	}
 }
 
-// IsDurable reports whether the store holds a revision.
-func (t *Table) IsDurable(revision int64) bool {
-	return revision <= t.durable
-}
-
-// HasUnwritten reports whether the store lacks a revision.
-func (t *Table) HasUnwritten() bool {
-	return t.revision > t.durable
-}
-
-// Written records that the store holds a revision of this process's record.
-func (t *Table) Written(revision int64) {
-	t.durable = max(t.durable, revision)
+// IsDurable reports whether the store holds the record that names a stream of this process.
+func (t *Table) IsDurable(id StreamID) bool {
+	s := t.streams[id]
+	return s.segment == nil || s.revision <= s.segment.durable
 }
 
 // Own returns the origin of a stream that this process has under way.
@@ -173,7 +197,7 @@
 	}
 	o = Origin{Service: service, Software: software}
 	for _, s := range t.streams {
-		if s.recorded && s.origin.Service == service && s.origin != o {
+		if s.segment != nil && s.origin.Service == service && s.origin != o {
 			return Origin{}, false
 		}
 	}
@@ -186,13 +210,17 @@
 }
 
 // Lookup returns the origin of a stream on a route to a service, from this process, the records of the others as listed
-// last, or the version at which unnamed streams began. It reports false if the origin is not known.
-func (t *Table) Lookup(id StreamID, service string, now time.Time) (o Origin, known bool) {
+// last, or the version at which unnamed streams began. It reports false if the origin is not known. Unlimited is set if the
+// caller states no time within which it takes the stream up: then a record may be missing because the stream began long ago.
+func (t *Table) Lookup(id StreamID, service string, unlimited bool, now time.Time) (o Origin, known bool) {
 	if o, known = t.Own(id); known {
 		return o, true
 	}
 	if s, recorded := t.stored[id]; recorded {
-		return s.origin, true
+		return s.origin, !unlimited || !s.outdated
+	}
+	if unlimited {
+		return Origin{}, false
 	}
 	software, known := t.unnamedOrigin(service, now)
 	return Origin{Service: service, Software: software}, known
--- a/pkg/affinity/baseline.go
+++ b/pkg/affinity/baseline.go
@@ -10,10 +10,10 @@
 	// only after it has read it again: another process may have changed it.
 	SuspendAfter = time.Minute
 	// ChangeAfter is the time without an endpoint of the baseline's version from which the baseline changes. No caller takes
-	// up a stream that began at it any more.
+	// up a stream that began at it any more, but for those that records name, see shouldName.
 	ChangeAfter = 5 * time.Minute
-	// LostRecordsPeriod is the time after a restore of the store within which a caller may take up a stream whose record was
-	// lost and, since its process has ended, not written again.
+	// LostRecordsPeriod is the least time for which lost records are allowed for after a restore of the store, see
+	// lostRecordsPeriod.
 	LostRecordsPeriod = 30 * time.Second
 	// registrationPeriod is the time after a restore of the store within which endpoints register again that its copy lacks.
 	registrationPeriod = 5 * time.Second
@@ -118,7 +118,7 @@
 		seen.seenAt[v] = now
 	}
 	for v, at := range seen.seenAt {
-		if now.Sub(at) > LostRecordsPeriod {
+		if now.Sub(at) > t.lostRecordsPeriod() {
 			delete(seen.seenAt, v)
 		}
 	}
@@ -133,11 +133,11 @@
 	}
 }
 
-// onlyVersion returns the version of a service beside which this process has seen no other for LostRecordsPeriod. There is none
+// onlyVersion returns the version of a service beside which this process has seen no other for lostRecordsPeriod. There is none
 // for a process that is out of step: other processes may have begun streams at a version that it does not know of.
 func (t *Table) onlyVersion(service string, now time.Time) (version string, only bool) {
 	seen := t.versions[service]
-	if seen == nil || len(seen.seenAt) != 1 || now.Sub(seen.since) < LostRecordsPeriod {
+	if seen == nil || len(seen.seenAt) != 1 || now.Sub(seen.since) < t.lostRecordsPeriod() {
 		return "", false
 	}
 	if now.Sub(seen.completeAt) > maxObservationGap || now.Sub(t.restoredAt) < registrationPeriod {
@@ -197,7 +197,7 @@
 		if sinceRead >= missingReadInterval {
 			return Read
 		}
-	case now.Sub(b.servedAt) >= ChangeAfter, b.Provisional && now.Sub(b.readAt) >= LostRecordsPeriod:
+	case now.Sub(b.servedAt) >= ChangeAfter, b.Provisional && now.Sub(b.readAt) >= t.lostRecordsPeriod():
 		if sinceRead >= changedReadInterval {
 			return Read
 		}
@@ -207,7 +207,7 @@
 
 // needsWrite reports whether there is no baseline, or another has to be written.
 func (t *Table) needsWrite(b *baselineState, now time.Time) bool {
-	return b == nil || now.Sub(b.servedAt) >= ChangeAfter || b.Provisional && now.Sub(b.readAt) >= LostRecordsPeriod
+	return b == nil || now.Sub(b.servedAt) >= ChangeAfter || b.Provisional && now.Sub(b.readAt) >= t.lostRecordsPeriod()
 }
 
 // Proposal returns the baseline to write for a service after the stored ones were read, or false if there is none to write.
--- a/pkg/affinity/outofstep_test.go
+++ b/pkg/affinity/outofstep_test.go
@@ -48,7 +48,7 @@
 			table := NewTable()
 			observe(table, start, settled, 0)
 			now := c.after(table)
-			if o, known := table.Lookup(id, "s", now); known != c.known {
+			if o, known := table.Lookup(id, "s", false, now); known != c.known {
 				t.Errorf("origin %+v, known %v, want %v", o, known, c.known)
 			}
 		})
--- a/pkg/affinity/property_test.go
+++ b/pkg/affinity/property_test.go
@@ -11,11 +11,11 @@
 )
 
 const (
-	// resumePeriod is the time for which a caller may take a stream up, and noticePeriod the time within which every process
-	// knows of a restore of the store.
-	resumePeriod = 15 * time.Second
+	// noticePeriod is the time within which every process knows of a restore of the store.
 	noticePeriod = 2 * time.Second
 	simService   = "s"
+	// simSegment is the number of streams in a full record.
+	simSegment = 4
 )
 
 // simStore is the store of a simulation.
@@ -34,7 +34,6 @@
 type simProcess struct {
 	table    *Table
 	name     string
-	writer   int
 	era      int64
 	lastRead time.Time
 }
@@ -43,7 +42,9 @@
 type simStream struct {
 	id     StreamID
 	origin Origin
-	began  time.Time
+	// expiresAt is the time until which its caller takes it up. It is a guess if unlimited is set: the caller comes later too.
+	expiresAt time.Time
+	unlimited bool
 	// by is the process that began it.
 	by *simProcess
 }
@@ -58,8 +59,11 @@
 	processes  []*simProcess
 	versions   []string
 	streams    []simStream
-	started    int
-	begun      int
+	// takeUps are the times for which callers take streams up. The longest is that of a stream on each process, since the callers
+	// of a service come to all of them.
+	takeUps []time.Duration
+	started int
+	begun   int
 	// late are writes without an answer that have not taken effect.
 	late []func()
 	// unnamed are the streams whose events were passed on before the store held their record, until it is written again.
@@ -70,6 +74,9 @@
 
 func newSimulation(t *rapid.T) *simulation {
 	s := &simulation{t: t, now: time.Unix(1000, 0), versions: []string{"v1"}, unnamed: map[StreamID]*simProcess{}}
+	s.takeUps = rapid.SampledFrom([][]time.Duration{
+		{15 * time.Second}, {5 * time.Second, 70 * time.Second}, {15 * time.Second, 20 * time.Minute},
+	}).Draw(t, "take-up times")
 	s.store = simStore{records: map[string]Record{}, baselines: map[string]Baseline{}}
 	s.copied = s.store.clone()
 	for range 3 {
@@ -81,7 +88,20 @@
 // start returns a new process.
 func (s *simulation) start() *simProcess {
 	s.started++
-	return &simProcess{table: NewTable(), name: fmt.Sprint("p", s.started), era: s.store.era}
+	p := &simProcess{table: NewTable(), name: fmt.Sprint("p", s.started), era: s.store.era}
+	p.table.segments.size = simSegment
+	s.begun++
+	first := Begun{ID: StreamID(s.begun), Origin: Origin{Service: "other"}, ExpiresAt: s.now.Add(slices.Max(s.takeUps))}
+	p.table.Begin(first, s.now)
+	s.writeAll(p)
+	return p
+}
+
+// writeAll writes all records of a process that the store lacks.
+func (s *simulation) writeAll(p *simProcess) {
+	for p.table.HasUnwritten() {
+		s.write(p, true)
+	}
 }
 
 // notice tells a process the era of the store.
@@ -91,27 +111,30 @@
 	}
 	p.era = s.store.era
 	p.table.StoreRestored(s.now)
-	s.write(p, true)
+	s.writeAll(p)
 }
 
-// write stores the record of a process. Without an answer it may take effect later, or never.
+// write stores the next record of a process. Without an answer it may take effect later, or never.
 func (s *simulation) write(p *simProcess, answered bool) {
-	record, revision := p.table.Record()
-	record.Writer = p.writer
-	key, era := fmt.Sprint(p.name, "/", p.writer), s.store.era
+	pending, unwritten := p.table.NextRecord()
+	if !unwritten {
+		return
+	}
+	record, key, era := pending.Record, fmt.Sprint(p.name, "/", pending.Key), s.store.era
+	record.UnixMs, record.Process = s.now.UnixMilli(), p.name
 	apply := func() {
 		if era == s.store.era {
 			s.store.records[key] = record
 		}
 	}
 	if !answered {
-		p.writer++
+		p.table.WriteFailed(pending)
 		s.late = append(s.late, apply)
 		return
 	}
 	apply()
-	p.table.Written(revision)
-	maps.DeleteFunc(s.unnamed, func(_ StreamID, by *simProcess) bool { return by == p })
+	p.table.Written(pending)
+	maps.DeleteFunc(s.unnamed, func(id StreamID, by *simProcess) bool { return by == p && p.table.IsDurable(id) })
 	s.notice(p)
 }
 
@@ -122,7 +145,7 @@
 	for _, key := range slices.Sorted(maps.Keys(s.store.records)) {
 		records = append(records, s.store.records[key])
 	}
-	if err := p.table.SetStored(records); err != nil {
+	if err := p.table.SetStored(records, s.now); err != nil {
 		s.t.Fatal(err)
 	}
 	for service, b := range s.store.baselines {
@@ -140,9 +163,7 @@
 		if s.now.Sub(s.restoredAt) > noticePeriod {
 			s.notice(p)
 		}
-		if p.table.HasUnwritten() {
-			s.write(p, true)
-		}
+		s.writeAll(p)
 		p.table.Observe(simService, s.versions, s.now, s.now)
 		step := p.table.Next(simService, i == 0, p.lastRead, s.now)
 		if step == Keep {
@@ -172,42 +193,49 @@
 // begin begins a stream on a process. An event is passed on once the record that it needs is stored.
 func (s *simulation) begin(p *simProcess, answered bool) {
 	s.begun++
-	id := StreamID(s.begun)
-	o := Origin{Service: simService, Software: rapid.SampledFrom(s.versions).Draw(s.t, "version")}
+	b := Begun{ID: StreamID(s.begun), Unlimited: rapid.IntRange(0, 9).Draw(s.t, "unlimited") == 0}
+	b.ExpiresAt = s.now.Add(rapid.SampledFrom(s.takeUps).Draw(s.t, "take-up time"))
+	if b.Unlimited {
+		b.ExpiresAt = s.now.Add(UnlimitedTakeUp)
+	}
 	if rapid.Bool().Draw(s.t, "second attempt") {
 		// The first attempt, at another endpoint, brought no event.
-		other := Origin{Service: simService, Software: rapid.SampledFrom(s.versions).Draw(s.t, "first version")}
-		if revision, _ := p.table.Begin(id, other, false, s.now.Add(resumePeriod)); revision > 0 {
-			s.write(p, rapid.Bool().Draw(s.t, "first answered"))
-		}
+		b.Origin = Origin{Service: simService, Software: rapid.SampledFrom(s.versions).Draw(s.t, "first version")}
+		p.table.Begin(b, s.now)
+		s.write(p, rapid.Bool().Draw(s.t, "first answered"))
 	}
-	if revision, needed := p.table.Begin(id, o, false, s.now.Add(resumePeriod)); revision > 0 {
-		s.write(p, answered)
-		if !answered && needed {
+	b.Origin = Origin{Service: simService, Software: rapid.SampledFrom(s.versions).Draw(s.t, "version")}
+	_, needed := p.table.Begin(b, s.now)
+	s.write(p, answered)
+	if !p.table.IsDurable(b.ID) {
+		if needed {
 			return
 		}
-		if !answered {
-			// Its events are passed on without the record, which is written again.
-			s.unnamed[id] = p
-		}
+		// Its events are passed on without the record, which is written again.
+		s.unnamed[b.ID] = p
 	}
-	s.streams = append(s.streams, simStream{id: id, origin: o, began: s.now, by: p})
+	s.streams = append(s.streams, simStream{id: b.ID, origin: b.Origin, expiresAt: b.ExpiresAt, unlimited: b.Unlimited, by: p})
 }
 
 // resume takes a stream up at a process.
 func (s *simulation) resume(p *simProcess, stream simStream) {
-	if s.now.Sub(stream.began) > resumePeriod {
+	expired := s.now.After(stream.expiresAt)
+	if expired && !stream.unlimited {
 		return
 	}
 	if _, own := p.table.Own(stream.id); !own {
 		s.list(p)
 	}
-	o, known := p.table.Lookup(stream.id, simService, s.now)
+	o, known := p.table.Lookup(stream.id, simService, stream.unlimited, s.now)
 	s.resumed++
 	if !known {
+		_, unnamed := s.unnamed[stream.id]
+		if expired || unnamed && stream.unlimited {
+			return
+		}
 		s.unknown++
 		runs := slices.Contains(s.processes, stream.by) && stream.by.era == s.store.era
-		if _, unnamed := s.unnamed[stream.id]; runs && !unnamed {
+		if runs && !unnamed {
 			s.t.Fatalf("the origin %v is not known although the process that began the stream runs and knows of the restore", stream.origin)
 		}
 		return
@@ -215,7 +243,7 @@
 	if o != stream.origin {
 		s.t.Fatalf("the stream began at %v and would go on at %v", stream.origin, o)
 	}
-	p.table.Begin(stream.id, o, false, stream.began.Add(resumePeriod))
+	p.table.Begin(Begun{ID: stream.id, Origin: o, ExpiresAt: stream.expiresAt, Unlimited: stream.unlimited}, s.now)
 }
 
 // step takes one random step.
@@ -234,7 +262,7 @@
 	case 5:
 		s.processes[i] = s.start()
 	case 6:
-		s.advance(rapid.SampledFrom([]int{1, 5, 40, 400}).Draw(s.t, "seconds"))
+		s.advance(rapid.SampledFrom([]int{1, 5, 12, 40, 400, 700}).Draw(s.t, "seconds"))
 	case 7:
 		s.versions = append(s.versions, fmt.Sprint("v", s.begun, "-", len(s.versions)))
 		s.advance(1)
--- a/pkg/gateway/era.go
+++ b/pkg/gateway/era.go
@@ -65,7 +65,7 @@
 	g.requestRewrites(now)
 	g.rewriteRolloutStatuses(now)
 	g.origins.StoreRestored(now)
-	signal(g.originRequests)
+	g.requestOriginWrite()
 	signal(g.rewriteRequests)
 	g.requestDigest()
 }
--- a/pkg/gateway/eventstream.go
+++ b/pkg/gateway/eventstream.go
@@ -116,7 +116,6 @@
 	} else {
 		r.exchange.Finish()
 	}
-	g.endOrigin(r)
 	g.recordAnswered(r, fasthttp.StatusOK)
 	return attemptResult{outcome: place.Answered, callerAnswered: true}
 }
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -40,8 +40,8 @@
 	sentAt time.Time
 	// firstTokenAt is when the first byte of the answer or the first event was complete, or zero.
 	firstTokenAt time.Time
-	// originRevision is the revision of the stream origins that must be in the store before an event is passed on, or zero.
-	originRevision int64
+	// originWaits is set while the first event of the stream waits for the record of its origin.
+	originWaits bool
 	// originNeeded is set if no event may be passed on without that record.
 	originNeeded bool
 	// slots is the number of requests that the endpoint runs at the same time.
--- a/pkg/gateway/origin.go
+++ b/pkg/gateway/origin.go
@@ -18,8 +18,6 @@
 const (
 	// originExpiryMargin is added to the time for which a caller may take a stream up again.
 	originExpiryMargin = 2 * time.Second
-	// unlimitedOriginExpiry is that time for callers that set no deadline.
-	unlimitedOriginExpiry = 10 * time.Minute
 	// maxOriginWait is the time for which the first event of a stream waits for the record of its origin before another
 	// endpoint may take the stream over.
 	maxOriginWait = time.Second
@@ -88,19 +86,17 @@
 	if !r.isResumable() {
 		return
 	}
-	expiresAt := r.arrived.Add(unlimitedOriginExpiry)
-	if r.call.Timeout > 0 {
-		expiresAt = r.arrived.Add(r.call.Timeout + originExpiryMargin)
-	}
+	begun := affinity.Begun{ID: affinity.IDOf(r.streamAttempt()), Origin: *originOf(t), Unlimited: r.call.Timeout <= 0}
 	// On a route to several services, the one that began a stream cannot be inferred.
-	always := len(r.route.Targets) > 1
-	revision, needed := g.origins.Begin(affinity.IDOf(r.streamAttempt()), *originOf(t), always, expiresAt)
-	if revision == 0 {
-		return
+	begun.Always = len(r.route.Targets) > 1
+	begun.ExpiresAt = r.arrived.Add(r.call.Timeout + originExpiryMargin)
+	if begun.Unlimited {
+		begun.ExpiresAt = r.arrived.Add(affinity.UnlimitedTakeUp)
 	}
-	signal(g.originRequests)
+	waits, needed := g.origins.Begin(begun, g.now())
+	g.requestOriginWrite()
 	if r.origin == nil && !g.beginsUntracked(t.service.Name) {
-		t.originRevision, t.originNeeded = revision, needed
+		t.originWaits, t.originNeeded = waits, needed
 	}
 }
 
@@ -108,10 +104,10 @@
 // can do without. It fails at the end of the context, or from maxOriginWait on once another endpoint takes the stream over
 // without a record.
 func (g *Gateway) awaitOriginRecord(ctx context.Context, r *request, t *target) error {
-	if t.originRevision == 0 {
+	if !t.originWaits {
 		return nil
 	}
-	wait := maxOriginWait
+	id, wait := affinity.IDOf(r.streamAttempt()), maxOriginWait
 	if !t.originNeeded {
 		wait = maxNamingWait
 	}
@@ -119,11 +115,11 @@
 	defer check.Stop()
 	for {
 		g.mu.Lock()
-		durable, written := g.origins.IsDurable(t.originRevision), g.originSync.written
+		durable, written := g.origins.IsDurable(id), g.originSync.written
 		doesWithout := !t.originNeeded && !g.canRecordOrigins()
 		g.mu.Unlock()
 		if durable || doesWithout {
-			t.originRevision = 0
+			t.originWaits = false
 			return nil
 		}
 		select {
@@ -133,7 +129,7 @@
 		case <-written:
 		case <-check.C:
 			if !t.originNeeded {
-				t.originRevision = 0
+				t.originWaits = false
 				return nil
 			}
 			if g.mayBeginUnrecorded(r, t) {
@@ -154,16 +150,6 @@
 	return !records && r.mayRunAgain() && g.reserveSuccessor(r, t, progressOf(r), 1, 1, steady.Now()) == ""
 }
 
-// endOrigin records that a stream was passed on to its end.
-func (g *Gateway) endOrigin(r *request) {
-	if !r.isResumable() {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.origins.End(affinity.IDOf(r.streamAttempt()), g.now())
-}
-
 // lookUpOrigin finds out where a stream began that the caller takes up again. It returns a refusal if that is not known,
 // since what two versions write must not be joined.
 func (g *Gateway) lookUpOrigin(r *request) *refusal.Error {
@@ -248,7 +234,7 @@
 	if r.call.Resumes == "" {
 		o, known = g.origins.LookupAny(services[0], now)
 	} else {
-		o, known = g.origins.Lookup(id, services[0], now)
+		o, known = g.origins.Lookup(id, services[0], r.call.Timeout <= 0, now)
 	}
 	return o, known && (len(services) == 1 || g.origins.IsNamed(id))
 }
--- a/pkg/gateway/originsync.go
+++ b/pkg/gateway/originsync.go
@@ -19,14 +19,13 @@
 	originWriteInterval = 50 * time.Millisecond
 	// originRetryDelay is the pause after a failed write.
 	originRetryDelay = 150 * time.Millisecond
-	// originRecordTTL is the age from which the record of an ended process is removed by a VM that starts.
+	// originRecordTTL is the age, after the last caller of its streams has left, from which a record is removed by a VM that
+	// starts.
 	originRecordTTL = time.Hour
 )
 
 // originSync is the state of the writes and reads of stream origins.
 type originSync struct {
-	// writer counts the keys under which this process has written, see affinity.Record.
-	writer int
 	// failing is set while the last write has failed.
 	failing bool
 	// unreadable is set while neither the store nor a peer tells the baselines. Then no VM can look a stream up, so new ones
@@ -68,7 +67,6 @@
 		delay := originWriteInterval
 		if !g.writeOrigins() {
 			delay = g.jitter(originRetryDelay)
-			signal(g.originRequests)
 		}
 		if !g.sleep(delay) {
 			return
@@ -76,52 +74,59 @@
 	}
 }
 
-// writeOrigins writes the streams of this process, if the store lacks any. It reports whether the store holds them all.
+// writeOrigins writes the next record of streams of this process that the store lacks, and has the one after it written. It
+// reports whether that succeeded.
 func (g *Gateway) writeOrigins() bool {
 	g.mu.Lock()
-	unwritten := g.origins.HasUnwritten()
-	record, revision := g.origins.Record()
-	record.UnixMs, record.Writer = g.timeOfDay().UnixMilli(), g.originSync.writer
+	pending, unwritten := g.origins.NextRecord()
+	pending.Record.UnixMs = g.timeOfDay().UnixMilli()
 	g.mu.Unlock()
 	if !unwritten {
 		return true
 	}
-	value, err := json.Marshal(record)
+	value, err := json.Marshal(pending.Record)
 	if err != nil {
 		// The type has no field that JSON cannot encode.
 		panic(err)
 	}
-	key := fmt.Sprintf("%s/%d", g.ownOriginKeys(), record.Writer)
+	key := fmt.Sprintf("%s%d", g.ownOriginKeys(), pending.Key)
 	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
 	defer cancel()
 	_, err = g.platform.Store.Append(ctx, StreamOriginStream, key, value)
-	g.recordOriginWrite(revision, err)
+	g.recordOriginWrite(pending, err)
 	return err == nil
 }
 
 // recordOriginWrite records the result of a write and wakes the streams that wait for it.
-func (g *Gateway) recordOriginWrite(revision int64, err error) {
+func (g *Gateway) recordOriginWrite(pending affinity.Pending, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	sync := &g.originSync
 	if err != nil {
 		if !sync.failing {
-			g.log.warn(partStore).Int64("revision", revision).Err(err).Msg("stream origins not recorded")
+			g.log.warn(partStore).Int("key", pending.Key).Err(err).Msg("stream origins not recorded")
 		}
-		// The write may take effect after later ones.
-		sync.writer++
+		g.origins.WriteFailed(pending)
 	} else {
 		g.metrics.count("stream_origin_writes_total")
-		g.origins.Written(revision)
+		g.origins.Written(pending)
 	}
 	sync.failing = err != nil
 	close(sync.written)
 	sync.written = make(chan struct{})
+	g.requestOriginWrite()
+}
+
+// requestOriginWrite has the streams of this process written if the store lacks any. The caller holds the lock.
+func (g *Gateway) requestOriginWrite() {
+	if g.origins.HasUnwritten() {
+		signal(g.originRequests)
+	}
 }
 
 // ownOriginKeys returns the prefix of the keys under which this process records its streams.
 func (g *Gateway) ownOriginKeys() string {
-	return fmt.Sprintf("%s%s/%x", originKeyPrefix, g.settings.VM, g.boot)
+	return fmt.Sprintf("%s%s/%x/", originKeyPrefix, g.settings.VM, g.boot)
 }
 
 // refreshOrigins lists the stream origins, unless that was done after the given time.
@@ -173,13 +178,14 @@
 			g.log.warn(partStore).Str("key", r.Key).Err(err).Msg("stream origins are unreadable")
 			continue
 		}
+		decoded.Process = r.Key[:strings.LastIndex(r.Key, "/")+1]
 		stored = append(stored, decoded)
-		if g.timeOfDay().Sub(time.UnixMilli(decoded.UnixMs)) > originRecordTTL {
+		if decoded.Age(g.timeOfDay()) > originRecordTTL {
 			oldKeys = append(oldKeys, r.Key)
 		}
 	}
 	g.originSync.oldKeys = oldKeys
-	if err := g.origins.SetStored(stored); err != nil {
+	if err := g.origins.SetStored(stored, g.timeOfDay()); err != nil {
 		g.log.warn(partStore).Err(err).Msg("stream origins are unreadable")
 	}
 }
