Keep every crash that counts in the store, from the first one on

Cause: crashes were stored from the third one on. What came before was in the memory of the VMs only, so a kill of all of them set the count back to zero.

The same class: suspects were forgotten after 10 min, refused requests after an hour; both last an hour now. A VM whose registration had no answer did not read what is stored.

--- a/pkg/crashguard/tally.go
+++ b/pkg/crashguard/tally.go
@@ -13,9 +13,10 @@
 const (
 	// endpointsToRefuse is the number of endpoints that a request may crash before every VM refuses it.
 	endpointsToRefuse = 3
-	// suspectRetention is how long a request with fewer crashes is kept after its last crash.
-	suspectRetention = 10 * time.Minute
-	// refusedRetention is how long a refused request is kept after its last refusal.
+	// clearedRetention is how long a request is kept whose crashes were all cleared, so that a VM which has not heard of that
+	// cannot bring them back.
+	clearedRetention = 10 * time.Minute
+	// refusedRetention is how long any other request is kept after its last crash or refusal.
 	refusedRetention = time.Hour
 	// expireInterval is the minimum time between two searches for expired requests.
 	expireInterval = time.Second
@@ -291,6 +292,16 @@
 	return r.countedCrashes()
 }
 
+// Counts reports whether the end of an endpoint counts against a request.
+func (t *Tally) Counts(fingerprint uint64, endpoint string) bool {
+	r := t.requests[fingerprint]
+	if r == nil {
+		return false
+	}
+	cleared, known := r.cleared[endpoint]
+	return known && !cleared
+}
+
 // Size returns the number of requests held and the number evicted so far.
 func (t *Tally) Size() (requests, evicted int) {
 	return len(t.requests), t.evicted
@@ -376,9 +387,9 @@
 	}
 	t.lastExpiry = now
 	for fingerprint, r := range t.requests {
-		retention := suspectRetention
-		if r.hasTooMany() {
-			retention = refusedRetention
+		retention := refusedRetention
+		if r.countedCrashes() == 0 {
+			retention = clearedRetention
 		}
 		if now.Sub(r.usedAt) > retention {
 			t.remove(fingerprint)
--- a/pkg/gateway/broadcast.go
+++ b/pkg/gateway/broadcast.go
@@ -55,6 +55,7 @@
 	out := g.heartbeatBatches(g.nextDigestSequence(), now)
 	crashPeer := g.peerToAskForCrashes(now).id()
 	refusals := g.refusalsToWrite(now)
+	evidence, evidenceDue := g.evidenceToWrite(now)
 	announcements := g.announcementsToStore(now)
 	g.mu.Unlock()
 	g.sendBatches(out)
@@ -64,6 +65,9 @@
 	if len(refusals) > 0 {
 		go g.writeCrashRefusals(refusals)
 	}
+	if evidenceDue {
+		go g.writeEvidence(evidence)
+	}
 	for _, w := range announcements {
 		go g.storeAnnouncements(w)
 	}
--- a/pkg/gateway/crash_simulation_test.go
+++ b/pkg/gateway/crash_simulation_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/bits"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -84,8 +85,12 @@
 	sound     soundCount
 	// waiting are the requests that wait for a turn, in the order of their arrival.
 	waiting []*simRequest
-	// stored are the refusals that are kept in the platform's store.
+	// stored are the refusals and crashes that are kept in the platform's store.
 	stored map[string][]byte
+	// storeAway is set while the store answers nothing.
+	storeAway bool
+	// evidenceWrites counts the writes of crashes.
+	evidenceWrites int
 }
 
 // simulateCrashes starts VMs and engines, which serve sound requests for a while.
@@ -103,6 +108,9 @@
 		simulation: simulateRepetition(t, vms, repetition), soundRate: max(24, float64(vms)*3), rareSubjects: 40 + 4*vms,
 		crashes: map[uint64][]time.Time{}, sends: map[uint64][]time.Time{}, stored: map[string][]byte{}, startedAt: map[*simVM]time.Time{},
 	}
+	for _, vm := range s.vms {
+		vm.gateway.evidence.Loaded()
+	}
 	for i := range max(9, vms*7/10) {
 		s.engines = append(s.engines, &simEngine{endpoint: &fleet.Endpoint{ID: fmt.Sprint("e", i), StartTimeMs: 1}})
 	}
@@ -134,17 +142,30 @@
 	}
 }
 
-// keepRefusals writes the refusals that are due to the store.
+// keepRefusals writes the refusals and crashes that are due to the store, which answers unless it is away.
 func (s *crashSimulation) keepRefusals() {
+	if s.storeAway {
+		return
+	}
 	for _, vm := range s.vms {
 		if vm.down {
 			continue
 		}
+		vm.gateway.streams[OperatorStream].answeredAt = s.now
 		for _, change := range vm.gateway.refusalsToWrite(s.now) {
 			s.stored[crashRefusalPrefix+formatFingerprint(change.fingerprint)] = change.value
 			vm.gateway.recordRefusalWrite(change, nil)
 		}
 		vm.gateway.crashSync.saving = false
+		if w, due := vm.gateway.evidenceToWrite(s.now); due {
+			s.evidenceWrites++
+			s.stored[crashEvidencePrefix+vm.gateway.settings.VM] = w.Value
+			for _, left := range w.Removals {
+				s.evidenceWrites++
+				delete(s.stored, crashEvidencePrefix+left)
+			}
+			vm.gateway.recordEvidenceWrite(w, true)
+		}
 	}
 }
 
@@ -288,6 +309,11 @@
 // crash ends an engine under a request.
 func (s *crashSimulation) crash(e *simEngine, cause *simRequest) {
 	s.crashes[cause.guilty] = append(s.crashes[cause.guilty], s.now)
+	s.endEngine(e)
+}
+
+// endEngine ends an engine with the requests that it runs.
+func (s *crashSimulation) endEngine(e *simEngine) {
 	for _, x := range e.running {
 		if x.guilty == 0 {
 			x.count.broken++
@@ -316,10 +342,15 @@
 		vm.gateway.addVM(name, *known, s.now)
 	}
 	for key, value := range sorted(s.stored) {
-		if len(value) > 0 {
+		switch {
+		case len(value) == 0:
+		case strings.HasPrefix(key, crashEvidencePrefix):
+			vm.gateway.restoreEvidence(Record{Key: key, Value: value})
+		default:
 			vm.gateway.restoreCrashRefusal(Record{Key: key, Value: value})
 		}
 	}
+	vm.gateway.evidence.Loaded()
 	for _, e := range s.engines {
 		for _, x := range e.running {
 			if x.vm == vm {
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -176,6 +176,7 @@
 	g.log.info(partCrash).Str("fingerprint", formatFingerprint(fingerprint)).Int("endpoints", len(cleared)).
 		Msg("crashes cleared by a clean run")
 	for _, c := range cleared {
+		g.evidence.Remove(c.Fingerprint, c.Endpoint, now)
 		g.reportCrash(c, now)
 	}
 	g.scheduleChangedParts(fingerprint, now)
@@ -201,6 +202,11 @@
 		g.log.warn(partCrash).Int("dropped", evicted).Int("requests", requests).
 			Msg("tally of crashes is full, least dangerous requests dropped")
 	}
+	if c.Cleared {
+		g.evidence.Remove(c.Fingerprint, c.Endpoint, now)
+	} else {
+		g.evidence.Add(c, seenBy == g.settings.VM, now)
+	}
 	g.metrics.count("crashes_counted_total")
 	g.log.info(partCrash).Str("fingerprint", formatFingerprint(c.Fingerprint)).Str("endpoint", c.Endpoint).
 		Bool("cleared", c.Cleared).Str("seen_by", seenBy).Int("endpoints", g.crashes.CrashCount(c.Fingerprint)).
--- a/pkg/gateway/crashparts.go
+++ b/pkg/gateway/crashparts.go
@@ -183,6 +183,11 @@
 		refused := g.crashes.IsRefused(part)
 		g.log.info(partCrash).Str("fingerprint", formatFingerprint(part)).Bool("refused", refused).
 			Int("endpoints", g.crashes.CrashCount(part)).Msg("refusal of a part changed")
+		for _, c := range g.crashes.CrashesOf(part) {
+			if !c.Cleared {
+				g.evidence.Add(c, false, now)
+			}
+		}
 		if part == own || g.crashSync.savedRefusals[part] {
 			g.scheduleRefusalWrite(part)
 			continue
--- a/pkg/gateway/crashrefusals.go
+++ b/pkg/gateway/crashrefusals.go
@@ -118,7 +118,10 @@
 	if !g.sharesEra(d) {
 		return
 	}
+	now := g.now()
 	for _, r := range d.GetSavedRefusals() {
+		// The IDs of stored crashes are reported beside the fingerprints of refused requests.
+		g.evidence.Reported(r.GetFingerprint(), now)
 		g.recordSavedRefusal(r.GetFingerprint(), r.GetRefused())
 	}
 }
--- a/pkg/gateway/discovery.go
+++ b/pkg/gateway/discovery.go
@@ -81,10 +81,20 @@
 	return true
 }
 
-// tryRegister writes this VM's registration and applies all records of VMStream. It reports whether both succeeded.
+// tryRegister writes this VM's registration and, unless that was done, applies all records of VMStream. It reports whether both
+// succeeded. What the store holds of crashes and refused requests is needed although the store loses the answers of writes.
 func (g *Gateway) tryRegister() bool {
-	if !g.writeRegistration() {
-		return false
+	registered := g.writeRegistration()
+	return g.readVMRecords() && registered
+}
+
+// readVMRecords applies all records of VMStream, unless that was done. It reports whether they are applied.
+func (g *Gateway) readVMRecords() bool {
+	g.mu.Lock()
+	read := g.registrationsRead
+	g.mu.Unlock()
+	if read {
+		return true
 	}
 	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
 	defer cancel()
@@ -106,6 +116,10 @@
 			}
 			continue
 		}
+		if strings.HasPrefix(r.Key, crashEvidencePrefix) {
+			g.restoreEvidence(r)
+			continue
+		}
 		var vm vmRecord
 		if err := json.Unmarshal(r.Value, &vm); err != nil {
 			g.log.warn(partPeer).Str("key", r.Key).Err(err).Msg("registration is unreadable")
@@ -114,6 +128,7 @@
 		g.addRegisteredVM(r.Key, vm)
 	}
 	g.registrationsRead = true
+	g.evidence.Loaded()
 	g.requestDigest()
 	return true
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -139,6 +139,8 @@
 	// number boot: with the same beginning on all VMs, their first crashes would all accuse the same parts.
 	accusationTurn uint64
 	crashSync      crashSync
+	// evidence holds which crashes are kept in the store.
+	evidence *crashguard.Evidence
 	// endedSeen are the starts of endpoints that this VM saw to have ended lately, to be sent in its digests.
 	endedSeen []fleet.EndedStart
 	// cutServices are the services that this VM lost as a whole.
@@ -274,6 +276,7 @@
 		accusationTurn:     boot,
 		partTraffic:        partTraffic{withPart: map[uint64]int{}},
 		crashSync:          newCrashSync(),
+		evidence:           crashguard.NewEvidence(),
 		cutServices:        map[string]bool{},
 		limits:             endpointlimit.New(s.VM),
 		brittle:            brittle.New(s.VM),
--- a/pkg/gateway/rewrite.go
+++ b/pkg/gateway/rewrite.go
@@ -42,6 +42,7 @@
 		}
 	}
 	clear(g.crashSync.savedRefusals)
+	g.evidence.StoreRestored(now)
 	for _, crash := range g.crashes.TopCrashes(maxRequestsPerReply) {
 		g.awaitRefusalWrite(crash.Fingerprint, now)
 	}
