Let ended starts count until a list could show the next one

Cause: the time within which the new record is read was counted from the end of the process, also while nothing can be read.

Fix: an end counts until the list of endpoints was complete for 5 s in a row, and is reported to peers until then.

--- a/pkg/fleet/table.go
+++ b/pkg/fleet/table.go
@@ -108,6 +108,9 @@
 	byService   map[string][]*Endpoint
 	// ended are the newest starts, by ID, whose processes have ended.
 	ended map[string]EndedStart
+	// completeAt is the last time at which the list was known to be complete, and completeSince the first one after an outage of
+	// the store.
+	completeAt, completeSince time.Time
 }
 
 // NewTable returns an empty table.
@@ -238,7 +241,7 @@
 // Expire carries out removals that waited for the end of the grace, and drops old entries and departures. It returns
 // the IDs of the endpoints that left, sorted.
 func (t *Table) Expire(now time.Time) []string {
-	t.expireEnded(now)
+	t.expireEnded()
 	var due, gone []string
 	for id, e := range t.entries {
 		switch {
--- a/pkg/gateway/digest.go
+++ b/pkg/gateway/digest.go
@@ -39,6 +39,7 @@
 func (g *Gateway) expireState(now time.Time) {
 	g.countFormerVMs(now)
 	g.limiter.UpdateSilence(now)
+	g.endpoints.ListComplete(now.Add(-g.streams[EndpointStream].verifiedAge(now)))
 	for _, id := range g.endpoints.Expire(now) {
 		g.announceDeparture(id, "not registered again after the store's return", logpos.Position{Era: g.storeEra})
 	}
--- a/pkg/gateway/endedstarts.go
+++ b/pkg/gateway/endedstarts.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/corneldeal/corneldeal/pkg/fleet"
@@ -13,8 +14,8 @@
 // VM nor for others: that process has ended for good. Until a newer record arrives, no stream begins or goes on there that
 // must stay at one software version.
 
-// endedReportPeriod is the time for which an ended start is sent to peers.
-const endedReportPeriod = 3 * time.Second
+// maxEndedReports limits the ended starts in one digest.
+const maxEndedReports = 64
 
 // mayHaveEnded reports whether the failure of an attempt may mean that the endpoint's process has ended.
 func mayHaveEnded(res attemptResult) bool {
@@ -38,7 +39,7 @@
 // markEnded records that the process of an endpoint has ended. It reports whether that was not known and concerns the
 // registered start. The caller holds the lock.
 func (g *Gateway) markEnded(s fleet.EndedStart, seenBy string, now time.Time) bool {
-	if !g.endpoints.MarkEnded(s, now) {
+	if !g.endpoints.MarkEnded(s) {
 		return false
 	}
 	g.metrics.count("endpoints_ended_total")
@@ -47,19 +48,14 @@
 	return true
 }
 
-// endedReports returns the ended starts for the next digest. The caller holds the lock.
+// endedReports returns the ended starts for the next digest: those that this VM saw, for as long as they count, so that a VM that
+// starts or was cut off hears of them too. The caller holds the lock.
 func (g *Gateway) endedReports(now time.Time) []*gossip.EndedStart {
-	kept := g.endedSeen[:0]
+	g.endedSeen = slices.DeleteFunc(g.endedSeen, func(s fleet.EndedStart) bool { return !g.endpoints.StillCounts(s) })
 	var out []*gossip.EndedStart
-	for _, s := range g.endedSeen {
-		age := now.Sub(s.At)
-		if age >= endedReportPeriod {
-			continue
-		}
-		kept = append(kept, s)
-		out = append(out, &gossip.EndedStart{Endpoint: s.ID, Born: s.StartTimeMs, AgeMs: age.Milliseconds()})
+	for _, s := range g.endedSeen[max(len(g.endedSeen)-maxEndedReports, 0):] {
+		out = append(out, &gossip.EndedStart{Endpoint: s.ID, Born: s.StartTimeMs, AgeMs: now.Sub(s.At).Milliseconds()})
 	}
-	g.endedSeen = kept
 	return out
 }
 
@@ -72,14 +68,14 @@
 }
 
 // withoutEnded returns the endpoints whose processes are not known to have ended. The caller holds the lock.
-func (g *Gateway) withoutEnded(endpoints []*fleet.Endpoint, now time.Time) []*fleet.Endpoint {
+func (g *Gateway) withoutEnded(endpoints []*fleet.Endpoint) []*fleet.Endpoint {
 	for i, e := range endpoints {
-		if !g.endpoints.HasEnded(e, now) {
+		if !g.endpoints.HasEnded(e) {
 			continue
 		}
 		out := append([]*fleet.Endpoint(nil), endpoints[:i]...)
 		for _, other := range endpoints[i+1:] {
-			if !g.endpoints.HasEnded(other, now) {
+			if !g.endpoints.HasEnded(other) {
 				out = append(out, other)
 			}
 		}
--- a/pkg/gateway/forwarded.go
+++ b/pkg/gateway/forwarded.go
@@ -103,7 +103,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e := g.endpoints.Get(r.Endpoint)
-	if e == nil || e.StartTimeMs != r.StartTimeMs || g.endpoints.HasEnded(e, now) || g.placer.WaitsUntil(e).After(now) {
+	if e == nil || e.StartTimeMs != r.StartTimeMs || g.endpoints.HasEnded(e) || g.placer.WaitsUntil(e).After(now) {
 		return nil, peerforward.Refusal{Reason: reach.PeerLacksEndpoint}
 	}
 	if g.forbidsForwarded(r, e.Service) {
@@ -191,7 +191,7 @@
 	if e == nil || e.StartTimeMs != req.GetBorn() {
 		return nil, nil, false
 	}
-	ended = g.endpoints.HasEnded(e, g.now())
+	ended = g.endpoints.HasEnded(e)
 	usable := g.endpoints.Usable(e.Service)
 	first := g.random.IntN(len(usable))
 	for i := range usable {
--- a/pkg/gateway/origin.go
+++ b/pkg/gateway/origin.go
@@ -65,7 +65,7 @@
 // for a new stream while origins cannot be recorded, those whose streams need no record. The caller holds the lock.
 func (g *Gateway) originCandidates(r *request, endpoints []*fleet.Endpoint) []*fleet.Endpoint {
 	if r.isResumable() {
-		endpoints = g.withoutEnded(endpoints, g.now())
+		endpoints = g.withoutEnded(endpoints)
 	}
 	if r.origin == nil && (!r.isResumable() || g.canRecordOrigins()) {
 		return endpoints
