Move the records of refused requests into pkg/crashguard

Which record is due, which VM writes it and what it holds is decided without I/O, beside the crashes that are kept; pkg/gateway only calls the store.

--- a/pkg/gateway/broadcast.go
+++ b/pkg/gateway/broadcast.go
@@ -54,7 +54,7 @@
 	g.expireState(now)
 	out := g.heartbeatBatches(g.nextDigestSequence(), now)
 	crashPeer := g.peerToAskForCrashes(now).id()
-	refusals := g.refusalsToWrite(now)
+	refusals := g.refusals.Begin(g.timeOfDay(), now)
 	evidence, evidenceDue := g.evidenceToWrite(now)
 	announcements := g.announcementsToStore(now)
 	g.mu.Unlock()
--- a/pkg/gateway/crash_simulation_test.go
+++ b/pkg/gateway/crash_simulation_test.go
@@ -152,11 +152,11 @@
 			continue
 		}
 		vm.gateway.streams[OperatorStream].answeredAt = s.now
-		for _, change := range vm.gateway.refusalsToWrite(s.now) {
-			s.stored[crashRefusalPrefix+formatFingerprint(change.fingerprint)] = change.value
+		for _, change := range vm.gateway.refusals.Begin(vm.gateway.timeOfDay(), s.now) {
+			s.stored[crashRefusalPrefix+formatFingerprint(change.Fingerprint)] = change.Value
 			vm.gateway.recordRefusalWrite(change, nil)
 		}
-		vm.gateway.crashSync.saving = false
+		vm.gateway.refusals.End()
 		if w, due := vm.gateway.evidenceToWrite(s.now); due {
 			s.evidenceWrites++
 			s.stored[crashEvidencePrefix+vm.gateway.settings.VM] = w.Value
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -41,36 +41,13 @@
 	reports int
 }
 
-// crashSync is the state of the exchange of crashes with peers and of the writes of refused requests to the store.
+// crashSync is the state of the exchange of crashes with peers.
 type crashSync struct {
 	// recent are oldest first.
 	recent []*recentCrash
 	// sourcePeer is a peer that may hold crashes which this VM lacks, or empty.
 	sourcePeer string
 	askedAt    time.Time
-	// savedRefusals are the refused requests that are stored in the platform's store; unsavedRefusals are those to write
-	// or remove there.
-	savedRefusals, unsavedRefusals map[uint64]bool
-	// awaitedRefusals are the records that another VM is to write, and since when they are undone. written are those that
-	// this VM wrote lately.
-	awaitedRefusals map[uint64]time.Time
-	written         []writtenRefusal
-	// saving is set while this VM writes them. The last write began at savingSince.
-	saving      bool
-	savingSince time.Time
-}
-
-// writtenRefusal is a record of a refused request that this VM wrote to the store.
-type writtenRefusal struct {
-	fingerprint uint64
-	refused     bool
-	at          time.Time
-}
-
-func newCrashSync() crashSync {
-	return crashSync{
-		savedRefusals: map[uint64]bool{}, unsavedRefusals: map[uint64]bool{}, awaitedRefusals: map[uint64]time.Time{},
-	}
 }
 
 // formatFingerprint returns a fingerprint in hexadecimal, as in logs and store keys.
@@ -154,14 +131,12 @@
 	}
 	g.reportCrash(c, now)
 	if !crashguard.IsPart(c.Fingerprint) {
-		g.scheduleRefusalWrite(c.Fingerprint)
+		g.refusals.Schedule(c.Fingerprint)
 		return
 	}
 	g.scheduleChangedParts(c.Fingerprint, now)
-	if g.crashes.IsStored(c.Fingerprint) {
-		// A VM that starts must know all crashes that tell suspects apart.
-		g.crashSync.unsavedRefusals[c.Fingerprint] = true
-	}
+	// A VM that starts must know all crashes that tell suspects apart.
+	g.refusals.ScheduleAgain(c.Fingerprint)
 }
 
 // clearCrashes clears the crashes of a request that ran cleanly and reports that to the peers. The caller holds the
@@ -180,7 +155,7 @@
 		g.reportCrash(c, now)
 	}
 	g.scheduleChangedParts(fingerprint, now)
-	g.scheduleRefusalWrite(fingerprint)
+	g.refusals.Schedule(fingerprint)
 }
 
 // reportCrash adds a crash to the next digests. The caller holds the lock.
--- a/pkg/gateway/crashevidence.go
+++ b/pkg/gateway/crashevidence.go
@@ -27,7 +27,7 @@
 		return crashguard.EvidenceWrite{}, false
 	}
 	hasRecord := func(fingerprint uint64) bool {
-		return g.crashes.IsStored(fingerprint) && g.crashSync.savedRefusals[fingerprint]
+		return g.crashes.IsStored(fingerprint) && g.refusals.HasRecord(fingerprint)
 	}
 	return g.evidence.Begin(g.crashes, hasRecord, g.timeOfDay(), now), true
 }
@@ -71,7 +71,7 @@
 	}
 	g.log.info(partCrash).Int("crashes", len(stored)).Int("bytes", len(w.Value)).Msg("crashes kept")
 	for _, id := range stored {
-		g.crashSync.written = append(g.crashSync.written, writtenRefusal{fingerprint: id, refused: true, at: now})
+		g.refusals.Report(id, true, now)
 	}
 	g.requestDigest()
 }
--- a/pkg/gateway/crashparts.go
+++ b/pkg/gateway/crashparts.go
@@ -188,11 +188,11 @@
 				g.evidence.Add(c, false, now)
 			}
 		}
-		if part == own || g.crashSync.savedRefusals[part] {
-			g.scheduleRefusalWrite(part)
+		if part == own || g.refusals.HasRecord(part) {
+			g.refusals.Schedule(part)
 			continue
 		}
-		g.awaitRefusalWrite(part, now)
+		g.refusals.Await(part, now)
 	}
 }
 
--- a/pkg/gateway/crashrefusals_test.go
+++ b/pkg/gateway/crashrefusals_test.go
@@ -10,6 +10,12 @@
 	"github.com/corneldeal/corneldeal/pkg/steady"
 )
 
+const (
+	// refusalInterval is the interval between two rounds of writes, and refusalTTL the age from which a record is outdated.
+	refusalInterval = time.Second
+	refusalTTL      = 24 * time.Hour
+)
+
 // recordThreeCrashes makes a VM refuse a request because it crashed three endpoints.
 func recordThreeCrashes(g *Gateway, fingerprint uint64, now time.Time) {
 	for _, endpoint := range []string{"a/1", "b/1", "c/1"} {
@@ -24,21 +30,21 @@
 	now := steady.Now()
 	recordThreeCrashes(g, 7, now)
 	for range 3 {
-		changes := g.refusalsToWrite(now)
-		if len(changes) != 1 || changes[0].fingerprint != 7 || changes[0].value == nil {
+		changes := g.refusals.Begin(g.timeOfDay(), now)
+		if len(changes) != 1 || changes[0].Fingerprint != 7 || changes[0].Value == nil {
 			t.Fatalf("writes due: %v", changes)
 		}
-		if again := g.refusalsToWrite(now.Add(crashRefusalRetryInterval)); again != nil {
+		if again := g.refusals.Begin(g.timeOfDay(), now.Add(refusalInterval)); again != nil {
 			t.Fatal("a write is due while another is in progress")
 		}
 		g.recordRefusalWrite(changes[0], errors.New("store is not reachable"))
-		g.crashSync.saving = false
-		now = now.Add(crashRefusalRetryInterval)
+		g.refusals.End()
+		now = now.Add(refusalInterval)
 	}
-	changes := g.refusalsToWrite(now)
+	changes := g.refusals.Begin(g.timeOfDay(), now)
 	g.recordRefusalWrite(changes[0], nil)
-	g.crashSync.saving = false
-	if changes := g.refusalsToWrite(now.Add(crashRefusalRetryInterval)); changes != nil {
+	g.refusals.End()
+	if changes := g.refusals.Begin(g.timeOfDay(), now.Add(refusalInterval)); changes != nil {
 		t.Fatalf("writes due after a success: %v", changes)
 	}
 }
@@ -48,13 +54,13 @@
 	g := newTestGateway(0)
 	now := steady.Now()
 	recordThreeCrashes(g, 7, now)
-	for _, change := range g.refusalsToWrite(now) {
+	for _, change := range g.refusals.Begin(g.timeOfDay(), now) {
 		g.recordRefusalWrite(change, nil)
 	}
-	g.crashSync.saving = false
+	g.refusals.End()
 	g.clearCrashes(7, now)
-	changes := g.refusalsToWrite(now.Add(crashRefusalRetryInterval))
-	if len(changes) != 1 || changes[0].value != nil {
+	changes := g.refusals.Begin(g.timeOfDay(), now.Add(refusalInterval))
+	if len(changes) != 1 || changes[0].Value != nil {
 		t.Fatalf("writes due: %v", changes)
 	}
 }
@@ -69,7 +75,7 @@
 		outdated, refused bool
 	}{
 		{"crashed/7", record(time.Minute), false, true},
-		{"crashed/7", record(crashRefusalTTL + time.Minute), true, false},
+		{"crashed/7", record(refusalTTL + time.Minute), true, false},
 		{"crashed/7", "{", true, false},
 		{"crashed/x", record(time.Minute), true, false},
 		{"crashed/7", `{"endpoints":[]}`, true, false},
@@ -79,7 +85,7 @@
 		if outdated != c.outdated || g.crashes.IsRefused(7) != c.refused {
 			t.Errorf("%s %s: outdated %v, refused %v", c.key, c.value, outdated, g.crashes.IsRefused(7))
 		}
-		if changes := g.refusalsToWrite(steady.Now()); changes != nil {
+		if changes := g.refusals.Begin(g.timeOfDay(), steady.Now()); changes != nil {
 			t.Errorf("%s %s: a write is due", c.key, c.value)
 		}
 	}
--- a/pkg/gateway/digest.go
+++ b/pkg/gateway/digest.go
@@ -45,7 +45,7 @@
 	}
 	g.addUnansweredCrashes(now)
 	g.origins.Expire(now)
-	g.takeOverRefusalWrites(now)
+	g.refusals.TakeOver(func(undoneSince time.Time) bool { return g.takesOver(undoneSince, now) })
 	g.shareRetries(now)
 	g.updateLimits(now)
 	g.updateBrittle(now)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -139,7 +139,8 @@
 	// number boot: with the same beginning on all VMs, their first crashes would all accuse the same parts.
 	accusationTurn uint64
 	crashSync      crashSync
-	// evidence holds which crashes are kept in the store.
+	// refusals and evidence hold which refused requests and which crashes are kept in the store.
+	refusals *crashguard.RefusalRecords
 	evidence *crashguard.Evidence
 	// endedSeen are the starts of endpoints that this VM saw to have ended lately, to be sent in its digests.
 	endedSeen []fleet.EndedStart
@@ -259,13 +260,15 @@
 
 // newGuardedState returns the state of a process that has not yet heard from the store or a peer.
 func newGuardedState(s settings.Gateway, boot uint64, src sources) guardedState {
+	crashes := crashguard.NewTally()
 	return guardedState{
 		endpoints:          fleet.NewTable(),
 		placer:             newPlacer(s.Placement, boot),
 		limiter:            share.New(!s.FirstStart),
 		retries:            map[string]*admit.RetryBudget{},
 		overloads:          map[string]*admit.Overload{},
-		crashes:            crashguard.NewTally(),
+		crashes:            crashes,
+		refusals:           crashguard.NewRefusalRecords(crashes),
 		unansweredAttempts: crashguard.NewUnansweredAttempts(),
 		cleanRuns:          crashguard.NewCleanRuns(0),
 		cleanParts:         crashguard.NewCleanRuns(cleanPartValidity),
@@ -275,7 +278,6 @@
 		partsChanged:       make(chan struct{}),
 		accusationTurn:     boot,
 		partTraffic:        partTraffic{withPart: map[uint64]int{}},
-		crashSync:          newCrashSync(),
 		evidence:           crashguard.NewEvidence(),
 		cutServices:        map[string]bool{},
 		limits:             endpointlimit.New(s.VM),
--- a/pkg/gateway/precedence_test.go
+++ b/pkg/gateway/precedence_test.go
@@ -150,7 +150,7 @@
 		for i := range 5 {
 			vm.gateway.addCrash(crashguard.Crash{Fingerprint: fingerprint, Endpoint: fmt.Sprint("e", i)}, "peer", s.now)
 		}
-		vm.gateway.awaitRefusalWrite(fingerprint, s.now.Add(observerWriteTime))
+		vm.gateway.refusals.Await(fingerprint, s.now.Add(observerWriteTime))
 	}
 	writers := 0
 	for range int((observerWriteTime + reportDelay) / simStep) {
@@ -158,7 +158,7 @@
 		s.run(simStep)
 	}
 	for _, vm := range s.vms {
-		if vm.gateway.crashSync.unsavedRefusals[fingerprint] {
+		if vm.gateway.refusals.IsScheduled(fingerprint) {
 			writers++
 		}
 	}
--- a/pkg/gateway/rewrite.go
+++ b/pkg/gateway/rewrite.go
@@ -41,9 +41,6 @@
 			*duty = announcementDuty{undoneSince: now}
 		}
 	}
-	clear(g.crashSync.savedRefusals)
+	g.refusals.StoreRestored(now)
 	g.evidence.StoreRestored(now)
-	for _, crash := range g.crashes.TopCrashes(maxRequestsPerReply) {
-		g.awaitRefusalWrite(crash.Fingerprint, now)
-	}
 }
