Give up the key of a write without an answer, also where it is used again

Found by reading: while a closed record of streams was written, its streams could expire and its key be given to the open one. If the write then had no answer, it might take effect late and replace the open record, whose streams would no longer be named. TestKeyOfALateWriteIsNotUsedAgain fails without the fix (4 streams named after the late write, 3 wanted: one of them no more).

--- a/pkg/affinity/record.go
+++ b/pkg/affinity/record.go
@@ -87,9 +87,10 @@
 	p.segment.durable = max(p.segment.durable, p.revision)
 }
 
-// WriteFailed records that it is not known whether the store holds a record, or will. It is written again under another key.
+// WriteFailed records that it is not known whether the store holds a record, or will. What the key holds is written again under
+// another one.
 func (t *Table) WriteFailed(p Pending) {
-	t.segments.moveOn(p.segment)
+	t.segments.abandonKey(p.Key)
 }
 
 // Age returns the time for which a record has said nothing any more of streams that a caller may still take up, or a negative
--- a/pkg/affinity/segments.go
+++ b/pkg/affinity/segments.go
@@ -136,11 +136,21 @@
 	return true
 }
 
-// moveOn gives a segment another key after a write without an answer, which may take effect after later ones.
-func (s *segments) moveOn(from *segment) {
-	s.keys++
-	s.writers++
-	from.key, from.writer = s.keys, s.writers
+// abandonKey gives up a key after a write without an answer, which may take effect after later ones. The segment that has it
+// goes on under another one.
+func (s *segments) abandonKey(key int) {
+	isKey := func(other int) bool { return other == key }
+	s.free = slices.DeleteFunc(s.free, isKey)
+	s.retired = slices.DeleteFunc(s.retired, func(r retiredKey) bool { return isKey(r.key) })
+	for each := range s.all {
+		if !isKey(each.key) {
+			continue
+		}
+		s.keys++
+		s.writers++
+		each.key, each.writer = s.keys, s.writers
+		s.change(each)
+	}
 }
 
 // takeSparse returns, once after a segment was opened, the closed segment with the fewest streams. There is none if all are
--- a/pkg/affinity/segments_test.go
+++ b/pkg/affinity/segments_test.go
@@ -145,6 +145,50 @@
 	}
 }
 
+// Guards against a key that is used again while a write of what it held before is under way, and that loses its streams when that
+// write has no answer and takes effect late.
+func TestKeyOfALateWriteIsNotUsedAgain(t *testing.T) {
+	p := newLoadedProcess()
+	p.table.segments.size = 2
+	begin := func(n int, takeUp time.Duration) {
+		id := IDOf(fmt.Sprint("attempt-", n))
+		p.table.Begin(Begun{ID: id, Origin: Origin{Service: "s", Software: "v2"}, ExpiresAt: p.now.Add(takeUp)}, p.now)
+	}
+	write := func() {
+		if err := p.write(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	begin(1, 10*time.Second)
+	begin(2, 10*time.Second)
+	write()
+	begin(3, time.Minute)
+	begin(4, time.Minute)
+	write()
+	p.table.StoreRestored(p.now)
+	write()
+	late, _ := p.table.NextRecord()
+	// The streams of the first record expire while it is written again, and another one begins.
+	p.now = p.now.Add(11 * time.Second)
+	p.table.Expire(p.now)
+	begin(5, time.Minute)
+	if p.table.segments.open.key != late.Key {
+		t.Fatalf("the open record has key %d, want that of the first one, %d", p.table.segments.open.key, late.Key)
+	}
+	p.table.WriteFailed(late)
+	for p.table.HasUnwritten() {
+		write()
+	}
+	p.stored[late.Key] = late.Record
+	named := 0
+	for s := range p.table.segments.all {
+		named += len(p.stored[s.key].Streams["s"]["v2"])
+	}
+	if named != 3 {
+		t.Errorf("%d streams are named after the late write, want 3", named)
+	}
+}
+
 // BenchmarkRecords plays a minute of the target's load on one VM of systems of 1 to 410, in which every second stream begins at
 // another version than the baseline, and reports what the VM writes.
 func BenchmarkRecords(b *testing.B) {
