--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -1,9 +1,7 @@
 package gateway
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"strconv"
 	"time"
 
@@ -14,16 +12,11 @@
 )
 
 // Every VM keeps a tally of the requests that crashed endpoints. A VM reports the crashes that it observes in its digests
-// for crashReportPeriod, which is enough for the VMs that receive them. A VM that starts, that was paused or cut off, or
+// for crashguard.NewsPeriod, which is enough for the VMs that receive them. A VM that starts, that was paused or cut off, or
 // that refuses other requests than a peer requests that peer's whole tally, so that no crash is forgotten while a VM that
 // has counted it runs.
 
 const (
-	// crashReportPeriod is the time for which a VM's digests contain a crash. It is longer than peerSilenceLimit, so a VM
-	// that misses all of these digests counts its peers as silent and requests all crashes once it receives digests again.
-	crashReportPeriod = 3 * time.Second
-	// maxCrashesPerDigest limits the crashes in one digest.
-	maxCrashesPerDigest = 128
 	// maxRequestsPerReply limits the requests whose crashes a reply to a peer contains.
 	maxRequestsPerReply = 1024
 	// crashRequestInterval is the interval between two requests for all crashes.
@@ -33,18 +26,10 @@
 	maxRefusalMismatch = 600 * time.Millisecond
 )
 
-// recentCrash is a crash that this VM recorded or cleared, to be sent in its digests.
-type recentCrash struct {
-	crashguard.Crash
-	recordedAt time.Time
-	// reports is the number of digests that contained it.
-	reports int
-}
-
 // crashSync is the state of the exchange of crashes with peers.
 type crashSync struct {
-	// recent are oldest first.
-	recent []*recentCrash
+	// news are the crashes for the next digests.
+	news crashguard.News
 	// sourcePeer is a peer that may hold crashes which this VM lacks, or empty.
 	sourcePeer string
 	askedAt    time.Time
@@ -99,11 +84,11 @@
 			g.clearCrashes(fingerprint, now)
 		}
 	case place.Broken:
-		for _, fingerprint := range g.accusedBy(r, t) {
+		for _, fingerprint := range g.accused(r, t) {
 			g.recordOwnCrash(crashguard.Crash{Fingerprint: fingerprint, Endpoint: endpoint.Name(), SentAt: began}, now)
 		}
 	case place.TimedOut, place.Neutral, place.ConnectionRefused:
-		for _, fingerprint := range g.accusedBy(r, t) {
+		for _, fingerprint := range g.accused(r, t) {
 			g.unansweredAttempts.Add(fingerprint, endpoint, began, now)
 		}
 	}
@@ -160,7 +145,7 @@
 
 // reportCrash adds a crash to the next digests. The caller holds the lock.
 func (g *Gateway) reportCrash(c crashguard.Crash, now time.Time) {
-	g.crashSync.recent = append(g.crashSync.recent, &recentCrash{Crash: c, recordedAt: now})
+	g.crashSync.news.Add(c, now)
 	g.requestDigest()
 }
 
@@ -189,26 +174,13 @@
 	return true
 }
 
-// crashReports returns the crashes for the next digest. If there are too many, those of requests with the most crashes
-// come first, then those that were reported least often, so that all are reported in turn, and among these the newest.
-// The caller holds the lock.
+// crashReports returns the crashes for the next digest. The caller holds the lock.
 func (g *Gateway) crashReports(now time.Time) []*gossip.Accusation {
-	recent := slices.DeleteFunc(g.crashSync.recent, func(n *recentCrash) bool { return now.Sub(n.recordedAt) >= crashReportPeriod })
-	g.crashSync.recent = recent
-	if omitted := len(recent) - maxCrashesPerDigest; omitted > 0 {
-		g.metrics.counters.Add("crash_news_left_out_total", int64(omitted))
-		recent = slices.Clone(recent)
-		slices.SortStableFunc(recent, func(a, b *recentCrash) int {
-			danger := cmp.Compare(g.crashes.CrashCount(b.Fingerprint), g.crashes.CrashCount(a.Fingerprint))
-			return cmp.Or(danger, cmp.Compare(a.reports, b.reports), b.recordedAt.Compare(a.recordedAt))
-		})
-		recent = recent[:maxCrashesPerDigest]
-	}
-	out := make([]*gossip.Accusation, 0, len(recent))
-	for _, n := range recent {
-		n.reports++
-		n.Late = g.crashes.LateCrashes(n.Fingerprint)
-		out = append(out, newAccusation(n.Crash, now.Sub(n.recordedAt)))
+	news, leftOut := g.crashSync.news.Take(g.crashes, now)
+	g.metrics.counters.Add("crash_news_left_out_total", int64(leftOut))
+	out := make([]*gossip.Accusation, 0, len(news))
+	for _, n := range news {
+		out = append(out, newAccusation(n.Crash, now.Sub(n.RecordedAt)))
 	}
 	return out
 }
--- a/pkg/gateway/crashes_test.go
+++ b/pkg/gateway/crashes_test.go
@@ -60,7 +60,7 @@
 		paused.down, cutOff.partition = true, 1
 		s.recordCrashes(crashingFingerprint, s.vms[3], s.vms[4], s.vms[5])
 		s.run(catchUpLimit)
-		s.run(2 * crashReportPeriod)
+		s.run(2 * crashguard.NewsPeriod)
 		paused.down, cutOff.partition = false, 0
 		s.add()
 		s.run(catchUpLimit)
@@ -78,7 +78,7 @@
 			vm.partition = i % 2
 		}
 		s.recordCrashes(crashingFingerprint, s.vms[2], s.vms[3], s.vms[4])
-		s.run(2 * crashReportPeriod)
+		s.run(2 * crashguard.NewsPeriod)
 		if n, _ := s.refusing(crashingFingerprint); n > 0 {
 			t.Fatalf("%d VMs refuse the request before the partitions reconnect", n)
 		}
@@ -95,7 +95,7 @@
 	s := simulate(t, 7)
 	s.run(2 * time.Second)
 	s.recordCrashes(crashingFingerprint, s.vms[0], s.vms[1])
-	s.run(2 * crashReportPeriod)
+	s.run(2 * crashguard.NewsPeriod)
 	for i := range 7 {
 		s.vms[i].down = true
 		s.run(time.Second)
@@ -135,7 +135,7 @@
 	s := simulate(t, 85)
 	s.run(2 * time.Second)
 	s.recordCrashes(crashingFingerprint, s.vms[3], s.vms[4], s.vms[5])
-	s.run(catchUpLimit + crashReportPeriod)
+	s.run(catchUpLimit + crashguard.NewsPeriod)
 	s.stateRequests = 0
 	const span = 10 * time.Second
 	s.run(span)
@@ -152,7 +152,7 @@
 	for _, endpoint := range []string{"a/1", "b/1"} {
 		g.recordOwnCrash(crashguard.Crash{Fingerprint: crashingFingerprint, Endpoint: endpoint}, now)
 	}
-	now = now.Add(crashReportPeriod / 2)
+	now = now.Add(crashguard.NewsPeriod / 2)
 	for i := range uint64(5000) {
 		g.recordOwnCrash(crashguard.Crash{Fingerprint: i + 1, Endpoint: "endpoint-with-a-long-name/1700000000000"}, now)
 	}
@@ -173,18 +173,18 @@
 func TestAllCrashesAreReportedInTurn(t *testing.T) {
 	g := newTestGateway(1)
 	now := steady.Now()
-	const count = 10 * maxCrashesPerDigest
+	const count = 10 * crashguard.MaxNews
 	for i := range uint64(count) {
 		g.recordOwnCrash(crashguard.Crash{Fingerprint: i + 1, Endpoint: "a/1"}, now)
 	}
 	reported := map[uint64]bool{}
-	for i := range uint64(count / maxCrashesPerDigest) {
+	for i := range uint64(count / crashguard.MaxNews) {
 		for _, a := range g.digest(i+1, now).GetAccusations() {
 			reported[a.GetFingerprint()] = true
 		}
 	}
 	if len(reported) != count {
-		t.Errorf("%d of %d crashes are reported in %d digests", len(reported), count, count/maxCrashesPerDigest)
+		t.Errorf("%d of %d crashes are reported in %d digests", len(reported), count, count/crashguard.MaxNews)
 	}
 }
 
--- a/pkg/gateway/crashparts.go
+++ b/pkg/gateway/crashparts.go
@@ -26,9 +26,6 @@
 	// maxSharedParts limits the parts of one prompt that are looked at. A prompt with more exceeds the usual limits of
 	// headers.
 	maxSharedParts = 1024
-	// maxAccusedParts limits the parts of one request that a crash accuses, so that prompts of hundreds of parts do not fill
-	// the tally.
-	maxAccusedParts = 128
 	// probeStep is the time after which twice as many VMs may send a probe, in a fixed order of the VMs for each part. The
 	// outcome of a probe reaches the other VMs within it.
 	probeStep = 500 * time.Millisecond
@@ -62,33 +59,11 @@
 	}
 }
 
-// accusedBy returns the fingerprints that a crash of an endpoint under an attempt accuses: those of the request and, unless
-// the endpoint had written soundAnswerEvents, of about maxAccusedParts parts of its prompt. Of a longer prompt the parts that
-// are accused already come first, and the others take turns, so that a part that is in all crashes is soon accused wherever it
-// stands. The caller holds the lock.
-func (g *Gateway) accusedBy(r *request, t *target) []uint64 {
-	first := slices.IndexFunc(r.fingerprints, crashguard.IsPart)
-	if first >= 0 && t.events >= soundAnswerEvents {
-		return r.fingerprints[:first]
-	}
-	if first < 0 || len(r.fingerprints)-first <= maxAccusedParts {
-		return r.fingerprints
-	}
-	parts := r.fingerprints[first:]
-	turns := uint64((len(parts) + maxAccusedParts - 1) / maxAccusedParts)
-	g.accusationTurn++
-	out := slices.Clone(r.fingerprints[:first])
-	for _, part := range parts {
-		if rendezvous.Weight(part, accusationTurnName)%turns == g.accusationTurn%turns || g.crashes.CrashCount(part) > 0 {
-			out = append(out, part)
-		}
-	}
-	return out
+// accused returns the fingerprints that a crash of an endpoint under an attempt accuses. The caller holds the lock.
+func (g *Gateway) accused(r *request, t *target) []uint64 {
+	return g.accuser.Accused(r.fingerprints, t.events >= soundAnswerEvents)
 }
 
-// accusationTurnName is the name under which the turn of a part is drawn.
-const accusationTurnName = "turn"
-
 // cleanRunsOf returns the clean runs of requests or of parts, whichever the fingerprint is of. The caller holds the lock.
 func (g *Gateway) cleanRunsOf(fingerprint uint64) *crashguard.CleanRuns {
 	if crashguard.IsPart(fingerprint) {
@@ -125,7 +100,7 @@
 			return false, now.Add(probeTimeEstimate)
 		}
 		at = g.freeProbeTime(part, p.At, now)
-		return !now.Before(at) && !g.mixesSuspects(r), at
+		return !now.Before(at) && !g.partTraffic.MixesSuspects(r.fingerprints), at
 	}
 	return false, time.Time{}
 }
@@ -199,7 +174,9 @@
 // crashSuspicion returns whether a request must not be sent because it, or a part of its prompt, crashes endpoints, and
 // the time after which its caller may come back. The caller holds the lock.
 func (g *Gateway) crashSuspicion(r *request, now time.Time) (after time.Duration, refuse bool) {
-	g.countRefusedParts(r, now)
+	if r.attempts == 0 {
+		g.partTraffic.Count(r.fingerprints, now)
+	}
 	r.probe = false
 	var prompt crashguard.Prompt
 	if slices.ContainsFunc(r.fingerprints, g.crashes.IsRefused) {
--- a/pkg/gateway/crashparts_test.go
+++ b/pkg/gateway/crashparts_test.go
@@ -181,11 +181,11 @@
 	accused := map[uint64]bool{}
 	const turns = 4
 	for range turns {
-		got := g.accusedBy(r, &target{})
+		got := g.accuser.Accused(r.fingerprints, false)
 		if got[0] != 1 || got[1] != 2 || !slices.Contains(got, known) {
 			t.Errorf("accused %x...; want the request, and the part that is accused already", got[:3])
 		}
-		if len(got) > 2*maxAccusedParts {
+		if len(got) > 2*crashguard.MaxAccusedParts {
 			t.Errorf("%d fingerprints accused at once", len(got))
 		}
 		for _, fingerprint := range got {
@@ -207,7 +207,7 @@
 	r := &request{fingerprints: partFingerprints(long)}
 	accused := map[uint64]bool{}
 	for _, vm := range simulate(t, 30).vms {
-		for _, fingerprint := range vm.gateway.accusedBy(r, &target{}) {
+		for _, fingerprint := range vm.gateway.accuser.Accused(r.fingerprints, false) {
 			accused[fingerprint] = true
 		}
 	}
@@ -320,10 +320,10 @@
 	now := steady.Now()
 	part := crashguard.PartFingerprint(0xc0ffee)
 	begun := &request{fingerprints: []uint64{1, part}}
-	if got := g.accusedBy(begun, &target{events: soundAnswerEvents}); slices.Contains(got, part) || !slices.Contains(got, 1) {
+	if got := g.accused(begun, &target{events: soundAnswerEvents}); slices.Contains(got, part) || !slices.Contains(got, 1) {
 		t.Errorf("an engine that ends after it began an answer accuses %x, want the request only", got)
 	}
-	if got := g.accusedBy(begun, &target{events: soundAnswerEvents - 1}); !slices.Contains(got, part) {
+	if got := g.accused(begun, &target{events: soundAnswerEvents - 1}); !slices.Contains(got, part) {
 		t.Errorf("an engine that ends as it begins an answer accuses %x, want the part too", got)
 	}
 	g.clearPartsOf(begun, now)
--- a/pkg/gateway/explain.go
+++ b/pkg/gateway/explain.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"maps"
 	"net"
 	"runtime/debug"
 	"time"
@@ -154,7 +153,7 @@
 	c.crashes = g.crashes.Clone()
 	c.limits = g.limits.Clone()
 	c.brittle = g.brittle.Clone()
-	c.partTraffic.withPart = maps.Clone(g.partTraffic.withPart)
+	c.partTraffic = g.partTraffic.Clone(c.crashes)
 	return c
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -130,15 +130,14 @@
 	cleanParts *crashguard.CleanRuns
 	// partProbes are the ids of the running requests that were sent as probes of refused parts, by the parts' fingerprints.
 	partProbes  map[uint64]uint64
-	partTraffic partTraffic
+	partTraffic *crashguard.PartTraffic
 	// probeTurns are the turns that this VM gives out, if it is the one to do so. turnAsks are those that it asked for.
 	probeTurns, turnAsks *crashguard.ProbeTurns
 	// partsChanged is closed, and then replaced, when parts are refused or no longer refused.
 	partsChanged chan struct{}
-	// accusationTurn is the turn of the parts that the last crash under a long prompt accused. It begins at the random
-	// number boot: with the same beginning on all VMs, their first crashes would all accuse the same parts.
-	accusationTurn uint64
-	crashSync      crashSync
+	// accuser chooses the parts that a crash accuses.
+	accuser   *crashguard.Accuser
+	crashSync crashSync
 	// refusals and evidence hold which refused requests and which crashes are kept in the store.
 	refusals *crashguard.RefusalRecords
 	evidence *crashguard.Evidence
@@ -276,8 +275,8 @@
 		probeTurns:         crashguard.NewProbeTurns(),
 		turnAsks:           crashguard.NewProbeTurns(),
 		partsChanged:       make(chan struct{}),
-		accusationTurn:     boot,
-		partTraffic:        partTraffic{withPart: map[uint64]int{}},
+		accuser:            crashguard.NewAccuser(crashes, boot),
+		partTraffic:        crashguard.NewPartTraffic(crashes),
 		evidence:           crashguard.NewEvidence(),
 		cutServices:        map[string]bool{},
 		limits:             endpointlimit.New(s.VM),
--- a/pkg/gateway/probeturns.go
+++ b/pkg/gateway/probeturns.go
@@ -107,7 +107,7 @@
 // probeOf returns how a request may be sent although a part of its prompt is refused. A turn is taken only once all VMs have
 // heard of the last crash. The caller holds the lock.
 func (g *Gateway) probeOf(prompt crashguard.Prompt, part uint64) crashguard.Probe {
-	return g.afterSpread(g.crashes.ProbeOf(part, prompt, g.partTraffic.isWidespread(part)))
+	return g.afterSpread(g.crashes.ProbeOf(part, prompt, g.partTraffic.IsWidespread(part)))
 }
 
 // afterSpread puts a probe that needs a turn off until all VMs have heard of the last crash.
