--- a/pkg/affinity/affinity.go
+++ b/pkg/affinity/affinity.go
@@ -1,11 +1,11 @@
 // Package affinity knows where each stream began, so that it goes on only there.
 //
 // What two software versions of a service write does not fit together. The caller of a stream that broke off may take it up
-// at any VM, also when no VM that saw it begin runs any more. So the platform's store holds, for each process, the streams
-// that it has under way at another version than the baseline of their service. A stream's record is stored before its first
-// event is passed on; hence a stream that no record names began at the baseline. While a service has one version, nothing
-// is written. A restore of the store loses records, so for a while after it a missing record says nothing, and the processes
-// record the streams at all versions.
+// at any VM, also when no VM that saw it begin runs any more. So the platform's store holds, for each process, the streams that it
+// passed on at another version than the baseline of their service, for as long as their callers may take them up. A stream's record
+// is stored before its first event is passed on; hence a stream that no record names began at the baseline. While a service has one
+// version, nothing is written. A restore of the store loses records, so for a while after it a missing record says nothing, and the
+// processes record the streams at all versions.
 //
 // A stream is known until its caller can no longer take it up, whatever becomes of it meanwhile: that a stream was written to
 // its end says nothing of what its caller has read. The package does no I/O; the time is passed in.
@@ -175,7 +175,7 @@
 	return s.segment == nil || s.revision <= s.segment.durable
 }
 
-// Own returns the origin of a stream that this process has under way.
+// Own returns the origin of a stream that this process passed on and that a caller may still take up.
 func (t *Table) Own(id StreamID) (o Origin, known bool) {
 	s, known := t.streams[id]
 	return s.origin, known
--- a/pkg/affinity/baseline.go
+++ b/pkg/affinity/baseline.go
@@ -73,7 +73,7 @@
 }
 
 // StoreRestored drops all baselines, since they may have been lost and others written, and has the record of this process
-// written with all streams that it has under way.
+// written with all streams that callers may take up.
 func (t *Table) StoreRestored(now time.Time) {
 	t.restoredAt = now
 	for service, b := range t.baselines {
--- a/pkg/affinity/naming.go
+++ b/pkg/affinity/naming.go
@@ -3,7 +3,7 @@
 import "time"
 
 // While a service has no baseline, or a provisional one, a missing record does not tell where a stream began. The record of
-// each process then names its streams at every version, those that it had under way when it learned of a restore as well.
+// each process then names its streams at every version, those from before it learned of a restore as well.
 // So a stream is known unless the process that began it ended before it could write; docs/design/stream-origins.md lists
 // who knows what at which time.
 
--- a/pkg/gateway/platform.go
+++ b/pkg/gateway/platform.go
@@ -31,10 +31,10 @@
 	EndpointStream
 	// OrderClaimStream holds the claims of the lease to give orders.
 	OrderClaimStream
-	// VMStream holds the registrations of the gateways, the announcement times of weight versions and the refused
-	// requests.
+	// VMStream holds the registrations of the gateways, the announcement times of weight versions, the refused requests and
+	// the crashes that count against others.
 	VMStream
-	// StreamOriginStream holds which software versions began the streams that are under way, see package affinity.
+	// StreamOriginStream holds which software versions began the streams that callers may take up, see package affinity.
 	StreamOriginStream
 	// StatusStream holds what the gateways tell operators about their roll-outs.
 	StatusStream
