Bound what reports of stored crashes cost

Suspected, not shown: each report of a stored crash walked over all that were remembered once these were more than 2,048, and the VMs have 0.12 of a core.

--- a/pkg/crashguard/evidence.go
+++ b/pkg/crashguard/evidence.go
@@ -70,8 +70,9 @@
 type Evidence struct {
 	// crashes are those that count, and unstored those of them that no record is known to hold.
 	crashes, unstored map[uint64]*keptCrash
-	// reported are the crashes that other VMs reported as stored before this VM learned of them, and when.
-	reported map[uint64]time.Time
+	// reported are the crashes that other VMs reported as stored before this VM learned of them, since forgotAt.
+	reported map[uint64]bool
+	forgotAt time.Time
 	// left are the crashes, by VM, in the records of VMs that may not run any more.
 	left map[string][]uint64
 	// loaded is set once the records of the store were read. Before, this VM's record must not be replaced.
@@ -91,7 +92,7 @@
 // NewEvidence returns an Evidence that knows of no crash.
 func NewEvidence() *Evidence {
 	return &Evidence{
-		crashes: map[uint64]*keptCrash{}, unstored: map[uint64]*keptCrash{}, reported: map[uint64]time.Time{}, left: map[string][]uint64{},
+		crashes: map[uint64]*keptCrash{}, unstored: map[uint64]*keptCrash{}, reported: map[uint64]bool{}, left: map[string][]uint64{},
 	}
 }
 
@@ -107,7 +108,7 @@
 		k.learnedAt = now
 	}
 	e.crashes[id] = k
-	if _, stored := e.reported[id]; !stored {
+	if !e.reported[id] {
 		e.unstored[id] = k
 	}
 }
@@ -129,11 +130,17 @@
 // Reported records that a VM reports a crash as stored.
 func (e *Evidence) Reported(id uint64, now time.Time) {
 	delete(e.unstored, id)
-	e.reported[id] = now
-	if len(e.reported) <= maxEvidence {
+	if e.crashes[id] != nil {
 		return
 	}
-	maps.DeleteFunc(e.reported, func(_ uint64, at time.Time) bool { return now.Sub(at) > maxObserverDelay })
+	if now.Sub(e.forgotAt) > reportPeriod {
+		// Crashes and the reports that they are stored arrive within this time.
+		clear(e.reported)
+		e.forgotAt = now
+	}
+	if len(e.reported) < maxEvidence {
+		e.reported[id] = true
+	}
 }
 
 // StoreRestored records that the store may have lost the records.
@@ -220,6 +227,11 @@
 	}
 }
 
+// HasWork reports whether anything is to be written or adopted, now or later.
+func (e *Evidence) HasWork() bool {
+	return len(e.unstored)+len(e.left)+len(e.removals) > 0 || !e.clearedSince.IsZero() || !e.repeatAt.IsZero()
+}
+
 // IsDue reports whether the VM of a rank has to write its record, or remove others. The rank of a VM is the number of the VMs that
 // precede it.
 func (e *Evidence) IsDue(rank int, now time.Time) bool {
--- a/pkg/crashguard/evidence_test.go
+++ b/pkg/crashguard/evidence_test.go
@@ -215,6 +215,26 @@
 	}
 }
 
+// Guards against reports of many crashes that cost time for each one that is remembered, and against remembering them for good.
+func TestReportsAreRememberedBoundedAndBriefly(t *testing.T) {
+	v := newEvidenceVM(t, "vm", map[string][]byte{}, evidenceStart)
+	for n := range uint64(4 * maxEvidence) {
+		v.evidence.Reported(n, v.now)
+	}
+	if n := len(v.evidence.reported); n > maxEvidence {
+		t.Errorf("%d reports are remembered", n)
+	}
+	v.now = v.now.Add(2 * reportPeriod)
+	v.evidence.Reported(EvidenceID(1, "e"), v.now)
+	if n := len(v.evidence.reported); n != 1 {
+		t.Errorf("%d reports are remembered later, want 1", n)
+	}
+	v.crash("e", 1)
+	if v.evidence.HasWork() {
+		t.Error("a crash that is reported as stored is written again")
+	}
+}
+
 // Guards against records that end a process, or hide the crashes beside what is unreadable, and against crashes that never end to
 // count.
 func TestUnreadableAndOutdatedEvidence(t *testing.T) {
--- a/pkg/gateway/crashevidence.go
+++ b/pkg/gateway/crashevidence.go
@@ -19,6 +19,9 @@
 
 // evidenceToWrite returns the write of this VM's crashes that is due, if any. The caller holds the lock.
 func (g *Gateway) evidenceToWrite(now time.Time) (w crashguard.EvidenceWrite, due bool) {
+	if !g.evidence.HasWork() {
+		return crashguard.EvidenceWrite{}, false
+	}
 	rank := g.rank(now)
 	if rank == 0 && now.Sub(g.started) >= adoptEvidenceAfter {
 		g.evidence.AdoptLeft(func(vm string) bool { return vm == g.settings.VM || g.isLivePeer(vm, now) }, now)
